feat(design): add the design page, object schemas, tickets and decision interfaces

Cause: the repository was empty. Change: toolchain (xo, tsc, ava), design page, schemas of the declared objects, policy compilation, ticket codec, and the interfaces of the inbound and outbound decisions with a minimal behaviour.

--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,10 @@
+const config = {
+  files: ['src/**/__tests__/**/*.spec.ts'],
+  extensions: {ts: 'module'},
+  nodeArguments: ['--import=tsx'],
+  workerThreads: false,
+  concurrency: 4,
+  timeout: '60s',
+};
+
+export default config;
--- /dev/null
+++ b/src/objects/policy.ts
@@ -0,0 +1,124 @@
+/** Compiles declared objects into the policy that decisions read. */
+import type {
+  DeclaredObject, RequestKind, Rule, Selection, Selector, Service,
+} from './schema.js';
+
+/** Treatment of one request kind. */
+export type Treatment = {
+  service: string;
+  requestKind: string;
+  methods: readonly string[];
+  path: string;
+  idempotent: boolean;
+  /** Position in the order of priorities; 0 is the most urgent. */
+  priority: number;
+  priorityName: string;
+  /** Longest time that a request may take, in milliseconds. */
+  deadlineMs: number;
+  /** Retries for one request over its whole chain. */
+  retryBudget: number;
+  /** Retries per call, on average. */
+  retryRatio: number;
+  /** Longest wait in the queue of a backend server, in milliseconds. */
+  queueMs: number;
+  /** Upper bound of calls in flight per backend server. */
+  concurrency: number | undefined;
+  /** Weights of client groups. */
+  weights: ReadonlyMap<string, number>;
+};
+
+/** Everything that decisions need to know from the declared objects. */
+export type Policy = {
+  /** Number of priorities, the one of unselected work included. */
+  priorityCount: number;
+  /** Request kinds of each service, in matching order. */
+  treatments: ReadonlyMap<string, readonly Treatment[]>;
+  /** Longest time that calls in flight get when a backend server leaves, in milliseconds, by service. */
+  drainMs: ReadonlyMap<string, number>;
+};
+
+/** Deadline of a request that no rule selects, in milliseconds. */
+export const DEFAULT_DEADLINE_MS = 5000;
+/** Retries of a request that no rule selects. */
+export const DEFAULT_RETRY_BUDGET = 2;
+/** Retries per call that no rule selects. */
+export const DEFAULT_RETRY_RATIO = 0.1;
+/** Queue time of a call that no rule selects, in milliseconds. */
+export const DEFAULT_QUEUE_MS = 200;
+/** Drain time of a service that no rule selects, in milliseconds. */
+export const DEFAULT_DRAIN_MS = 30_000;
+
+type Labels = Readonly<Record<string, string>>;
+type RuleOfType<Type extends Rule['spec']['type']> = Extract<Rule['spec'], {type: Type}>;
+
+const matches = (selector: Selector | undefined, labels: Labels): boolean =>
+  selector === undefined
+  || Object.entries(selector.labels).every(([key, value]) => labels[key] === value);
+
+const selects = (select: Selection, service: Service, requestKind?: RequestKind): boolean =>
+  matches(select.services, service.labels)
+  && (requestKind === undefined ? select.requestKinds === undefined : matches(select.requestKinds, requestKind.labels));
+
+const byName = (a: {name: string}, b: {name: string}): number => (a.name < b.name ? -1 : 1);
+
+const ofType = <Type extends Rule['spec']['type']>(rules: readonly Rule[], type: Type): Array<RuleOfType<Type>> =>
+  rules.map(rule => rule.spec).filter((spec): spec is RuleOfType<Type> => spec.type === type);
+
+const priorityOf = (rules: readonly Rule[], service: Service, requestKind: RequestKind): {priority: number; priorityName: string} => {
+  const priorities = ofType(rules, 'priority').flatMap(spec => spec.priorities);
+  const index = priorities.findIndex(priority => selects(priority.select, service, requestKind));
+  return index === -1 ? {priority: priorities.length, priorityName: 'default'} : {priority: index, priorityName: priorities[index]!.name};
+};
+
+const treatmentOf = (rules: readonly Rule[], service: Service, requestKind: RequestKind): Treatment => {
+  const applies = (spec: {select: Selection}) => selects(spec.select, service, requestKind);
+  const retry = ofType(rules, 'retry').find(spec => applies(spec));
+  const limit = ofType(rules, 'limit').find(spec => applies(spec));
+  const share = ofType(rules, 'share').find(spec => applies(spec));
+  return {
+    service: service.name,
+    requestKind: requestKind.name,
+    methods: requestKind.spec.methods,
+    path: requestKind.spec.path,
+    idempotent: requestKind.spec.idempotent,
+    ...priorityOf(rules, service, requestKind),
+    deadlineMs: ofType(rules, 'deadline').find(spec => applies(spec))?.milliseconds ?? DEFAULT_DEADLINE_MS,
+    retryBudget: retry?.retryBudget ?? DEFAULT_RETRY_BUDGET,
+    retryRatio: retry?.ratio ?? DEFAULT_RETRY_RATIO,
+    queueMs: limit?.queueMs ?? DEFAULT_QUEUE_MS,
+    concurrency: limit?.concurrency,
+    weights: new Map(share?.groups.map(group => [group.name, group.weight])),
+  };
+};
+
+/** Compiles a valid set of objects. */
+export const compilePolicy = (objects: readonly DeclaredObject[]): Policy => {
+  const services = objects.filter((object): object is Service => object.kind === 'Service').sort(byName);
+  const requestKinds = objects.filter((object): object is RequestKind => object.kind === 'RequestKind').sort(byName);
+  const rules = objects.filter((object): object is Rule => object.kind === 'Rule').sort(byName);
+  return {
+    priorityCount: ofType(rules, 'priority').flatMap(spec => spec.priorities).length + 1,
+    treatments: new Map(services.map(service => [
+      service.name,
+      requestKinds
+        .filter(requestKind => requestKind.spec.service === service.name)
+        .map(requestKind => treatmentOf(rules, service, requestKind)),
+    ])),
+    drainMs: new Map(services.map(service => [
+      service.name,
+      ofType(rules, 'drain').find(spec => selects(spec.select, service))?.milliseconds ?? DEFAULT_DRAIN_MS,
+    ])),
+  };
+};
+
+const pathMatches = (pattern: string, path: string): boolean =>
+  pattern.endsWith('*') ? path.startsWith(pattern.slice(0, -1)) : path === pattern;
+
+/** Finds the treatment of a request, or undefined when its service or request kind is not declared. */
+export const findTreatment = (policy: Policy, service: string, method: string, path: string): Treatment | undefined =>
+  policy.treatments.get(service)?.find(treatment =>
+    treatment.methods.includes(method) && pathMatches(treatment.path, path));
+
+/** Finds the treatment of a named request kind. */
+export const findRequestKind = (policy: Policy, service: string, requestKind: string): Treatment | undefined =>
+  policy.treatments.get(service)?.find(treatment => treatment.requestKind === requestKind);
--- /dev/null
+++ b/src/shared/constants.ts
@@ -0,0 +1,49 @@
+/** Names and limits shared by every part of jujubewell. */
+
+/** Header that carries the context of a call between two jujubewelld processes. */
+export const CALL_HEADER = 'jujubewell-call';
+
+/** Header that a backend server repeats on its calls to other services. */
+export const CALL_TOKEN_HEADER = 'jujubewell-call-token';
+
+/** Header with a request id chosen by the client. */
+export const REQUEST_ID_HEADER = 'jujubewell-request-id';
+
+/** Header with the remaining time of a call, in milliseconds. */
+export const DEADLINE_HEADER = 'jujubewell-deadline-ms';
+
+/** Header with the ticket that a non-idempotent request runs under. */
+export const TICKET_HEADER = 'jujubewell-ticket';
+
+/** Header with the client group and its message authentication code. */
+export const GROUP_HEADER = 'jujubewell-group';
+
+/** Header by which a response reports the admitted fraction, from 0 to 1. */
+export const FRACTION_HEADER = 'jujubewell-fraction';
+
+/** Header by which a response returns the unused retry budget. */
+export const RETRY_BUDGET_HEADER = 'jujubewell-retry-budget';
+
+/** Header that states whether the request was run: `run`, `not-run` or `unknown`. */
+export const OUTCOME_HEADER = 'jujubewell-outcome';
+
+/** Header with the reason of a rejection. */
+export const REASON_HEADER = 'jujubewell-reason';
+
+/** Header with the id that `jujubewell explain` expands. */
+export const EXPLAIN_HEADER = 'jujubewell-explain';
+
+/** Header with the load of a backend server, as calls in flight over its concurrency limit. */
+export const LOAD_HEADER = 'jujubewell-load';
+
+/** Prefix of all headers of the system; those of clients are dropped unless checked. */
+export const HEADER_PREFIX = 'jujubewell-';
+
+/** Length limit of a request id chosen by a client, in characters. */
+export const REQUEST_ID_MAX_LENGTH = 64;
+
+/** Deepest chain of calls that is served, in hops. The stated target is 13; the rest is headroom. */
+export const HOP_COUNT_MAX = 16;
+
+/** Lowest admitted fraction: a trickle keeps measurements of an overloaded service arriving. */
+export const FRACTION_FLOOR = 0.01;
--- /dev/null
+++ b/src/shared/ticket.ts
@@ -0,0 +1,57 @@
+/** Tickets: request ids bound to the one process incarnation that may run them. */
+import {Buffer} from 'node:buffer';
+import {createHmac, randomBytes, timingSafeEqual} from 'node:crypto';
+import {fail, ok, type Result} from './result.js';
+
+/** Content of a ticket. */
+export type Ticket = {
+  service: string;
+  /** Host whose process may run the request. */
+  host: string;
+  /** Incarnation of that process. */
+  incarnation: string;
+  /** Random part that makes the ticket unique. */
+  nonce: string;
+  /** Expiry in milliseconds since the Unix epoch, by the issuer's clock. */
+  expiresAt: number;
+};
+
+/** Why a ticket was not accepted. */
+export type TicketFault = {kind: 'malformed-ticket' | 'forged-ticket'; message: string};
+
+const MAC_LENGTH = 22;
+const FIELD_COUNT = 5;
+
+const sign = (text: string, key: string): string =>
+  createHmac('sha256', key).update(`ticket:${text}`).digest('base64url').slice(0, MAC_LENGTH);
+
+const encodePart = (part: string): string => encodeURIComponent(part).replaceAll('.', '%2E');
+
+/** Issues a ticket for a process incarnation. */
+export const issueTicket = (binding: Omit<Ticket, 'nonce'>, key: string): string => {
+  const parts = [binding.service, binding.host, binding.incarnation, randomBytes(12).toString('base64url'), String(binding.expiresAt)];
+  const text = parts.map(part => encodePart(part)).join('.');
+  return `${text}.${sign(text, key)}`;
+};
+
+const sameMac = (left: string, right: string): boolean =>
+  left.length === right.length && timingSafeEqual(Buffer.from(left), Buffer.from(right));
+
+/** Checks the message authentication code of a ticket and returns its content. */
+export const readTicket = (text: string, key: string): Result<Ticket, TicketFault> => {
+  const end = text.lastIndexOf('.');
+  const body = text.slice(0, Math.max(end, 0));
+  const parts = body.split('.');
+  if (parts.length !== FIELD_COUNT) {
+    return fail({kind: 'malformed-ticket', message: 'the ticket is malformed; repeat it exactly as it was issued'});
+  }
+
+  if (!sameMac(text.slice(end + 1), sign(body, key))) {
+    return fail({kind: 'forged-ticket', message: 'the ticket was not issued by this deployment; ask for a new one'});
+  }
+
+  const [service, host, incarnation, nonce, expiresAt] = parts.map(part => decodeURIComponent(part)) as [string, string, string, string, string];
+  return ok({
+    service, host, incarnation, nonce, expiresAt: Number(expiresAt),
+  });
+};
