--- /dev/null
+++ b/src/daemon/admin.ts
@@ -0,0 +1,87 @@
+/** Listener for operators: status, events, explanations, drain, metrics and health. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {EventLog} from './event-log.js';
+import {writeJson} from './http-server.js';
+import type {Metrics} from './metrics.js';
+
+/** Options of the admin listener. */
+export type AdminOptions = {
+  status: () => unknown;
+  /** Whether the process can serve calls. */
+  ready: () => boolean;
+  drain: () => void;
+  metrics: Metrics;
+  eventLog: EventLog;
+};
+
+const METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
+
+/** Creates the request handler of the admin listener. */
+export const createAdmin = (options: AdminOptions) => {
+  const explain = (response: ServerResponse, id: string) => {
+    const explanation = options.eventLog.explanation(id);
+    if (explanation === undefined) {
+      writeJson(response, 404, {error: 'not-found', message: `no rejection ${id} is remembered here; ask the host that its first part names, soon after the rejection`});
+      return;
+    }
+
+    writeJson(response, 200, explanation);
+  };
+
+  const read = async (response: ServerResponse, url: URL): Promise<void> => {
+    const {pathname} = url;
+    if (pathname.startsWith('/explain/')) {
+      explain(response, decodeURIComponent(pathname.slice('/explain/'.length)));
+      return;
+    }
+
+    switch (pathname) {
+      case '/healthz': {
+        writeJson(response, 200, {healthy: true});
+        return;
+      }
+
+      case '/readyz': {
+        const ready = options.ready();
+        writeJson(response, ready ? 200 : 503, {ready});
+        return;
+      }
+
+      case '/status': {
+        writeJson(response, 200, options.status());
+        return;
+      }
+
+      case '/events': {
+        writeJson(response, 200, {events: options.eventLog.eventsAfter(Number(url.searchParams.get('after') ?? 0))});
+        return;
+      }
+
+      case '/metrics': {
+        response.setHeader('content-type', METRICS_TYPE);
+        response.end(await options.metrics.render());
+        return;
+      }
+
+      default: {
+        writeJson(response, 404, {error: 'not-found', message: 'use /status, /events, /explain/<id>, /metrics, /healthz, /readyz or POST /drain'});
+      }
+    }
+  };
+
+  return async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const url = new URL(request.url ?? '/', 'http://admin');
+    if (request.method === 'POST' && url.pathname === '/drain') {
+      options.drain();
+      writeJson(response, 202, {draining: true});
+      return;
+    }
+
+    if (request.method !== 'GET') {
+      writeJson(response, 405, {error: 'method-not-allowed', message: 'use GET, or POST /drain'});
+      return;
+    }
+
+    return read(response, url);
+  };
+};
--- /dev/null
+++ b/src/daemon/entry.ts
@@ -0,0 +1,223 @@
+/** Entry for clients: checks a request, gives it its context and passes it to the outbound side. */
+import {createHmac, randomBytes, timingSafeEqual} from 'node:crypto';
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  DEADLINE_HEADER, GROUP_HEADER, REQUEST_ID_HEADER, REQUEST_ID_MAX_LENGTH, TICKET_HEADER,
+} from '../shared/constants.js';
+import type {Call} from '../shared/call.js';
+import {admissionHash} from '../shared/hash.js';
+import {readTicket, type Ticket} from '../shared/ticket.js';
+import {findTreatment, type Policy, type Treatment} from '../objects/policy.js';
+import type {EventLog} from './event-log.js';
+import {
+  forwardedRequestHeaders, numberHeader, singleHeader, type Headers,
+} from './headers.js';
+import {callerSignal, writeJson, writeReply} from './http-server.js';
+import {rejectionReply, type Message, type Reply} from './message.js';
+import type {Metrics} from './metrics.js';
+import {createReplayBody, type ReplayBudget} from './replay-body.js';
+import {remedyFor, type EntryRejection} from './remedies.js';
+import type {Sender} from './sender.js';
+
+/** Path prefix of the system's own requests. */
+export const OWN_PATH_PREFIX = '/.jujubewell/';
+
+/** Client group of a request that states none. */
+const DEFAULT_GROUP = 'default';
+const REQUEST_ID_BYTES = 12;
+const GROUP_MAC_LENGTH = 22;
+
+/** Options of the entry. */
+export type EntryOptions = {
+  fleetKey: string;
+  policy: () => Policy;
+  sender: Sender;
+  replayBytesPerCall: number;
+  replayBudget: ReplayBudget;
+  metrics: Metrics;
+  eventLog: EventLog;
+  /** Answers queries about tickets. */
+  ticketRequest: (request: IncomingMessage, response: ServerResponse, rest: string) => Promise<void>;
+};
+
+/** Request line split into service and rest. */
+export type Target = {service: string; path: string};
+
+/** Splits the first path segment off. */
+export const splitTarget = (url: string): Target => {
+  const end = url.slice(1).search(/[/?]/u);
+  if (end === -1) {
+    return {service: url.slice(1), path: '/'};
+  }
+
+  const rest = url.slice(end + 1);
+  return {service: url.slice(1, end + 1), path: rest.startsWith('/') ? rest : `/${rest}`};
+};
+
+const withoutQuery = (path: string): string => path.split('?', 1)[0]!;
+
+/** Message authentication code of a client group. */
+export const groupMac = (group: string, fleetKey: string): string =>
+  createHmac('sha256', fleetKey).update(`group:${group}`).digest('base64url').slice(0, GROUP_MAC_LENGTH);
+
+const readGroup = (headers: Headers, fleetKey: string): string | undefined => {
+  const text = singleHeader(headers, GROUP_HEADER);
+  if (text === undefined) {
+    return DEFAULT_GROUP;
+  }
+
+  const [group, mac] = text.split('.') as [string, string | undefined];
+  const expected = groupMac(group, fleetKey);
+  return mac?.length === expected.length && timingSafeEqual(Buffer.from(mac), Buffer.from(expected)) ? group : undefined;
+};
+
+const readRequestId = (headers: Headers): string | undefined => {
+  const text = singleHeader(headers, REQUEST_ID_HEADER);
+  if (text === undefined) {
+    return randomBytes(REQUEST_ID_BYTES).toString('base64url');
+  }
+
+  return text.length <= REQUEST_ID_MAX_LENGTH && /^[\w.:-]+$/u.test(text) ? text : undefined;
+};
+
+/** Whether a request has a body, by its framing headers. */
+export const hasBody = (headers: Headers): boolean =>
+  headers['transfer-encoding'] !== undefined || (headers['content-length'] !== undefined && headers['content-length'] !== '0');
+
+/** Builds the message of a request that is being received. */
+export const messageOf = (request: IncomingMessage, response: ServerResponse, path: string, limits: {bytes: number; budget: ReplayBudget}): Message => ({
+  method: request.method ?? 'GET',
+  path,
+  headers: forwardedRequestHeaders(request.headers),
+  body: createReplayBody({
+    source: request,
+    hasBody: hasBody(request.headers),
+    limit: limits.bytes,
+    budget: limits.budget,
+    onFirstOpen() {
+      if (request.headers.expect !== undefined) {
+        response.writeContinue();
+      }
+    },
+  }),
+});
+
+type Checked = {call: Call; clientTicket: Ticket | undefined};
+type Refused = {reason: EntryRejection; detail?: string; headers?: Headers};
+
+const refused = (reason: EntryRejection, detail?: string): Refused => (detail === undefined ? {reason} : {reason, detail});
+
+const buildCall = (treatment: Treatment, headers: Headers, context: {requestId: string; group: string; deadlineMs: number; fleetKey: string}): Call => ({
+  requestId: context.requestId,
+  attemptId: context.requestId,
+  service: treatment.service,
+  requestKind: treatment.requestKind,
+  rootKind: `${treatment.service}/${treatment.requestKind}`,
+  priority: treatment.priority,
+  group: context.group,
+  admissionHash: admissionHash(context.requestId, context.fleetKey),
+  fraction: 1,
+  retryBudget: treatment.retryBudget,
+  remainingMs: context.deadlineMs,
+  hops: 0,
+  idempotent: treatment.idempotent,
+  ...(treatment.idempotent ? {} : {ticket: singleHeader(headers, TICKET_HEADER)!}),
+});
+
+/** Creates the request handler of the entry. */
+export const createEntry = (options: EntryOptions) => {
+  const {fleetKey, sender} = options;
+
+  const checkTicket = (treatment: Treatment, headers: Headers): Ticket | Refused | undefined => {
+    if (treatment.idempotent) {
+      return undefined;
+    }
+
+    const text = singleHeader(headers, TICKET_HEADER);
+    if (text === undefined) {
+      const ticket = sender.issueTicket(treatment.service);
+      return ticket === undefined ? refused('ticket-required') : {reason: 'ticket-required', headers: {[TICKET_HEADER]: ticket}};
+    }
+
+    const read = readTicket(text, fleetKey);
+    if (read.kind === 'error') {
+      return refused(read.error.kind);
+    }
+
+    return read.value.service === treatment.service ? read.value : refused('ticket-other-service');
+  };
+
+  const check = (request: IncomingMessage, target: Target): Checked | Refused => {
+    const policy = options.policy();
+    if (!policy.treatments.has(target.service)) {
+      return refused('unknown-service');
+    }
+
+    const treatment = findTreatment(policy, target.service, request.method ?? 'GET', withoutQuery(target.path));
+    if (treatment === undefined) {
+      return refused('unknown-request-kind');
+    }
+
+    const requestId = readRequestId(request.headers);
+    if (requestId === undefined) {
+      return refused('malformed-request', `${REQUEST_ID_HEADER}: use at most ${REQUEST_ID_MAX_LENGTH} letters, digits and the characters _ . : -`);
+    }
+
+    const group = readGroup(request.headers, fleetKey);
+    if (group === undefined) {
+      return refused('malformed-request', `${GROUP_HEADER}: mint the value with \`jujubewell token\``);
+    }
+
+    const ticket = checkTicket(treatment, request.headers);
+    if (ticket !== undefined && 'reason' in ticket) {
+      return ticket;
+    }
+
+    const stated = numberHeader(request.headers, DEADLINE_HEADER);
+    const deadlineMs = stated === undefined || stated <= 0 ? treatment.deadlineMs : Math.min(stated, treatment.deadlineMs);
+    const call = buildCall(treatment, request.headers, {
+      requestId, group, deadlineMs, fleetKey,
+    });
+    return {call, clientTicket: ticket};
+  };
+
+  const refusal = (cause: Refused, target: Target): Reply => {
+    const {status, message} = remedyFor(cause.reason);
+    const labels = {service: options.policy().treatments.has(target.service) ? target.service : '', requestKind: '', priority: 0};
+    options.metrics.countRejection(cause.reason, 'entry', labels);
+    const remedy = cause.detail ?? message;
+    const explainId = options.eventLog.explain({
+      part: 'entry', requestId: '', ...labels, group: '', reason: cause.reason, outcome: 'not-run', fraction: 1, remedy,
+    });
+    return rejectionReply({
+      status, reason: cause.reason, outcome: 'not-run', explainId, message: remedy, retryAfterMs: 0, fraction: 1, retryBudget: 0,
+    }, cause.headers);
+  };
+
+  const handleOwn = async (request: IncomingMessage, response: ServerResponse, rest: string): Promise<void> => {
+    if (rest.startsWith('tickets/')) {
+      return options.ticketRequest(request, response, rest.slice('tickets/'.length));
+    }
+
+    writeJson(response, 404, {error: 'not-found', message: 'clients use /<service>/<path> or /.jujubewell/tickets/<service>'});
+  };
+
+  return async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const url = request.url ?? '/';
+    if (url.startsWith(OWN_PATH_PREFIX)) {
+      return handleOwn(request, response, url.slice(OWN_PATH_PREFIX.length));
+    }
+
+    const target = splitTarget(url);
+    const checked = check(request, target);
+    if ('reason' in checked) {
+      return writeReply(request, response, refusal(checked, target));
+    }
+
+    const message = messageOf(request, response, target.path, {bytes: options.replayBytesPerCall, budget: options.replayBudget});
+    const reply = await sender.handle({...checked, message, signal: callerSignal(response)});
+    await writeReply(request, response, {...reply, headers: {...reply.headers, [REQUEST_ID_HEADER]: checked.call.requestId}});
+    message.body.release();
+  };
+};
--- /dev/null
+++ b/src/daemon/http-server.ts
@@ -0,0 +1,181 @@
+/** HTTP servers of a process: start, graceful stop, and replies with backpressure. */
+import {Buffer} from 'node:buffer';
+import {
+  createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {pipeline} from 'node:stream/promises';
+import type {Reply} from './message.js';
+
+/** Listener of a process. */
+export type Listener = {
+  start: () => Promise<void>;
+  /** Stops accepting connections, lets exchanges in flight end, then closes what is idle. */
+  stop: () => Promise<void>;
+  /** Asks callers to reconnect elsewhere: each response closes its connection. */
+  retire: () => void;
+  connections: () => number;
+};
+
+/** Options of a listener. */
+export type ListenerOptions = {
+  /** `ip:port`. */
+  address: string;
+  /** Connections beyond this are closed at once. */
+  maxConnections: number;
+  handle: (request: IncomingMessage, response: ServerResponse) => void;
+};
+
+/** Size limit of a request's headers, in bytes. */
+const HEADER_BYTES = 16 * 1024;
+/** Longest time to receive the headers of a request, in milliseconds. */
+const HEADERS_TIMEOUT_MS = 10_000;
+/** Longest time to receive a whole request, in milliseconds; uploads of tens of MB over slow links fit. */
+const REQUEST_TIMEOUT_MS = 600_000;
+/** Idle time after which a connection is closed, in milliseconds; clients of the system give up idle connections earlier. */
+const KEEP_ALIVE_TIMEOUT_MS = 15_000;
+/** Bodies above this size are not read to their end after an early reply; the connection is closed instead. In bytes. */
+const DISCARD_BYTES = 64 * 1024;
+
+/** Splits `ip:port`. */
+export const splitAddress = (address: string): {host: string; port: number} => {
+  const [host, port] = address.split(':') as [string, string];
+  return {host, port: Number(port)};
+};
+
+const badRequest = (status: string) => `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
+
+const onClientError = (server: Server) => {
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    if (socket.writable) {
+      socket.end(badRequest(error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'));
+    }
+  });
+};
+
+const createHttpServer = (options: ListenerOptions, retiring: () => boolean): Server => {
+  const server = createServer({maxHeaderSize: HEADER_BYTES}, (request, response) => {
+    if (retiring()) {
+      response.setHeader('connection', 'close');
+    }
+
+    options.handle(request, response);
+  });
+  server.headersTimeout = HEADERS_TIMEOUT_MS;
+  server.requestTimeout = REQUEST_TIMEOUT_MS;
+  server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+  server.maxConnections = options.maxConnections;
+  // The body is asked for only once it is needed: a rejected upload is not sent at all.
+  server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+    server.emit('request', request, response);
+  });
+  onClientError(server);
+  return server;
+};
+
+/** Creates a listener. */
+export const createListener = (options: ListenerOptions): Listener => {
+  let retiring = false;
+  const server = createHttpServer(options, () => retiring);
+  let open = 0;
+  server.on('connection', socket => {
+    open++;
+    socket.setNoDelay(true);
+    socket.once('close', () => {
+      open--;
+    });
+  });
+
+  return {
+    async start() {
+      const {host, port} = splitAddress(options.address);
+      return new Promise((resolve, reject) => {
+        server.once('error', reject);
+        server.listen({
+          host, port, backlog: 1024,
+        }, () => {
+          server.off('error', reject);
+          resolve();
+        });
+      });
+    },
+    async stop() {
+      retiring = true;
+      return new Promise(resolve => {
+        server.close(() => {
+          resolve();
+        });
+        server.closeIdleConnections();
+      });
+    },
+    retire() {
+      retiring = true;
+    },
+    connections: () => open,
+  };
+};
+
+/** Signal that ends when the caller closes its connection before the response is complete. */
+export const callerSignal = (response: ServerResponse): AbortSignal => {
+  const controller = new AbortController();
+  response.once('close', () => {
+    if (!response.writableFinished) {
+      controller.abort();
+    }
+  });
+  return controller.signal;
+};
+
+const closeAfterUnreadBody = (request: IncomingMessage, response: ServerResponse) => {
+  const length = Number(request.headers['content-length'] ?? (request.headers['transfer-encoding'] === undefined ? 0 : Infinity));
+  if (!request.complete && length > DISCARD_BYTES) {
+    response.setHeader('connection', 'close');
+  }
+};
+
+/** Writes a reply; a body that breaks off breaks the caller's connection, so that it cannot look complete. */
+export const writeReply = async (request: IncomingMessage, response: ServerResponse, reply: Reply): Promise<void> => {
+  if (response.destroyed || response.headersSent) {
+    return;
+  }
+
+  closeAfterUnreadBody(request, response);
+  const headers = Object.entries(reply.headers).filter((header): header is [string, string | string[]] => header[1] !== undefined);
+  response.writeHead(reply.status, Object.fromEntries(headers));
+  if (Buffer.isBuffer(reply.body)) {
+    response.end(reply.body);
+    return;
+  }
+
+  try {
+    await pipeline(reply.body, response);
+  } catch {
+    response.destroy();
+  }
+};
+
+/** Writes a JSON body. */
+export const writeJson = (response: ServerResponse, status: number, value: unknown): void => {
+  const body = Buffer.from(`${JSON.stringify(value)}\n`);
+  response.writeHead(status, {'content-type': 'application/json', 'content-length': String(body.length)});
+  response.end(body);
+};
+
+/** Reads a small JSON body; undefined when it is too large or not JSON. */
+export const readJson = async (request: IncomingMessage, limit: number): Promise<unknown> => {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    bytes += chunk.length;
+    if (bytes > limit) {
+      return undefined;
+    }
+
+    chunks.push(chunk);
+  }
+
+  try {
+    return JSON.parse(Buffer.concat(chunks).toString());
+  } catch {
+    return undefined;
+  }
+};
--- /dev/null
+++ b/src/daemon/node.ts
@@ -0,0 +1,264 @@
+/** One process: its parts, wired together. */
+import {randomBytes} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {createClock} from '../shared/clock.js';
+import type {Configuration} from '../objects/configuration.js';
+import {compilePolicy, type Policy} from '../objects/policy.js';
+import type {BackendServer} from '../objects/schema.js';
+import type {PlatformClient} from '../platform/client.js';
+import {createAdmin} from './admin.js';
+import {createEntry} from './entry.js';
+import {createEventLog} from './event-log.js';
+import {createListener, type Listener, type ListenerOptions} from './http-server.js';
+import {createLocal} from './local.js';
+import type {Log} from './log.js';
+import {createMetrics} from './metrics.js';
+import {createPeer} from './peer.js';
+import {createPeerTransports} from './peer-transports.js';
+import {createReceiver} from './receiver.js';
+import {createReplayBudget} from './replay-body.js';
+import {createSender} from './sender.js';
+import type {Settings} from './settings.js';
+import {createSupervisor, type Part} from './supervisor.js';
+import {createTicketRequests} from './ticket-requests.js';
+import {createFleetPart} from './fleet-part.js';
+
+/** One `jujubewelld` process. */
+export type Node = {
+  start: () => Promise<void>;
+  /** Graceful stop: no new work, calls in flight end, then everything closes. */
+  stop: () => Promise<void>;
+  status: () => unknown;
+};
+
+/** Options of a node. */
+export type NodeOptions = {
+  settings: Settings;
+  log: Log;
+  platform: PlatformClient;
+};
+
+/** Interval of the decisions' clock events, in milliseconds. */
+const TICK_MS = 20;
+/** Time in which callers learn that this process leaves, before its listeners close. In milliseconds. */
+const LEAVE_NOTICE_MS = 1500;
+/** Interval of checks whether calls in flight have ended, in milliseconds. */
+const STOP_POLL_MS = 50;
+/** Announcements that may be missed before the backend server counts as gone, in milliseconds. */
+const ANNOUNCEMENT_TIMEOUT_MS = 3500;
+
+const INCARNATION_BYTES = 9;
+
+const sleep = async (milliseconds: number) => new Promise<void>(resolve => {
+  setTimeout(resolve, milliseconds);
+});
+
+const guard = (log: Log, handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>) =>
+  async (request: IncomingMessage, response: ServerResponse) => {
+    try {
+      await handle(request, response);
+    } catch (error) {
+      log.error('request handler failed', {error: error instanceof Error ? error.stack : String(error)});
+      response.destroy();
+    }
+  };
+
+/** Creates a node; nothing listens before `start`. */
+export const createNode = (options: NodeOptions): Node => {
+  const {settings, log} = options;
+  const clock = createClock();
+  const {random} = Math;
+  const incarnation = randomBytes(INCARNATION_BYTES).toString('base64url');
+  const startedAt = Date.now();
+  const metrics = createMetrics();
+  const eventLog = createEventLog({
+    host: settings.host,
+    onEvent(event) {
+      log.info(event.cause, {kind: event.kind});
+    },
+  });
+  const replayBudget = createReplayBudget(settings.limits.replayBytes);
+  let policy: Policy = compilePolicy([]);
+  let backendServer: BackendServer | undefined;
+  let lastAnnouncementAt = 0;
+  let leaving = false;
+
+  const receiver = createReceiver({
+    incarnation, policy, clock, random, metrics, eventLog,
+  });
+  const peers = createPeerTransports({
+    host: settings.host, incarnation, fleetKey: settings.fleetKey, connections: settings.limits.peerConnections,
+  });
+  const sender = createSender({
+    host: settings.host, zone: settings.zone, incarnation, fleetKey: settings.fleetKey, ticketLifetimeMs: settings.limits.ticketLifetimeMs, policy, clock, random, metrics, eventLog, receiver, peers,
+  });
+
+  const setConfiguration = (configuration: Configuration) => {
+    policy = compilePolicy(configuration.objects);
+    receiver.setPolicy(policy);
+    sender.setPolicy(policy);
+    metrics.setGauge('configuration_sequence', configuration.sequence);
+    eventLog.report('configuration-in-effect', `configuration ${configuration.sequence} by ${configuration.author} is in effect`);
+  };
+
+  const fleet = createFleetPart({
+    settings, incarnation, platform: options.platform, clock, random, metrics, eventLog, onEndpoints: sender.setEndpoints, onConfiguration: setConfiguration,
+  });
+
+  const onAnnounced = (announced: BackendServer) => {
+    lastAnnouncementAt = clock.now();
+    if (leaving) {
+      return;
+    }
+
+    const isNew = JSON.stringify(announced) !== JSON.stringify(backendServer);
+    backendServer = announced;
+    receiver.announce(announced);
+    if (isNew) {
+      eventLog.report('backend-server-announced', `backend server ${announced.name} of service ${announced.spec.service} announced ${announced.spec.slots} slots`);
+      fleet.setBackendServer(announced);
+    }
+  };
+
+  const forgetBackendServer = (cause: string) => {
+    if (backendServer === undefined) {
+      return;
+    }
+
+    backendServer = undefined;
+    eventLog.report('backend-server-left', cause);
+    receiver.backendLeft();
+    fleet.setBackendServer(undefined);
+  };
+
+  const context = {
+    policy: () => policy, sender, replayBytesPerCall: settings.limits.replayBytesPerCall, replayBudget, metrics, eventLog,
+  };
+  const entryHandler = createEntry({
+    ...context,
+    fleetKey: settings.fleetKey,
+    ticketRequest: createTicketRequests({
+      fleetKey: settings.fleetKey, host: settings.host, incarnation, policy: () => policy, sender, receiver, peers, endpointOf: fleet.endpointOf,
+    }),
+  });
+  const localHandler = createLocal({
+    ...context,
+    receiver,
+    clock,
+    onAnnounced,
+    onLeaving() {
+      forgetBackendServer('the backend server announced that it leaves');
+    },
+  });
+  const peerHandler = createPeer({
+    ...context, fleetKey: settings.fleetKey, receiver, control: fleet.handle,
+  });
+  const listen = (address: string, maxConnections: number, handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>): Listener => createListener({
+    address, maxConnections, handle: guard(log, handle),
+  } satisfies ListenerOptions);
+
+  const anyConnections = 100_000;
+  const entry = listen(settings.entry, settings.limits.clientConnections, entryHandler);
+  const peer = listen(settings.peer, anyConnections, peerHandler);
+  const local = listen(settings.local, anyConnections, localHandler);
+
+  const status = () => ({
+    host: settings.host,
+    zone: settings.zone,
+    incarnation,
+    startedAt,
+    state: leaving ? 'leaving' : 'running',
+    backendServer: backendServer ?? null,
+    inFlight: receiver.inFlight(),
+    clientConnections: entry.connections(),
+    parts: supervisor.states(),
+    fleet: fleet.status(),
+  });
+
+  const stopped = async (isDone: () => boolean, deadlineAt: number) => {
+    while (!isDone() && clock.now() < deadlineAt) {
+      await sleep(STOP_POLL_MS); // eslint-disable-line no-await-in-loop
+    }
+  };
+
+  /** New work stops first, calls in flight end next; only then do listeners and the fleet part stop. */
+  const drain = async () => {
+    if (leaving) {
+      return;
+    }
+
+    leaving = true;
+    const deadlineAt = clock.now() + settings.stopTimeoutMs;
+    eventLog.report('drain-started', 'the process was asked to leave; it takes no new work for its backend server');
+    fleet.setDraining();
+    const drained = receiver.drain();
+    await sleep(Math.min(LEAVE_NOTICE_MS, settings.stopTimeoutMs));
+    entry.retire();
+    peer.retire();
+    await Promise.race([drained, stopped(() => receiver.inFlight() === 0, deadlineAt)]);
+    await stopped(() => sender.inFlight() === 0, deadlineAt);
+  };
+
+  const admin = listen(settings.admin, anyConnections, createAdmin({
+    status,
+    ready: () => !leaving && fleet.ready(),
+    drain() {
+      void drain();
+    },
+    metrics,
+    eventLog,
+  }));
+
+  const listenerPart = (name: string, listener: Listener): Part => ({
+    name, required: true, start: async () => listener.start(), stop: async () => listener.stop(),
+  });
+
+  let ticker: NodeJS.Timeout | undefined;
+  const tick = () => {
+    receiver.tick();
+    sender.tick();
+    if (backendServer !== undefined && clock.now() - lastAnnouncementAt > ANNOUNCEMENT_TIMEOUT_MS) {
+      forgetBackendServer('the backend server has stopped announcing itself; start it again or check its local address');
+    }
+  };
+
+  const supervisor = createSupervisor({
+    random,
+    report: eventLog.report,
+    schedule(delayMs, run) {
+      const timer = setTimeout(run, delayMs);
+      return () => {
+        clearTimeout(timer);
+      };
+    },
+    parts: [
+      {
+        name: 'decisions',
+        required: true,
+        async start() {
+          ticker = setInterval(tick, TICK_MS);
+        },
+        async stop() {
+          clearInterval(ticker);
+        },
+      },
+      listenerPart('admin', admin),
+      listenerPart('peer', peer),
+      {
+        name: 'fleet', required: false, start: async () => fleet.start(), stop: async () => fleet.stop(),
+      },
+      listenerPart('local', local),
+      listenerPart('entry', entry),
+    ],
+  });
+
+  return {
+    start: async () => supervisor.start(),
+    async stop() {
+      await drain();
+      await supervisor.stop();
+      await Promise.all([receiver.close(), peers.close(), options.platform.close()]);
+    },
+    status,
+  };
+};
--- /dev/null
+++ b/src/daemon/peer-transports.ts
@@ -0,0 +1,105 @@
+/** Connections to the other processes of the fleet, for calls. */
+import {Buffer} from 'node:buffer';
+import {createHmac} from 'node:crypto';
+import {CALL_HEADER, PEER_HEADER, TICKET_HEADER} from '../shared/constants.js';
+import {encodeCall, type Call} from '../shared/call.js';
+import type {Endpoint} from '../decisions/outbound/outbound.js';
+import type {Attempt, Message} from './message.js';
+import {emptyBody} from './replay-body.js';
+import {createTransport, type Transport} from './transport.js';
+
+/** Time without a sign of life after which a connection to a process counts as silent, in milliseconds. */
+export const SILENCE_MS = 500;
+
+/** Proof that a process belongs to the fleet; it is bound to its host and incarnation. */
+export const peerProof = (host: string, incarnation: string, fleetKey: string): string => {
+  const mac = createHmac('sha256', fleetKey).update(`peer:${host}:${incarnation}`).digest('base64url');
+  return `${host}:${incarnation}:${mac}`;
+};
+
+/** Call to another process. */
+export type PeerCall = {
+  endpoint: Endpoint;
+  call: Call;
+  message: Message;
+  timeoutMs: number;
+  newConnection: boolean;
+  signal: AbortSignal;
+};
+
+/** Connections to other processes. */
+export type PeerTransports = {
+  send: (peerCall: PeerCall) => Promise<Attempt>;
+  /** Cancels a ticket at its bound process; the response is JSON, undefined when it could not be had. */
+  cancelTicket: (endpoint: Endpoint, ticket: string, timeoutMs: number) => Promise<Buffer | undefined>;
+  /** Closes connections to addresses that are no longer in use. */
+  retain: (addresses: ReadonlySet<string>) => void;
+  close: () => Promise<void>;
+};
+
+/** Options of peer transports. */
+export type PeerTransportsOptions = {
+  host: string;
+  incarnation: string;
+  fleetKey: string;
+  /** Connections to one process. */
+  connections: number;
+};
+
+/** Creates peer transports; connections open as they are needed. */
+export const createPeerTransports = (options: PeerTransportsOptions): PeerTransports => {
+  const proof = peerProof(options.host, options.incarnation, options.fleetKey);
+  const transports = new Map<string, Transport>();
+
+  const transportFor = (endpoint: Endpoint): Transport => {
+    const known = transports.get(endpoint.address);
+    if (known !== undefined) {
+      return known;
+    }
+
+    const created = createTransport({address: endpoint.address, connections: Math.min(options.connections, endpoint.connections)});
+    transports.set(endpoint.address, created);
+    return created;
+  };
+
+  return {
+    async send(peerCall) {
+      const {call, message} = peerCall;
+      return transportFor(peerCall.endpoint).send({
+        message,
+        headers: {
+          [PEER_HEADER]: proof,
+          [CALL_HEADER]: encodeCall(call),
+          ...(call.ticket !== undefined && {[TICKET_HEADER]: call.ticket}),
+        },
+        timeoutMs: peerCall.timeoutMs,
+        silenceMs: SILENCE_MS,
+        signal: peerCall.signal,
+        newConnection: peerCall.newConnection,
+      });
+    },
+    async cancelTicket(endpoint, ticket, timeoutMs) {
+      const attempt = await transportFor(endpoint).send({
+        message: {
+          method: 'DELETE', path: `/.jujubewell/tickets/${ticket}`, headers: {}, body: emptyBody,
+        },
+        headers: {[PEER_HEADER]: proof},
+        timeoutMs,
+        silenceMs: undefined,
+        signal: new AbortController().signal,
+        newConnection: false,
+      });
+      return attempt.kind === 'replied' && Buffer.isBuffer(attempt.reply.body) && attempt.reply.status === 200 ? attempt.reply.body : undefined;
+    },
+    retain(addresses) {
+      const unused = [...transports].filter(([address]) => !addresses.has(address));
+      for (const [address, transport] of unused) {
+        transports.delete(address);
+        void transport.close();
+      }
+    },
+    async close() {
+      await Promise.all([...transports.values()].map(async transport => transport.close()));
+    },
+  };
+};
--- /dev/null
+++ b/src/daemon/receiver.ts
@@ -0,0 +1,431 @@
+/** Performs the inbound decisions: passes calls to the backend server of this host. */
+import {Buffer} from 'node:buffer';
+import {randomBytes} from 'node:crypto';
+import {
+  CALL_TOKEN_HEADER, DEADLINE_HEADER, FRACTION_HEADER, LOAD_HEADER, OUTCOME_HEADER, REASON_HEADER, REQUEST_ID_HEADER, RETRY_BUDGET_HEADER,
+} from '../shared/constants.js';
+import type {Call} from '../shared/call.js';
+import type {Clock} from '../shared/clock.js';
+import type {Random} from '../shared/random.js';
+import type {Ticket} from '../shared/ticket.js';
+import type {BackendServer} from '../objects/schema.js';
+import type {Policy} from '../objects/policy.js';
+import {
+  createInboundState, decideInbound, inboundFeedback, type BackendOutcome, type InboundAction, type InboundEvent,
+} from '../decisions/inbound/inbound.js';
+import type {EventLog} from './event-log.js';
+import {
+  callerGoneReply, rejectionReply, type Attempt, type Message, type Reply,
+} from './message.js';
+import type {Metrics} from './metrics.js';
+import {remedyFor, type RejectionReason} from './remedies.js';
+import {createTransport, type Transport} from './transport.js';
+
+/** Call that the backend server of this host is working on; its sub-calls belong to it. */
+export type ActiveCall = {
+  callId: string;
+  call: Call;
+  /** Time by which the call must end, on the process clock. */
+  deadlineAt: number;
+  /** Ends when the call ends or its caller has gone. */
+  signal: AbortSignal;
+};
+
+/** State of a ticket as its bound process knows it. */
+export type TicketState = Extract<InboundAction, {kind: 'ticket-state'}>['state'];
+
+/** Inbound side of a process. */
+export type Receiver = {
+  /** Passes a call to the backend server; the reply may be a rejection. */
+  handle: (request: ReceivedCall) => Promise<Reply>;
+  /** Cancels a ticket that has not been used. */
+  cancelTicket: (ticket: string, content: Ticket) => TicketState;
+  announce: (backendServer: BackendServer) => void;
+  backendLeft: () => void;
+  /** Rejects new work and resolves when all calls in flight have ended. */
+  drain: () => Promise<void>;
+  activeCall: (token: string) => ActiveCall | undefined;
+  subCallStarted: (callId: string, service: string) => void;
+  subCallEnded: (callId: string, service: string, reply: Reply) => void;
+  setPolicy: (policy: Policy) => void;
+  tick: () => void;
+  inFlight: () => number;
+  close: () => Promise<void>;
+};
+
+/** Call that arrived for the backend server of this host. */
+export type ReceivedCall = {
+  call: Call;
+  message: Message;
+  /** Content of the call's ticket, whose authentication code has been checked. */
+  ticket: Ticket | undefined;
+  /** Ends when the caller has gone. */
+  signal: AbortSignal;
+};
+
+/** Options of a receiver. */
+export type ReceiverOptions = {
+  incarnation: string;
+  policy: Policy;
+  clock: Clock;
+  random: Random;
+  metrics: Metrics;
+  eventLog: EventLog;
+};
+
+type Entry = ReceivedCall & {
+  callId: string;
+  token: string;
+  arrivedAt: number;
+  resolve: (reply: Reply) => void;
+  abort: AbortController;
+  onGone: () => void;
+  settled: boolean;
+  /** Lowest admitted fraction among the sub-calls. */
+  subCallFraction: number;
+  /** Calls with the same ticket or attempt that wait for this one's reply. */
+  followers: Entry[];
+};
+
+type Cause = {reason: RejectionReason; outcome: 'not-run' | 'unknown'; retryAfterMs: number; fraction: number};
+
+const NOT_STORED: Cause = {
+  reason: 'response-not-stored', outcome: 'unknown', retryAfterMs: 0, fraction: 1,
+};
+
+const TOKEN_BYTES = 12;
+
+const outcomeOf = (attempt: Attempt, durationMs: number): BackendOutcome => {
+  switch (attempt.kind) {
+    case 'replied': {
+      return {kind: 'responded', status: attempt.reply.status, durationMs};
+    }
+
+    case 'not-connected': {
+      return {kind: 'not-sent'};
+    }
+
+    case 'timed-out': {
+      return {kind: 'timed-out'};
+    }
+
+    case 'silent':
+    case 'lost': {
+      return {kind: 'lost'};
+    }
+  }
+};
+
+const failureOf = (attempt: Exclude<Attempt, {kind: 'replied'}>): {reason: RejectionReason; outcome: 'not-run' | 'unknown'} => {
+  switch (attempt.kind) {
+    case 'not-connected': {
+      return {reason: 'backend-unreachable', outcome: 'not-run'};
+    }
+
+    case 'timed-out': {
+      return {reason: 'backend-timeout', outcome: 'unknown'};
+    }
+
+    case 'silent':
+    case 'lost': {
+      return {reason: 'backend-lost', outcome: 'unknown'};
+    }
+  }
+};
+
+/** Creates the inbound side of a process. */
+export const createReceiver = (options: ReceiverOptions): Receiver => {
+  const {clock, metrics, eventLog} = options;
+  const state = createInboundState({incarnation: options.incarnation, policy: options.policy});
+  const entries = new Map<string, Entry>();
+  const tokens = new Map<string, Entry>();
+  const storedReplies = new Map<string, Reply>();
+  let transport: Transport | undefined;
+  let address = '';
+  let callCount = 0;
+  let ticketState: TicketState = 'unseen';
+  let onDrained: (() => void) | undefined;
+
+  const settle = (entry: Entry, reply: Reply) => {
+    if (entry.settled) {
+      return;
+    }
+
+    entry.settled = true;
+    entry.signal.removeEventListener('abort', entry.onGone);
+    entries.delete(entry.callId);
+    tokens.delete(entry.token);
+    metrics.countCall('inbound', reply.status, entry.call);
+    metrics.recordLatency('inbound', entry.call, clock.now() - entry.arrivedAt);
+    entry.resolve(reply);
+  };
+
+  const rejection = (entry: Entry, cause: Cause): Reply => {
+    const {call} = entry;
+    const {reason, outcome, retryAfterMs, fraction} = cause;
+    const {status, message} = remedyFor(reason);
+    metrics.countRejection(reason, 'inbound', call);
+    const explainId = eventLog.explain({
+      part: 'inbound', requestId: call.requestId, service: call.service, requestKind: call.requestKind, priority: call.priority, group: call.group, reason, outcome, fraction, remedy: message,
+    });
+    return rejectionReply({
+      status, reason, outcome, explainId, message, retryAfterMs, fraction, retryBudget: call.retryBudget,
+    }, {[LOAD_HEADER]: inboundFeedback(state, call).load.toFixed(3)});
+  };
+
+  const withFeedback = (entry: Entry, reply: Reply): Reply => {
+    const feedback = inboundFeedback(state, entry.call);
+    return {
+      ...reply,
+      headers: {
+        ...reply.headers,
+        [OUTCOME_HEADER]: reply.headers[OUTCOME_HEADER] ?? 'run',
+        [FRACTION_HEADER]: String(Math.min(feedback.fraction, entry.subCallFraction)),
+        [LOAD_HEADER]: feedback.load.toFixed(3),
+        [RETRY_BUDGET_HEADER]: String(entry.call.retryBudget),
+      },
+    };
+  };
+
+  const storeReply = (entry: Entry, reply: Reply): number | undefined => {
+    if (entry.ticket === undefined || !Buffer.isBuffer(reply.body)) {
+      return undefined;
+    }
+
+    storedReplies.set(entry.callId, reply);
+    return reply.body.length;
+  };
+
+  const finish = (entry: Entry, attempt: Attempt, durationMs: number) => {
+    const outcome = outcomeOf(attempt, durationMs);
+    const reply = attempt.kind === 'replied' ? withFeedback(entry, attempt.reply) : undefined;
+    const responseBytes = reply === undefined ? undefined : storeReply(entry, reply);
+    apply({
+      kind: 'backend-ended', callId: entry.callId, outcome, ...(responseBytes !== undefined && {responseBytes}),
+    });
+    const failure = attempt.kind === 'replied' ? undefined : failureOf(attempt);
+    const result = reply ?? rejection(entry, {...failure!, retryAfterMs: 0, fraction: inboundFeedback(state, entry.call).fraction});
+    const followers = entry.followers.splice(0);
+    settle(entry, result);
+    for (const follower of followers) {
+      settle(follower, Buffer.isBuffer(result.body) ? result : rejection(follower, NOT_STORED));
+    }
+  };
+
+  const dispatch = async (entry: Entry, timeoutMs: number) => {
+    const sentAt = clock.now();
+    entry.token = `${entry.callId}.${randomBytes(TOKEN_BYTES).toString('base64url')}`;
+    tokens.set(entry.token, entry);
+    const attempt = transport === undefined
+      ? {kind: 'not-connected'} as const
+      : await transport.send({
+        message: entry.message,
+        headers: {
+          [CALL_TOKEN_HEADER]: entry.token,
+          [DEADLINE_HEADER]: String(Math.ceil(timeoutMs)),
+          [REQUEST_ID_HEADER]: entry.call.requestId,
+        },
+        timeoutMs,
+        silenceMs: undefined,
+        signal: entry.abort.signal,
+        newConnection: false,
+      });
+    if (attempt.kind === 'replied' && !Buffer.isBuffer(attempt.reply.body)) {
+      // The slot stays taken until the last byte has passed; the reply is passed on meanwhile.
+      const reply = withFeedback(entry, attempt.reply);
+      const {body} = attempt.reply;
+      body.once('close', () => {
+        apply({kind: 'backend-ended', callId: entry.callId, outcome: {kind: 'responded', status: reply.status, durationMs: clock.now() - sentAt}});
+      });
+      const followers = entry.followers.splice(0);
+      settle(entry, reply);
+      for (const follower of followers) {
+        settle(follower, rejection(follower, NOT_STORED));
+      }
+
+      return;
+    }
+
+    finish(entry, attempt, clock.now() - sentAt);
+  };
+
+  const join = (entry: Entry, leaderId: string) => {
+    const leader = entries.get(leaderId);
+    if (leader === undefined) {
+      settle(entry, rejection(entry, NOT_STORED));
+      return;
+    }
+
+    leader.followers.push(entry);
+  };
+
+  const replay = (entry: Entry, leaderId: string) => {
+    const reply = storedReplies.get(leaderId);
+    settle(entry, reply ?? rejection(entry, NOT_STORED));
+  };
+
+  const perform = (action: InboundAction) => {
+    switch (action.kind) {
+      case 'dispatch': {
+        const entry = entries.get(action.callId);
+        if (entry !== undefined) {
+          void dispatch(entry, action.timeoutMs);
+        }
+
+        break;
+      }
+
+      case 'reject': {
+        const entry = entries.get(action.callId);
+        if (entry !== undefined) {
+          settle(entry, rejection(entry, action));
+        }
+
+        break;
+      }
+
+      case 'join': {
+        const entry = entries.get(action.callId);
+        if (entry !== undefined) {
+          join(entry, action.leaderId);
+        }
+
+        break;
+      }
+
+      case 'replay': {
+        const entry = entries.get(action.callId);
+        if (entry !== undefined) {
+          replay(entry, action.leaderId);
+        }
+
+        break;
+      }
+
+      case 'cancel': {
+        entries.get(action.callId)?.abort.abort();
+        break;
+      }
+
+      case 'forget-response': {
+        storedReplies.delete(action.leaderId);
+        break;
+      }
+
+      case 'ticket-state': {
+        ticketState = action.state;
+        break;
+      }
+
+      case 'drained': {
+        onDrained?.();
+        break;
+      }
+
+      case 'report': {
+        eventLog.report('inbound', action.cause);
+        break;
+      }
+    }
+  };
+
+  const apply = (event: InboundEvent) => {
+    const actions = decideInbound(state, event, clock.now(), options.random);
+    for (const action of actions) {
+      perform(action);
+    }
+  };
+
+  const admit = async (request: ReceivedCall): Promise<Reply> => new Promise(resolve => {
+    callCount++;
+    const callId = callCount.toString(36);
+    const onGone = () => {
+      apply({kind: 'caller-gone', callId});
+      // A call at the backend server settles when its exchange has ended.
+      if (entry.token === '') {
+        settle(entry, callerGoneReply);
+      }
+    };
+
+    const entry: Entry = {
+      ...request, callId, token: '', arrivedAt: clock.now(), resolve, abort: new AbortController(), onGone, settled: false, subCallFraction: 1, followers: [],
+    };
+    entries.set(callId, entry);
+    request.signal.addEventListener('abort', onGone, {once: true});
+    apply({
+      kind: 'call-arrived', callId, call: request.call, ...(request.ticket !== undefined && {ticketExpiresAt: request.ticket.expiresAt, ticketIncarnation: request.ticket.incarnation}),
+    });
+  });
+
+  const connectTo = (backendServer: BackendServer) => {
+    const {spec} = backendServer;
+    if (spec.address === address) {
+      return;
+    }
+
+    void transport?.close();
+    address = spec.address;
+    transport = createTransport({address, connections: Math.min(spec.slots, spec.connections)});
+  };
+
+  return {
+    handle: async request => admit(request),
+    cancelTicket(ticket, content) {
+      apply({
+        kind: 'ticket-cancel-asked', askId: ticket, ticket, ticketExpiresAt: content.expiresAt,
+      });
+      return ticketState;
+    },
+    announce(backendServer) {
+      connectTo(backendServer);
+      const {
+        service, slots, connections, coldStartMs,
+      } = backendServer.spec;
+      apply({
+        kind: 'backend-announced', service, slots, connections, coldStartMs,
+      });
+    },
+    backendLeft() {
+      apply({kind: 'backend-left'});
+    },
+    async drain() {
+      return new Promise(resolve => {
+        onDrained = resolve;
+        apply({kind: 'drain-started'});
+      });
+    },
+    activeCall(token) {
+      const entry = tokens.get(token);
+      return entry === undefined
+        ? undefined
+        : {
+          callId: entry.callId, call: entry.call, deadlineAt: entry.arrivedAt + entry.call.remainingMs, signal: entry.abort.signal,
+        };
+    },
+    subCallStarted(callId, service) {
+      apply({kind: 'sub-call-started', callId, service});
+    },
+    subCallEnded(callId, service, reply) {
+      const fraction = Number(reply.headers[FRACTION_HEADER] ?? 1);
+      const entry = entries.get(callId);
+      if (entry !== undefined && Number.isFinite(fraction)) {
+        entry.subCallFraction = Math.min(entry.subCallFraction, fraction);
+      }
+
+      apply({
+        kind: 'sub-call-ended', callId, service, fraction,
+      });
+    },
+    setPolicy(policy) {
+      apply({kind: 'policy-changed', policy});
+    },
+    tick() {
+      apply({kind: 'tick'});
+      metrics.setGauge('calls_in_flight', state.running.size);
+    },
+    inFlight: () => entries.size,
+    async close() {
+      await transport?.close();
+    },
+  };
+};
--- /dev/null
+++ b/src/daemon/settings.ts
@@ -0,0 +1,116 @@
+/** Settings of `jujubewelld`, read once from a JSON file. */
+import {readFileSync} from 'node:fs';
+import {z} from 'zod';
+import {fail, ok, type Result} from '../shared/result.js';
+
+const address = z.string().regex(/^(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}$/u, 'use an IPv4 address and a port, such as 127.0.0.1:7001');
+
+const name = z.string().regex(/^[a-z\d](?:[a-z\d-]{0,61}[a-z\d])?$/u, 'use 1 to 63 lower-case letters, digits and hyphens');
+
+const limitsSchema = z.strictObject({
+  /**
+   * Request body that a call keeps for a replay, in bytes.
+   * @default 262144
+   */
+  replayBytesPerCall: z.number().int().min(0).max(64 * 1024 * 1024).default(256 * 1024),
+  /**
+   * Request bodies that the process keeps for replays in all, in bytes.
+   * @default 67108864
+   */
+  replayBytes: z.number().int().min(0).max(1024 * 1024 * 1024).default(64 * 1024 * 1024),
+  /**
+   * Time in which a ticket may be used, in milliseconds.
+   * @default 120000
+   */
+  ticketLifetimeMs: z.number().int().min(1000).max(86_400_000).default(120_000),
+  /**
+   * Connections that the entry listener accepts.
+   * @default 10000
+   */
+  clientConnections: z.number().int().min(1).max(1_000_000).default(10_000),
+  /**
+   * Connections to one other process for calls.
+   * @default 128
+   */
+  peerConnections: z.number().int().min(1).max(10_000).default(128),
+});
+
+/** Schema of the settings. */
+export const settingsSchema = z.strictObject({
+  /** Name of the host, unique in the fleet. */
+  host: name,
+  /** Availability zone of the host. */
+  zone: name,
+  /** Address for clients. */
+  entry: address,
+  /** Address for other processes. */
+  peer: address,
+  /** Address for the backend server on this host; bind it to loopback. */
+  local: address,
+  /** Address for operators: status, events, metrics and health. */
+  admin: address,
+  /** URL of the platform's object API. */
+  platform: z.url({protocol: /^https?$/u}),
+  /** Peer addresses of some other processes, to find the fleet by. */
+  contacts: z.array(address).max(100).default([]),
+  /** Secret that all processes of the fleet share. */
+  fleetKey: z.string().min(16, 'use at least 16 random characters'),
+  /**
+   * Longest time that a planned stop waits for calls in flight, in milliseconds.
+   * @default 30000
+   */
+  stopTimeoutMs: z.number().int().min(0).max(600_000).default(30_000),
+  limits: limitsSchema.prefault({}),
+  log: z.strictObject({
+    /**
+     * Lowest level that is logged.
+     * @default "info"
+     */
+    level: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
+    /**
+     * Format of log lines.
+     * @default "json"
+     */
+    format: z.enum(['json', 'pretty']).default('json'),
+  }).prefault({}),
+});
+
+/** Settings of `jujubewelld`. */
+export type Settings = z.infer<typeof settingsSchema>;
+
+/** One problem of a settings file. */
+export type SettingsFault = {path: string; found: string; remedy: string};
+
+const describe = (value: unknown): string => {
+  const text = JSON.stringify(value) ?? 'nothing';
+  return text.length > 80 ? `${text.slice(0, 77)}...` : text;
+};
+
+const valueAt = (input: unknown, path: readonly PropertyKey[]): unknown => {
+  const [key, ...rest] = path;
+  return key === undefined ? input : valueAt((input as Record<PropertyKey, unknown> | undefined)?.[key], rest);
+};
+
+const isSecret = (path: readonly PropertyKey[]): boolean => path.includes('fleetKey');
+
+const toFault = (issue: z.core.$ZodIssue, input: unknown): SettingsFault => ({
+  path: issue.path.join('.') || '(file)',
+  found: isSecret(issue.path) ? 'a secret value' : describe(valueAt(input, issue.path)),
+  remedy: issue.message,
+});
+
+/** Checks settings and lists every problem. */
+export const parseSettings = (input: unknown): Result<Settings, SettingsFault[]> => {
+  const parsed = settingsSchema.safeParse(input);
+  return parsed.success ? ok(parsed.data) : fail(parsed.error.issues.map(issue => toFault(issue, input)));
+};
+
+/** Reads and checks a settings file. */
+export const loadSettings = (path: string): Result<Settings, SettingsFault[]> => {
+  try {
+    return parseSettings(JSON.parse(readFileSync(path, 'utf8')));
+  } catch (error) {
+    const message = error instanceof Error ? error.message : String(error);
+    return fail([{path: '(file)', found: message, remedy: 'name a readable JSON file as the first argument'}]);
+  }
+};
--- /dev/null
+++ b/src/daemon/ticket-requests.ts
@@ -0,0 +1,90 @@
+/** Requests of clients about tickets: issue one, or cancel one that has not been used. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {TICKET_HEADER} from '../shared/constants.js';
+import {readTicket, type Ticket} from '../shared/ticket.js';
+import type {Policy} from '../objects/policy.js';
+import type {Endpoint} from '../decisions/outbound/outbound.js';
+import {writeJson} from './http-server.js';
+import type {PeerTransports} from './peer-transports.js';
+import type {Receiver} from './receiver.js';
+import type {Sender} from './sender.js';
+
+/** Options of ticket requests. */
+export type TicketRequestsOptions = {
+  fleetKey: string;
+  host: string;
+  incarnation: string;
+  policy: () => Policy;
+  sender: Sender;
+  receiver: Receiver;
+  peers: PeerTransports;
+  /** Endpoint of a process, by host. */
+  endpointOf: (host: string) => Endpoint | undefined;
+};
+
+/** Time for the bound process to respond, in milliseconds. */
+const CANCEL_TIMEOUT_MS = 2000;
+
+const UNREACHABLE = {
+  state: 'unknown',
+  message: 'the process that the ticket is bound to cannot be reached; ask again later with the same ticket',
+};
+
+/** Creates the handler of `/.jujubewell/tickets/...`. */
+export const createTicketRequests = (options: TicketRequestsOptions) => {
+  const issue = (response: ServerResponse, service: string) => {
+    if (!options.policy().treatments.has(service)) {
+      writeJson(response, 404, {error: 'unknown-service', message: 'no service of that name is declared; use POST /.jujubewell/tickets/<service>'});
+      return;
+    }
+
+    const ticket = options.sender.issueTicket(service);
+    if (ticket === undefined) {
+      writeJson(response, 503, {error: 'no-backend-server', message: 'no backend server of the service is known here; try again later'});
+      return;
+    }
+
+    response.setHeader(TICKET_HEADER, ticket);
+    writeJson(response, 201, {ticket});
+  };
+
+  const cancelRemotely = async (ticket: string, content: Ticket): Promise<unknown> => {
+    const endpoint = options.endpointOf(content.host);
+    if (endpoint === undefined) {
+      return UNREACHABLE;
+    }
+
+    const reply = await options.peers.cancelTicket(endpoint, ticket, CANCEL_TIMEOUT_MS);
+    return reply === undefined ? UNREACHABLE : JSON.parse(reply.toString());
+  };
+
+  const cancel = async (response: ServerResponse, ticket: string): Promise<void> => {
+    const read = readTicket(ticket, options.fleetKey);
+    if (read.kind === 'error') {
+      writeJson(response, 400, {error: read.error.kind, message: read.error.message});
+      return;
+    }
+
+    const isOwn = read.value.host === options.host && read.value.incarnation === options.incarnation;
+    writeJson(response, 200, isOwn
+      ? {state: options.receiver.cancelTicket(ticket, read.value)}
+      : await cancelRemotely(ticket, read.value));
+  };
+
+  return async (request: IncomingMessage, response: ServerResponse, rest: string): Promise<void> => {
+    request.resume();
+    if (request.method === 'POST') {
+      issue(response, rest);
+      return;
+    }
+
+    if (request.method === 'DELETE') {
+      return cancel(response, rest);
+    }
+
+    writeJson(response, 405, {
+      error: 'method-not-allowed',
+      message: 'use POST /.jujubewell/tickets/<service> or DELETE /.jujubewell/tickets/<ticket>; repeat the request with its ticket to read its response',
+    });
+  };
+};
--- /dev/null
+++ b/src/daemon/transport.ts
@@ -0,0 +1,176 @@
+/** HTTP exchanges with backend servers and other processes, with an end to each connection that goes silent. */
+import {Buffer} from 'node:buffer';
+import {type Readable} from 'node:stream';
+import {Pool} from 'undici';
+import {type Headers, forwardedResponseHeaders} from './headers.js';
+import {BUFFERED_REPLY_BYTES, type Attempt, type Message} from './message.js';
+
+/** Exchange with one address. */
+export type Exchange = {
+  message: Message;
+  /** Headers besides those of the message. */
+  headers: Headers;
+  timeoutMs: number;
+  /** Time without any sign of life after which the connection counts as silent; undefined when only the timeout counts. */
+  silenceMs: number | undefined;
+  /** Cancels the exchange when the caller has gone. */
+  signal: AbortSignal;
+  /** Keep whole replies of any declared size up to `BUFFERED_REPLY_BYTES`. */
+  newConnection: boolean;
+};
+
+/** HTTP client for one address. */
+export type Transport = {
+  send: (exchange: Exchange) => Promise<Attempt>;
+  close: () => Promise<void>;
+};
+
+/** Options of a transport. */
+export type TransportOptions = {
+  /** `ip:port`. */
+  address: string;
+  connections: number;
+};
+
+/** Time to open a connection, in milliseconds; both ends are within one deployment. */
+const CONNECT_TIMEOUT_MS = 1000;
+/** Idle connections are closed before the other end closes them, which avoids sending on a closing connection. In milliseconds. */
+const KEEP_ALIVE_MS = 4000;
+
+const NOT_CONNECTED_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EHOSTDOWN', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const errorCode = (error: unknown): string =>
+  error instanceof Error && 'code' in error ? String(error.code) : '';
+
+type EndCause = 'running' | 'timed-out' | 'silent' | 'gone';
+
+/** Watches an exchange: one timer for the deadline and one for silence. */
+const createWatchdog = (exchange: Exchange) => {
+  const controller = new AbortController();
+  let cause: EndCause = 'running';
+  const end = (reason: EndCause) => {
+    cause = reason;
+    controller.abort();
+  };
+
+  const deadline = setTimeout(end, Math.max(1, exchange.timeoutMs), 'timed-out' satisfies EndCause);
+  let silence = exchange.silenceMs === undefined ? undefined : setTimeout(end, exchange.silenceMs, 'silent' satisfies EndCause);
+  const onGone = () => {
+    end('gone');
+  };
+
+  if (exchange.signal.aborted) {
+    end('gone');
+  }
+
+  exchange.signal.addEventListener('abort', onGone, {once: true});
+  return {
+    signal: controller.signal,
+    cause: () => cause,
+    onSignOfLife() {
+      silence?.refresh();
+    },
+    onHead() {
+      clearTimeout(silence);
+      silence = undefined;
+    },
+    stop() {
+      clearTimeout(deadline);
+      clearTimeout(silence);
+      exchange.signal.removeEventListener('abort', onGone);
+    },
+  };
+};
+
+const declaredLength = (headers: Headers): number | undefined => {
+  const text = headers['content-length'];
+  return typeof text === 'string' ? Number(text) : undefined;
+};
+
+const readWhole = async (body: Readable): Promise<Buffer> => {
+  const chunks: Buffer[] = [];
+  for await (const chunk of body as AsyncIterable<Buffer>) {
+    chunks.push(chunk);
+  }
+
+  return Buffer.concat(chunks);
+};
+
+/** Waits for running exchanges; a pool that is already closed is not an error here. */
+const closeQuietly = async (pool: Pool): Promise<void> => {
+  try {
+    await pool.close();
+  } catch {}
+};
+
+const requestHeaders = (exchange: Exchange): Headers => ({...exchange.message.headers, ...exchange.headers});
+
+/** Creates a transport; connections open as they are needed, up to the bound. */
+export const createTransport = (options: TransportOptions): Transport => {
+  const createPool = () => new Pool(`http://${options.address}`, {
+    connections: options.connections,
+    pipelining: 1,
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  let pool = createPool();
+
+  /** Leaves all open connections to their running exchanges and starts with new ones. */
+  const renew = () => {
+    const old = pool;
+    pool = createPool();
+    void closeQuietly(old);
+  };
+
+  const exchangeOnce = async (exchange: Exchange, watchdog: ReturnType<typeof createWatchdog>): Promise<Attempt> => {
+    const {message} = exchange;
+    const body = message.body.open();
+    const response = await pool.request({
+      path: message.path,
+      method: message.method,
+      headers: requestHeaders(exchange) as Record<string, string | string[]>,
+      ...(body !== undefined && {body}),
+      signal: watchdog.signal,
+      onInfo: watchdog.onSignOfLife,
+    });
+    watchdog.onHead();
+    const headers = forwardedResponseHeaders(response.headers);
+    const length = message.method === 'HEAD' ? 0 : declaredLength(headers);
+    if (length !== undefined && length <= BUFFERED_REPLY_BYTES) {
+      const whole = await readWhole(response.body);
+      watchdog.stop();
+      return {kind: 'replied', reply: {status: response.statusCode, headers, body: whole}};
+    }
+
+    response.body.once('close', watchdog.stop);
+    return {kind: 'replied', reply: {status: response.statusCode, headers, body: response.body}};
+  };
+
+  return {
+    async send(exchange) {
+      if (exchange.newConnection) {
+        renew();
+      }
+
+      const watchdog = createWatchdog(exchange);
+      try {
+        return await exchangeOnce(exchange, watchdog);
+      } catch (error) {
+        watchdog.stop();
+        const cause = watchdog.cause();
+        if (cause === 'timed-out' || cause === 'silent') {
+          return {kind: cause};
+        }
+
+        return {kind: NOT_CONNECTED_CODES.has(errorCode(error)) ? 'not-connected' : 'lost'};
+      }
+    },
+    async close() {
+      await closeQuietly(pool);
+    },
+  };
+};
--- a/src/decisions/inbound/inbound.ts
+++ b/src/decisions/inbound/inbound.ts
@@ -163,3 +163,17 @@
     }
   }
 };
+
+/** What each response reports about this process. */
+export type InboundFeedback = {
+  /** Admitted fraction of the call's priority and client group. */
+  fraction: number;
+  /** Calls in flight and waiting over the concurrency limit. */
+  load: number;
+};
+
+/** Feedback for the response of a call. */
+export const inboundFeedback = (state: InboundState, _call: Call): InboundFeedback => ({
+  fraction: 1,
+  load: state.slots === 0 ? 1 : (state.running.size + state.waiting.length) / state.slots,
+});
--- a/src/shared/constants.ts
+++ b/src/shared/constants.ts
@@ -36,6 +36,12 @@
 /** Header with the load of a backend server, as calls in flight over its concurrency limit. */
 export const LOAD_HEADER = 'jujubewell-load';
 
+/** Header by which a process proves that it belongs to the fleet. */
+export const PEER_HEADER = 'jujubewell-peer';
+
+/** Header with the time after which to try again, in milliseconds. */
+export const RETRY_AFTER_HEADER = 'jujubewell-retry-after-ms';
+
 /** Prefix of all headers of the system; those of clients are dropped unless checked. */
 export const HEADER_PREFIX = 'jujubewell-';
 
