--- /dev/null
+++ b/src/platform/__tests__/client.spec.ts
@@ -0,0 +1,104 @@
+/** Guards against ambiguous writes that are taken for failures, and against a client that hammers the platform. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {createPlatformEmulator} from '../../emulator/platform/emulator.js';
+import type {Faults} from '../../emulator/platform/faults.js';
+import {createPlatformClient, type WatchEvent} from '../client.js';
+import {
+  createPace, noteAnswer, noteFailure, takeTurn,
+} from '../pace.js';
+import {settleWrite, writeSettled} from '../settle.js';
+
+const start = async (t: ExecutionContext) => {
+  const emulator = createPlatformEmulator({latencyMs: 0, bookmarkMs: 20});
+  const address = await emulator.start();
+  const client = createPlatformClient({address, timeoutMs: 150, pace: {backoffBaseMs: 1}});
+  t.teardown(async () => {
+    await client.close();
+    await emulator.stop();
+  });
+  return {emulator, client};
+};
+
+const write = (writeId: string, expectedVersion?: number) => ({
+  kind: 'A', name: 'a', value: {writeId}, expectedVersion,
+});
+
+const faults: Array<[title: string, faults: Partial<Faults>, fault: string, settlement: string]> = [
+  ['a lost connection after the write', {loseResponses: 1}, 'unreachable', 'applied'],
+  ['no response after the write', {loseResponses: 1, lossKind: 'hang'}, 'timed-out', 'applied'],
+  ['an outage before the write', {outage: 'refuse'}, 'unreachable', 'not-applied'],
+  ['a hanging platform', {outage: 'hang'}, 'timed-out', 'not-applied'],
+];
+
+for (const [title, changes, fault, settlement] of faults) {
+  test(`${title} shows as ${fault} and settles as ${settlement}`, async t => {
+    const {emulator, client} = await start(t);
+    emulator.setFaults(changes);
+    t.like(await client.write(write('w1')), {kind: 'error', error: {kind: fault}});
+    emulator.setFaults({outage: 'none'});
+    t.like(await settleWrite(client, write('w1')), {kind: 'ok', value: {kind: settlement}});
+  });
+}
+
+test('a write whose responses are lost again and again takes effect once', async t => {
+  const {emulator, client} = await start(t);
+  emulator.setFaults({loseResponses: 2});
+  t.like(await writeSettled(client, write('w1')), {kind: 'ok', value: {version: 1}});
+  t.is(emulator.counts().write, 1);
+});
+
+test('a write that lost against another one is a conflict with the current object', async t => {
+  const {client} = await start(t);
+  await client.write(write('w1'));
+  await client.write(write('w2', 1));
+  t.like(await writeSettled(client, write('w3', 1)), {kind: 'error', error: {kind: 'conflict', current: {version: 2, value: {writeId: 'w2'}}}});
+  t.like(await settleWrite(client, write('w3', 1)), {kind: 'ok', value: {kind: 'superseded', current: {version: 2}}});
+});
+
+test('other answers keep their kind', async t => {
+  const {client} = await start(t);
+  t.like(await client.read('A', 'missing'), {kind: 'error', error: {kind: 'not-found'}});
+  t.like(await client.write({...write('w1'), value: 'x'.repeat(1_048_576)}), {kind: 'error', error: {kind: 'too-large'}});
+  await client.write(write('w1'));
+  t.like(await client.list('A'), {kind: 'ok', value: [{name: 'a', version: 1}]});
+});
+
+test('a broken watch resumes without a lost or repeated change', async t => {
+  const {emulator, client} = await start(t);
+  const events: WatchEvent[] = [];
+  const changed = new Promise<void>(resolve => {
+    client.watch('A', 0, event => {
+      events.push(event);
+      if (event.kind !== 'changed' || event.object.version === 3) {
+        resolve();
+      }
+    });
+  });
+  await client.write(write('w1'));
+  await sleep(100);
+  emulator.breakWatches();
+  await client.write(write('w2', 1));
+  await client.write(write('w3', 2));
+  await changed;
+  t.deepEqual(events.map(event => event.kind === 'changed' ? event.object.version : event), [1, 2, 3]);
+  t.is(emulator.counts().watch, 2);
+});
+
+test('calls beyond the burst are spread at the rate', t => {
+  const pace = createPace({ratePerSecond: 10, burst: 2}, 0);
+  t.deepEqual([0, 0, 0, 0].map(now => takeTurn(pace, now)), [0, 0, 100, 200]);
+  t.is(takeTurn(pace, 10_000), 0);
+});
+
+test('the wait after failures doubles up to its bound and ends with an answer', t => {
+  const pace = createPace({backoffBaseMs: 100, backoffMaxMs: 400}, 0);
+  const waits = [0, 1000, 2000, 3000].map(now => {
+    noteFailure(pace, now, () => 0.5);
+    return takeTurn(pace, now);
+  });
+  t.deepEqual(waits, [50, 100, 200, 200]);
+  noteAnswer(pace);
+  noteFailure(pace, 4000, () => 0.5);
+  t.is(takeTurn(pace, 4000), 50);
+});
--- /dev/null
+++ b/src/platform/__tests__/watch.spec.ts
@@ -0,0 +1,122 @@
+/** Guards against a watch that misses a change, reports one twice, or waits forever on a silent connection. */
+import {PassThrough} from 'node:stream';
+import {setImmediate as turn} from 'node:timers/promises';
+import test from 'ava';
+import {fail, ok} from '../../shared/result.js';
+import type {WatchEvent} from '../client.js';
+import {createManualTimers} from '../timers.js';
+import {startWatch} from '../watch.js';
+
+const SILENCE_MS = 1000;
+
+const change = (version: number): string =>
+  `${JSON.stringify({
+    type: 'changed', version, object: {
+      kind: 'A', name: 'a', version, value: version,
+    },
+  })}\n`;
+const bookmark = (version: number): string => `${JSON.stringify({type: 'bookmark', version})}\n`;
+
+const start = (refuseFrom = Number.POSITIVE_INFINITY) => {
+  const timers = createManualTimers();
+  const opened: Array<{after: number; stream: PassThrough}> = [];
+  const events: WatchEvent[] = [];
+  const watch = startWatch({
+    kind: 'A',
+    afterVersion: 5,
+    silenceMs: SILENCE_MS,
+    timers,
+    random: () => 0.5,
+    async open(_kind, after) {
+      if (opened.length >= refuseFrom) {
+        return fail({kind: 'rejected', message: 'gone'});
+      }
+
+      const stream = new PassThrough();
+      opened.push({after, stream});
+      return ok({
+        chunks: stream,
+        destroy() {
+          stream.destroy();
+        },
+      });
+    },
+    onEvent(event) {
+      events.push(event);
+    },
+  });
+  const advance = async (milliseconds: number): Promise<void> => {
+    timers.advance(milliseconds);
+    await turn();
+    await turn();
+  };
+
+  const send = async (text: string): Promise<void> => {
+    opened.at(-1)!.stream.write(text);
+    await turn();
+    await turn();
+  };
+
+  const versions = (): number[] => events.flatMap(event => event.kind === 'changed' ? [event.object.version] : []);
+  return {
+    watch, opened, events, advance, send, versions,
+  };
+};
+
+test('a silent watch is closed and resumed after the last version, bookmarks included', async t => {
+  const {opened, events, advance, send, versions} = start();
+  await advance(0);
+  await send(change(6) + bookmark(9));
+  await advance(SILENCE_MS - 1);
+  t.is(opened.length, 1);
+  await advance(1);
+  t.true(opened[0]!.stream.destroyed);
+  await advance(500);
+  t.deepEqual(opened.map(({after}) => after), [5, 9]);
+  await send(change(9) + change(10));
+  t.deepEqual(versions(), [6, 10]);
+  t.true(events.every(({kind}) => kind === 'changed'));
+});
+
+test('a line that arrives in pieces, before each silence limit, keeps the watch open', async t => {
+  const {opened, advance, send, versions} = start();
+  await advance(0);
+  const line = change(6);
+  for (const text of [bookmark(5), line.slice(0, 10), line.slice(10), bookmark(6)]) {
+    // eslint-disable-next-line no-await-in-loop
+    await send(text);
+    // eslint-disable-next-line no-await-in-loop
+    await advance(SILENCE_MS / 2);
+  }
+
+  t.is(opened.length, 1);
+  t.deepEqual(versions(), [6]);
+});
+
+const endings: Array<[title: string, refuseFrom: number, before: string, message: RegExp]> = [
+  ['that is silent from the start', Infinity, '', /silent for 1000 ms/u],
+  ['that sends something else', Infinity, '<html>\n', /not part of a watch/u],
+  ['that cannot be resumed', 1, bookmark(6), /gone/u],
+];
+
+for (const [title, refuseFrom, before, message] of endings) {
+  test(`a watch ${title} is reported as broken once`, async t => {
+    const {events, advance, send} = start(refuseFrom);
+    await advance(0);
+    await send(before);
+    await advance(SILENCE_MS);
+    await advance(500);
+    t.is(events.length, 1);
+    const [event] = events;
+    t.regex(event?.kind === 'broken' ? event.message : '', message);
+  });
+}
+
+test('a closed watch reports nothing more', async t => {
+  const {watch, opened, events, advance, send} = start();
+  await advance(0);
+  await send(bookmark(6));
+  watch.close();
+  await advance(SILENCE_MS * 2);
+  t.deepEqual([opened.length, events], [1, []]);
+});
--- /dev/null
+++ b/src/platform/timers.ts
@@ -0,0 +1,62 @@
+/** Clock with timers, so that a test can move the time that timeouts and silence are judged by. */
+import {createClock, type Clock} from '../shared/clock.js';
+
+/** Clock that also calls back. */
+export type Timers = Clock & {
+  /** Calls once after a number of milliseconds; returns a function that cancels it. */
+  after: (milliseconds: number, run: () => void) => () => void;
+};
+
+/** Creates timers of the operating system. */
+export const createTimers = (): Timers => ({
+  ...createClock(),
+  after(milliseconds, run) {
+    const timer = setTimeout(run, milliseconds);
+    return () => {
+      clearTimeout(timer);
+    };
+  },
+});
+
+/** Timers that a test moves by hand. */
+export type ManualTimers = Timers & {
+  advance: (milliseconds: number) => void;
+};
+
+/** Creates timers that stand still until they are advanced. */
+export const createManualTimers = (): ManualTimers => {
+  const pending = new Map<symbol, {at: number; run: () => void}>();
+  let current = 0;
+
+  const runNext = (until: number): boolean => {
+    const [next] = [...pending].filter(([, {at}]) => at <= until).sort(([, a], [, b]) => a.at - b.at);
+    if (next === undefined) {
+      return false;
+    }
+
+    const [id, {at, run}] = next;
+    pending.delete(id);
+    current = at;
+    run();
+    return true;
+  };
+
+  return {
+    now: () => current,
+    after(milliseconds, run) {
+      const id = Symbol('timer');
+      pending.set(id, {at: current + milliseconds, run});
+      return () => {
+        pending.delete(id);
+      };
+    },
+    advance(milliseconds) {
+      const until = current + milliseconds;
+      while (runNext(until)) {
+        // Each timer runs at its own time, because it may start others.
+      }
+
+      current = until;
+    },
+  };
+};
