feat(daemon): serve a call end to end and test the path over loopback

Cause: the listeners existed, but nothing had shown that a call passes through them; a ticket request without a known backend server returned 428 without a ticket. Change: wait for known backend servers, answer 503 no-backend-server in that case, end-to-end test with an emulated platform, two nodes and two backend servers.

--- /dev/null
+++ b/src/daemon/__tests__/call-path.spec.ts
@@ -0,0 +1,120 @@
+/** Guards the path of a call through real listeners: routing, sub-calls, tickets, bodies and clear errors. */
+import {Buffer} from 'node:buffer';
+import test from 'ava';
+import {request} from 'undici';
+import type {DeclaredObject} from '../../objects/schema.js';
+import {startDeployment, type Backend, type Deployment} from './deployment.js';
+
+const service = (name: string): DeclaredObject => ({
+  kind: 'Service', name, labels: {}, spec: {},
+});
+const kind = (name: string, spec: Extract<DeclaredObject, {kind: 'RequestKind'}>['spec']): DeclaredObject => ({
+  kind: 'RequestKind', name, labels: {work: name}, spec,
+});
+
+const objects: DeclaredObject[] = [
+  service('chiuse'),
+  service('registro'),
+  kind('closure', {
+    service: 'chiuse', methods: ['POST'], path: '/closures', idempotent: false,
+  }),
+  kind('photo', {
+    service: 'chiuse', methods: ['PUT'], path: '/photos/*', idempotent: true,
+  }),
+  kind('record', {
+    service: 'registro', methods: ['POST'], path: '/records', idempotent: false,
+  }),
+  {
+    kind: 'Rule', name: 'priorities', labels: {}, spec: {type: 'priority', priorities: [{name: 'urgent', select: {requestKinds: {labels: {work: 'closure'}}}}]},
+  },
+];
+
+let closures = 0;
+let records = 0;
+
+const chiuse: Backend = {
+  service: 'chiuse',
+  async handle(incoming, response, body, local) {
+    if (incoming.method === 'PUT') {
+      response.end(JSON.stringify({bytes: body.length}));
+      return;
+    }
+
+    closures++;
+    const record = await request(`http://${local}/registro/records`, {method: 'POST', body, headers: {'jujubewell-call-token': String(incoming.headers['jujubewell-call-token'])}});
+    response.statusCode = record.statusCode;
+    response.end(await record.body.text());
+  },
+};
+const registro: Backend = {
+  service: 'registro',
+  handle(_incoming, response, body) {
+    records++;
+    response.end(`recorded ${body.toString()}`);
+  },
+};
+
+let deployment: Deployment;
+
+test.before(async () => {
+  deployment = await startDeployment(objects, [chiuse, registro]);
+});
+
+test.after.always(async () => {
+  await deployment.stop();
+});
+
+const url = (host: number, path: string) => `http://${deployment.hosts[host]!.entry}${path}`;
+
+test.serial('a booking without a ticket gets one and then runs along its chain', async t => {
+  const first = await request(url(1, '/chiuse/closures'), {method: 'POST', body: 'gate 1'});
+  t.is(first.statusCode, 428);
+  await first.body.dump();
+  t.is(closures, 0);
+  const reply = await request(url(0, '/chiuse/closures'), {method: 'POST', body: 'gate 1', headers: {'jujubewell-ticket': String(first.headers['jujubewell-ticket'])}});
+  t.is(await reply.body.text(), 'recorded gate 1');
+  t.is(records, 1);
+});
+
+test.serial('an upload larger than the replay bound arrives whole', async t => {
+  const bytes = 3 * 1024 * 1024;
+  const reply = await request(url(1, '/chiuse/photos/1'), {method: 'PUT', body: Buffer.alloc(bytes, 1)});
+  t.deepEqual(await reply.body.json(), {bytes});
+});
+
+const faults: Array<{
+  title: string; method: 'GET' | 'POST'; path: string; headers?: Record<string, string>; status: number; error: string;
+}> = [
+  {
+    title: 'an unknown service', method: 'GET', path: '/nothing/here', status: 404, error: 'unknown-service',
+  },
+  {
+    title: 'an unknown request kind', method: 'GET', path: '/chiuse/closures', status: 404, error: 'unknown-request-kind',
+  },
+  {
+    title: 'a forged ticket', method: 'POST', path: '/chiuse/closures', headers: {'jujubewell-ticket': 'chiuse.h0.i.n.1.aaaaaaaaaaaaaaaaaaaaaa'}, status: 400, error: 'forged-ticket',
+  },
+  {
+    title: 'a malformed ticket', method: 'POST', path: '/chiuse/closures', headers: {'jujubewell-ticket': 'x'}, status: 400, error: 'malformed-ticket',
+  },
+  {
+    title: 'an oversize request id', method: 'POST', path: '/chiuse/closures', headers: {'jujubewell-request-id': 'x'.repeat(65)}, status: 400, error: 'malformed-request',
+  },
+  {
+    title: 'a forged client group', method: 'POST', path: '/chiuse/closures', headers: {'jujubewell-group': 'society.forged'}, status: 400, error: 'malformed-request',
+  },
+];
+
+for (const fault of faults) {
+  test.serial(`${fault.title} gets a clear error that is not run`, async t => {
+    const reply = await request(url(0, fault.path), {method: fault.method, ...(fault.headers && {headers: fault.headers})});
+    t.is(reply.statusCode, fault.status);
+    t.like(await reply.body.json(), {error: fault.error, outcome: 'not-run'});
+  });
+}
+
+test.serial('a stranger cannot send calls to the peer listener', async t => {
+  const reply = await request(`http://${deployment.hosts[0]!.settings.peer}/closures`, {method: 'POST', headers: {'jujubewell-peer': 'h9:i:forged'}});
+  t.is(reply.statusCode, 403);
+  await reply.body.dump();
+});
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -17,7 +17,7 @@
 import {rejectionReply, type Message, type Reply} from './message.js';
 import type {Metrics} from './metrics.js';
 import {createReplayBody, type ReplayBudget} from './replay-body.js';
-import {remedyFor, type EntryRejection} from './remedies.js';
+import {remedyFor, type RejectionReason} from './remedies.js';
 import type {Sender} from './sender.js';
 
 /** Path prefix of the system's own requests. */
@@ -104,9 +104,9 @@
 });
 
 type Checked = {call: Call; clientTicket: Ticket | undefined};
-type Refused = {reason: EntryRejection; detail?: string; headers?: Headers};
+type Refused = {reason: RejectionReason; detail?: string; headers?: Headers};
 
-const refused = (reason: EntryRejection, detail?: string): Refused => (detail === undefined ? {reason} : {reason, detail});
+const refused = (reason: RejectionReason, detail?: string): Refused => (detail === undefined ? {reason} : {reason, detail});
 
 const buildCall = (treatment: Treatment, headers: Headers, context: {requestId: string; group: string; deadlineMs: number; fleetKey: string}): Call => ({
   requestId: context.requestId,
@@ -137,7 +137,7 @@
     const text = singleHeader(headers, TICKET_HEADER);
     if (text === undefined) {
       const ticket = sender.issueTicket(treatment.service);
-      return ticket === undefined ? refused('ticket-required') : {reason: 'ticket-required', headers: {[TICKET_HEADER]: ticket}};
+      return ticket === undefined ? refused('no-backend-server') : {reason: 'ticket-required', headers: {[TICKET_HEADER]: ticket}};
     }
 
     const read = readTicket(text, fleetKey);
--- a/src/daemon/fleet-part.ts
+++ b/src/daemon/fleet-part.ts
@@ -135,6 +135,6 @@
     },
     endpointOf: host => endpoints().find(endpoint => endpoint.host === host),
     ready: () => configuration.sequence > 0,
-    status: () => ({members: members.size + 1, sequence: configuration.sequence}),
+    status: () => ({members: members.size + 1, backendServers: endpoints().length, sequence: configuration.sequence}),
   };
 };
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -19,7 +19,7 @@
   const log = createLog({
     host: settings.host, level: settings.log.level, format: settings.log.format, clock: createClock(),
   });
-  const node = createNode({settings, log, platform: createPlatformClient({url: settings.platform})});
+  const node = createNode({settings, log, platform: createPlatformClient({address: new URL(settings.platform).host})});
   let stopping = false;
   const stop = async (signal: string) => {
     if (stopping) {
--- a/src/daemon/sender.ts
+++ b/src/daemon/sender.ts
@@ -186,7 +186,16 @@
     const outcome = exchange.clientTicket === undefined ? action.outcome : 'unknown';
     metrics.countRejection(action.reason, 'outbound', call);
     const explainId = eventLog.explain({
-      part: 'outbound', requestId: call.requestId, service: call.service, requestKind: call.requestKind, priority: call.priority, group: call.group, reason: action.reason, outcome, fraction: action.fraction, remedy: message,
+      part: 'outbound',
+      requestId: call.requestId,
+      service: call.service,
+      requestKind: call.requestKind,
+      priority: call.priority,
+      group: call.group,
+      reason: action.reason,
+      outcome,
+      fraction: action.fraction,
+      remedy: message,
     });
     settle(exchange, rejectionReply({
       status, reason: action.reason, outcome, explainId, message, retryAfterMs: action.retryAfterMs, fraction: action.fraction, retryBudget: 0,
