--- /dev/null
+++ b/src/objects/nearest.ts
@@ -0,0 +1,48 @@
+/** Finds the name that a mistyped word most likely meant. */
+
+const editDistance = (left: string, right: string): number => {
+  let previous = Array.from({length: right.length + 1}, (_, index) => index);
+  for (const [row, leftCharacter] of [...left].entries()) {
+    const current = [row + 1];
+    for (const [column, rightCharacter] of [...right].entries()) {
+      current.push(Math.min(
+        previous[column + 1]! + 1,
+        current[column]! + 1,
+        previous[column]! + (leftCharacter === rightCharacter ? 0 : 1),
+      ));
+    }
+
+    previous = current;
+  }
+
+  return previous[right.length]!;
+};
+
+// Beyond a third of the word, suggestions are more often wrong than right.
+const MAX_DISTANCE_SHARE = 1 / 3;
+const MIN_MAX_DISTANCE = 2;
+
+/** Returns the candidate that is closest to a word, or undefined when none is close. */
+export const nearest = (word: string, candidates: readonly string[]): string | undefined => {
+  const limit = Math.max(MIN_MAX_DISTANCE, Math.floor(word.length * MAX_DISTANCE_SHARE));
+  const [best] = candidates
+    .filter(candidate => Math.abs(candidate.length - word.length) <= limit)
+    .map(candidate => ({candidate, distance: editDistance(word.toLowerCase(), candidate.toLowerCase())}))
+    .filter(({distance}) => distance <= limit)
+    .sort((a, b) => a.distance - b.distance);
+  return best?.candidate;
+};
+
+// A longer list would hide the fault in the output.
+const LISTED_MAX = 20;
+
+/** Suggests the nearest candidate, lists them when none is near, and returns undefined when there are none. */
+export const suggest = (word: unknown, candidates: readonly string[]): string | undefined => {
+  const found = typeof word === 'string' ? nearest(word, candidates) : undefined;
+  if (found !== undefined) {
+    return `did you mean \`${found}\`?`;
+  }
+
+  const listed = candidates.slice(0, LISTED_MAX).join(', ');
+  return candidates.length === 0 ? undefined : `use one of: ${listed}${candidates.length > LISTED_MAX ? ', …' : ''}`;
+};
--- a/src/objects/policy.ts
+++ b/src/objects/policy.ts
@@ -31,12 +31,16 @@
 export type Policy = {
   /** Number of priorities, the one of unselected work included. */
   priorityCount: number;
+  /** Minimum share of each priority, in order, of the capacity below the highest priority; their sum is at most 1. */
+  minimumShares: readonly number[];
   /** Request kinds of each service, in matching order. */
   treatments: ReadonlyMap<string, readonly Treatment[]>;
   /** Longest time that calls in flight get when a backend server leaves, in milliseconds, by service. */
   drainMs: ReadonlyMap<string, number>;
 };
 
+/** Name of the priority of work that no priority selects. */
+export const DEFAULT_PRIORITY_NAME = 'default';
 /** Deadline of a request that no rule selects, in milliseconds. */
 export const DEFAULT_DEADLINE_MS = 5000;
 /** Retries of a request that no rule selects. */
@@ -48,30 +52,44 @@
 /** Drain time of a service that no rule selects, in milliseconds. */
 export const DEFAULT_DRAIN_MS = 30_000;
 
-type Labels = Readonly<Record<string, string>>;
+/** Labels of an object. */
+export type Labels = Readonly<Record<string, string>>;
 type RuleOfType<Type extends Rule['spec']['type']> = Extract<Rule['spec'], {type: Type}>;
 
 const matches = (selector: Selector | undefined, labels: Labels): boolean =>
   selector === undefined
   || Object.entries(selector.labels).every(([key, value]) => labels[key] === value);
 
-const selects = (select: Selection, service: Service, requestKind?: RequestKind): boolean =>
+/** What a selection is compared with. */
+export type Subject = {
+  service: Service;
+  /** Absent for rules on whole backend servers. */
+  requestKind?: RequestKind;
+  /** Labels of the host's own backend server, when there is one. */
+  backendLabels?: Labels;
+};
+
+/** Whether a selection covers a subject. A selector for something that the subject lacks does not match. */
+export const selects = (select: Selection, {service, requestKind, backendLabels}: Subject): boolean =>
   matches(select.services, service.labels)
-  && (requestKind === undefined ? select.requestKinds === undefined : matches(select.requestKinds, requestKind.labels));
+  && (requestKind === undefined ? select.requestKinds === undefined : matches(select.requestKinds, requestKind.labels))
+  && (backendLabels === undefined ? select.backendServers === undefined : matches(select.backendServers, backendLabels));
 
-const byName = (a: {name: string}, b: {name: string}): number => (a.name < b.name ? -1 : 1);
+const byName = (a: {name: string}, b: {name: string}): number =>
+  a.name === b.name ? 0 : (a.name < b.name ? -1 : 1);
 
 const ofType = <Type extends Rule['spec']['type']>(rules: readonly Rule[], type: Type): Array<RuleOfType<Type>> =>
   rules.map(rule => rule.spec).filter((spec): spec is RuleOfType<Type> => spec.type === type);
 
-const priorityOf = (rules: readonly Rule[], service: Service, requestKind: RequestKind): {priority: number; priorityName: string} => {
+const priorityOf = (rules: readonly Rule[], subject: Subject): {priority: number; priorityName: string} => {
   const priorities = ofType(rules, 'priority').flatMap(spec => spec.priorities);
-  const index = priorities.findIndex(priority => selects(priority.select, service, requestKind));
-  return index === -1 ? {priority: priorities.length, priorityName: 'default'} : {priority: index, priorityName: priorities[index]!.name};
+  const index = priorities.findIndex(priority => selects(priority.select, subject));
+  return index === -1 ? {priority: priorities.length, priorityName: DEFAULT_PRIORITY_NAME} : {priority: index, priorityName: priorities[index]!.name};
 };
 
-const treatmentOf = (rules: readonly Rule[], service: Service, requestKind: RequestKind): Treatment => {
-  const applies = (spec: {select: Selection}) => selects(spec.select, service, requestKind);
+const treatmentOf = (rules: readonly Rule[], service: Service, requestKind: RequestKind, backendLabels?: Labels): Treatment => {
+  const subject = {service, requestKind, backendLabels};
+  const applies = (spec: {select: Selection}) => selects(spec.select, subject);
   const retry = ofType(rules, 'retry').find(spec => applies(spec));
   const limit = ofType(rules, 'limit').find(spec => applies(spec));
   const share = ofType(rules, 'share').find(spec => applies(spec));
@@ -81,7 +99,7 @@
     methods: requestKind.spec.methods,
     path: requestKind.spec.path,
     idempotent: requestKind.spec.idempotent,
-    ...priorityOf(rules, service, requestKind),
+    ...priorityOf(rules, subject),
     deadlineMs: ofType(rules, 'deadline').find(spec => applies(spec))?.milliseconds ?? DEFAULT_DEADLINE_MS,
     retryBudget: retry?.retryBudget ?? DEFAULT_RETRY_BUDGET,
     retryRatio: retry?.ratio ?? DEFAULT_RETRY_RATIO,
@@ -91,30 +109,38 @@
   };
 };
 
-/** Compiles a valid set of objects. */
-export const compilePolicy = (objects: readonly DeclaredObject[]): Policy => {
+/**
+Compiles a valid set of objects.
+
+@param backendLabels - Labels of the host's own backend server. Rules that select backend servers apply only with them,
+because the limits and the drain time of a backend server are enforced by the process on its host.
+*/
+export const compilePolicy = (objects: readonly DeclaredObject[], backendLabels?: Labels): Policy => {
   const services = objects.filter((object): object is Service => object.kind === 'Service').sort(byName);
   const requestKinds = objects.filter((object): object is RequestKind => object.kind === 'RequestKind').sort(byName);
   const rules = objects.filter((object): object is Rule => object.kind === 'Rule').sort(byName);
+  const priorities = ofType(rules, 'priority').flatMap(spec => spec.priorities);
   return {
-    priorityCount: ofType(rules, 'priority').flatMap(spec => spec.priorities).length + 1,
+    priorityCount: priorities.length + 1,
+    minimumShares: [...priorities.map(({minimumShare}) => minimumShare), 0],
     treatments: new Map(services.map(service => [
       service.name,
       requestKinds
         .filter(requestKind => requestKind.spec.service === service.name)
-        .map(requestKind => treatmentOf(rules, service, requestKind)),
+        .map(requestKind => treatmentOf(rules, service, requestKind, backendLabels)),
     ])),
     drainMs: new Map(services.map(service => [
       service.name,
-      ofType(rules, 'drain').find(spec => selects(spec.select, service))?.milliseconds ?? DEFAULT_DRAIN_MS,
+      ofType(rules, 'drain').find(spec => selects(spec.select, {service, backendLabels}))?.milliseconds ?? DEFAULT_DRAIN_MS,
     ])),
   };
 };
 
-const pathMatches = (pattern: string, path: string): boolean =>
+/** Whether a path, without its query, matches a pattern. */
+export const pathMatches = (pattern: string, path: string): boolean =>
   pattern.endsWith('*') ? path.startsWith(pattern.slice(0, -1)) : path === pattern;
 
-/** Finds the treatment of a request, or undefined when its service or request kind is not declared. */
+/** Finds the treatment of a request by its path without the service segment and the query, or undefined when its service or request kind is not declared. */
 export const findTreatment = (policy: Policy, service: string, method: string, path: string): Treatment | undefined =>
   policy.treatments.get(service)?.find(treatment =>
     treatment.methods.includes(method) && pathMatches(treatment.path, path));
--- a/src/objects/schema.ts
+++ b/src/objects/schema.ts
@@ -12,8 +12,8 @@
 
 const selection = z.strictObject({
   services: selectorSchema.optional().describe('Services the rule applies to; all when absent.'),
-  requestKinds: selectorSchema.optional().describe('Request kinds the rule applies to; all when absent.'),
-  backendServers: selectorSchema.optional().describe('Backend servers the rule applies to; all when absent.'),
+  requestKinds: selectorSchema.optional().describe('Request kinds the rule applies to; all when absent. Not for `drain`.'),
+  backendServers: selectorSchema.optional().describe('Backend servers the rule applies to; all when absent. Only for `limit` and `drain`.'),
 });
 
 const milliseconds = (maximum: number) => z.number().int().min(1).max(maximum);
@@ -38,7 +38,8 @@
   spec: z.strictObject({
     service: name.describe('Service that the request kind belongs to.'),
     methods: z.array(z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'])).min(1).describe('HTTP methods that match.'),
-    path: z.string().startsWith('/').max(500).describe('Path that matches after the service segment; a trailing `*` matches any rest.'),
+    path: z.string().regex(/^\/[^*?#\s]*\*?$/u, 'start with `/`; use `*` only at the end, and no `?`, `#` or white space').max(500)
+      .describe('Path that matches after the service segment; a trailing `*` matches any rest.'),
     idempotent: z.boolean().describe('Whether running the request twice is harmless. One that is not runs at most once, under a ticket.'),
   }),
 }).describe('A kind of request to a service. The first match in order of name decides.');
@@ -60,6 +61,8 @@
 const prioritySchema = z.strictObject({
   name,
   select: selection.describe('Work that belongs to the priority.'),
+  minimumShare: z.number().min(0).max(1).default(0)
+    .describe('Share of the capacity below the highest priority that this priority keeps when more urgent work floods. Not for the highest priority.'),
 });
 
 const groupSchema = z.strictObject({
--- a/src/platform/__tests__/client.spec.ts
+++ b/src/platform/__tests__/client.spec.ts
@@ -8,16 +8,29 @@
   createPace, noteAnswer, noteFailure, takeTurn,
 } from '../pace.js';
 import {settleWrite, writeSettled} from '../settle.js';
+import {createManualTimers, type Timers} from '../timers.js';
 
-const start = async (t: ExecutionContext) => {
+const PATIENCE_MS = 30_000;
+
+const start = async (t: ExecutionContext, timers?: Timers) => {
   const emulator = createPlatformEmulator({latencyMs: 0, bookmarkMs: 20});
   const address = await emulator.start();
-  const client = createPlatformClient({address, timeoutMs: 150, pace: {backoffBaseMs: 1}});
+  const client = createPlatformClient({
+    address, timeoutMs: PATIENCE_MS, pace: {backoffBaseMs: 1}, timers,
+  });
   t.teardown(async () => {
     await client.close();
     await emulator.stop();
   });
-  return {emulator, client};
+  return {emulator, client, address};
+};
+
+/** Polls until a condition holds; the test runner's time limit bounds it. */
+const until = async (holds: () => boolean): Promise<void> => {
+  while (!holds()) {
+    // eslint-disable-next-line no-await-in-loop
+    await sleep(5);
+  }
 };
 
 const write = (writeId: string, expectedVersion?: number) => ({
@@ -33,11 +46,20 @@
 
 for (const [title, changes, fault, settlement] of faults) {
   test(`${title} shows as ${fault} and settles as ${settlement}`, async t => {
-    const {emulator, client} = await start(t);
+    const timers = createManualTimers();
+    const {emulator, client, address} = await start(t, timers);
     emulator.setFaults(changes);
-    t.like(await client.write(write('w1')), {kind: 'error', error: {kind: fault}});
+    const written = client.write(write('w1'));
+    await until(() => emulator.counts().write === 1 && (settlement !== 'applied' || emulator.snapshot().version === 1));
+    if (fault === 'timed-out') {
+      timers.advance(PATIENCE_MS);
+    }
+
+    t.like(await written, {kind: 'error', error: {kind: fault}});
     emulator.setFaults({outage: 'none'});
-    t.like(await settleWrite(client, write('w1')), {kind: 'ok', value: {kind: settlement}});
+    const reader = createPlatformClient({address, timeoutMs: PATIENCE_MS});
+    t.teardown(reader.close);
+    t.like(await settleWrite(reader, write('w1')), {kind: 'ok', value: {kind: settlement}});
   });
 }
 
@@ -76,7 +98,7 @@
     });
   });
   await client.write(write('w1'));
-  await sleep(100);
+  await until(() => events.length === 1);
   emulator.breakWatches();
   await client.write(write('w2', 1));
   await client.write(write('w3', 2));
