--- a/src/objects/policy.ts
+++ b/src/objects/policy.ts
@@ -122,7 +122,7 @@
   const priorities = ofType(rules, 'priority').flatMap(spec => spec.priorities);
   return {
     priorityCount: priorities.length + 1,
-    minimumShares: [...priorities.map(({minimumShare}) => minimumShare), 0],
+    minimumShares: [...priorities.map(({minimumShare}) => minimumShare ?? 0), 0],
     treatments: new Map(services.map(service => [
       service.name,
       requestKinds
--- a/src/objects/schema.ts
+++ b/src/objects/schema.ts
@@ -61,8 +61,8 @@
 const prioritySchema = z.strictObject({
   name,
   select: selection.describe('Work that belongs to the priority.'),
-  minimumShare: z.number().min(0).max(1).default(0)
-    .describe('Share of the capacity below the highest priority that this priority keeps when more urgent work floods. Not for the highest priority.'),
+  minimumShare: z.number().min(0).max(1).optional()
+    .describe('Share of the capacity below the highest priority that this priority keeps when more urgent work floods; 0 when absent. Not for the highest priority.'),
 });
 
 const groupSchema = z.strictObject({
--- a/src/objects/validation.ts
+++ b/src/objects/validation.ts
@@ -196,7 +196,7 @@
   const highestShare = priorities[0]?.minimumShare ?? 0;
   let total = 0;
   for (const {minimumShare} of priorities) {
-    total += minimumShare;
+    total += minimumShare ?? 0;
   }
 
   return [
