feat(emulator): add the emulated backend server

Cause: measurements need backend servers whose capacity, faults and record of runs are known.

Change: createBackendServerEmulator and its program run slots with a queue or shedding, a connection limit and cost, seeded service times, cold start, cancellation, deadlines, sub-calls through the local address, slowness, silent connections and crash. A record of runs finds duplicate runs of non-idempotent requests by the id inside the body; responses carry the request's id and a checksum. Counters, runs and control are on a separate admin listener, because the connection limit would refuse them under load.

--- /dev/null
+++ b/src/emulator/backend-server/__tests__/backend-server.spec.ts
@@ -0,0 +1,91 @@
+/** Guards against an emulator that keeps slots of aborted requests, mixes up ids or is not seen by its process. */
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import test from 'ava';
+import {Agent} from 'undici';
+import {createBackendServerEmulator} from '../backend-server.js';
+import {checkMessage, encodeMessage} from '../message.js';
+import type {BackendServerSettingsInput} from '../settings.js';
+
+const settings = (meanMs: number, change: Partial<BackendServerSettingsInput> = {}): BackendServerSettingsInput => ({
+  name: 'c1', service: 'chiuse', address: '127.0.0.1:0', admin: '127.0.0.1:0', slots: 1, connections: 10, overflow: {kind: 'shed', retryAfterSeconds: 2},
+  requestKinds: [{
+    name: 'closure', methods: ['POST'], path: '/closures', idempotent: false, serviceTime: {meanMs, sigma: 0},
+  }], ...change,
+});
+
+const post = async (agent: Agent, address: string, signal?: AbortSignal, headers = {}) => agent.request({
+  origin: `http://${address}`, path: '/closures', method: 'POST', headers, body: encodeMessage('b1', 'chiuse', 10), signal,
+});
+
+const outcomeOf = async (call: Promise<unknown>): Promise<string> => {
+  try {
+    await call;
+    return 'answered';
+  } catch {
+    return 'aborted';
+  }
+};
+
+test('a response carries the id of the body, and a second run of it is a duplicate', async t => {
+  const emulator = createBackendServerEmulator(settings(1));
+  const {address} = await emulator.start();
+  const agent = new Agent();
+  const first = await post(agent, address);
+  const body = Buffer.from(await first.body.arrayBuffer());
+  t.like(checkMessage(body), {kind: 'whole', id: 'b1', service: 'chiuse'});
+  const second = await post(agent, address);
+  await second.body.dump();
+  t.like(emulator.counters(), {completed: 2, duplicateRuns: 1, running: 0});
+  await agent.close();
+  await emulator.stop();
+});
+
+test('an aborted request frees its slot, is counted, and work beyond the slots is shed meanwhile', async t => {
+  const emulator = createBackendServerEmulator(settings(60_000));
+  const {address} = await emulator.start();
+  const agent = new Agent();
+  const caller = new AbortController();
+  const aborted = outcomeOf(post(agent, address, caller.signal));
+  while (emulator.counters().running === 0) {
+    await new Promise(setImmediate); // eslint-disable-line no-await-in-loop
+  }
+
+  const shed = await post(agent, address);
+  t.is(shed.statusCode, 503);
+  t.is(shed.headers['retry-after'], '2');
+  await shed.body.dump();
+  caller.abort();
+  t.is(await aborted, 'aborted');
+  while (emulator.counters().running > 0) {
+    await new Promise(setImmediate); // eslint-disable-line no-await-in-loop
+  }
+
+  t.like(emulator.counters(), {cancelled: 1, shed: 1});
+  const late = await post(agent, address, undefined, {'jujubewell-deadline-ms': '5'});
+  t.is(late.statusCode, 504);
+  await late.body.dump();
+  t.is(emulator.counters().deadlineExpired, 1);
+  await agent.close();
+  await emulator.stop();
+});
+
+test('it announces itself to its process and withdraws when it leaves', async t => {
+  const seen: string[] = [];
+  const host = createServer((request, response) => {
+    seen.push(`${request.method} ${request.url}`);
+    request.resume();
+    response.end();
+  });
+  host.listen(0, '127.0.0.1');
+  await once(host, 'listening');
+  const emulator = createBackendServerEmulator(settings(1, {local: `127.0.0.1:${(host.address() as AddressInfo).port}`}));
+  const announced = once(host, 'request');
+  await emulator.start();
+  await announced;
+  await emulator.stop();
+  t.deepEqual([seen[0], seen.at(-1)], ['PUT /.jujubewell/backend-server', 'DELETE /.jujubewell/backend-server']);
+  host.close();
+});
--- /dev/null
+++ b/src/emulator/backend-server/__tests__/runs.spec.ts
@@ -0,0 +1,22 @@
+/** Guards against duplicate runs being missed, or resends of idempotent requests being counted as such. */
+import test from 'ava';
+import {countDuplicateRuns, type Run} from '../runs.js';
+
+const run = (change: Partial<Run>): Run => ({
+  requestId: 'r1', bodyId: 'b1', service: 'chiuse', requestKind: 'closure', idempotent: false, startedAt: 0, slotMs: 1, end: 'completed', ...change,
+});
+
+const cases: Array<[title: string, runs: Run[], count: number]> = [
+  ['one run', [run({})], 0],
+  ['the same body under two request ids', [run({}), run({requestId: 'r2'})], 1],
+  ['a cancelled first run', [run({end: 'cancelled'}), run({})], 1],
+  ['an idempotent request run twice', [run({idempotent: true}), run({idempotent: true})], 0],
+  ['two requests', [run({}), run({bodyId: 'b2'})], 0],
+  ['the same body at two services', [run({}), run({service: 'registro'})], 0],
+];
+
+for (const [title, runs, count] of cases) {
+  test(`${title}: ${count} duplicate runs`, t => {
+    t.is(countDuplicateRuns(runs), count);
+  });
+}
--- /dev/null
+++ b/src/emulator/backend-server/__tests__/slots.spec.ts
@@ -0,0 +1,31 @@
+/** Guards against slots that leak or are granted twice, which would make every goodput figure wrong. */
+import test from 'ava';
+import {createSlots} from '../slots.js';
+
+const never = () => new AbortController().signal;
+
+test('work beyond the slots waits, and beyond the queue is told so', async t => {
+  const slots = createSlots(1, 1);
+  const first = await slots.acquire(never());
+  const second = slots.acquire(never());
+  t.deepEqual(await slots.acquire(never()), {kind: 'full'});
+  t.deepEqual([slots.running(), slots.waiting()], [1, 1]);
+  t.true(first.kind === 'granted');
+  if (first.kind === 'granted') {
+    first.release();
+    first.release();
+  }
+
+  t.like(await second, {kind: 'granted'});
+  t.deepEqual([slots.running(), slots.waiting()], [1, 0]);
+});
+
+test('a caller that gives up leaves the queue and its place', async t => {
+  const slots = createSlots(1, 1);
+  await slots.acquire(never());
+  const caller = new AbortController();
+  const waiting = slots.acquire(caller.signal);
+  caller.abort();
+  t.deepEqual(await waiting, {kind: 'abandoned'});
+  t.is(slots.waiting(), 0);
+});
--- /dev/null
+++ b/src/emulator/backend-server/backend-server.ts
@@ -0,0 +1,436 @@
+/** Emulated backend server: slots, queue, service times, sub-calls and faults, over HTTP. */
+import {Buffer} from 'node:buffer';
+import {
+  createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {Agent} from 'undici';
+import {CALL_TOKEN_HEADER, DEADLINE_HEADER, REQUEST_ID_HEADER} from '../../shared/constants.js';
+import {createRandom} from '../../shared/random.js';
+import {startAnnouncement, type Announcement} from './announcement.js';
+import {createCounters, reportCounters, type CounterReport} from './counters.js';
+import {checkMessage, encodeMessage} from './message.js';
+import {createRunRecord, type Run, type RunEnd} from './runs.js';
+import {coldStartFactor, drawServiceTime} from './service-time.js';
+import {
+  backendServerSettingsSchema, controlSchema, type BackendServerSettingsInput, type Control, type EmulatedRequestKind,
+} from './settings.js';
+import {createSlots} from './slots.js';
+import {runSubCalls, type SubCallOutcome} from './sub-calls.js';
+
+/** Emulated backend server. */
+export type BackendServerEmulator = {
+  /** Listens and announces itself; resolves to the addresses in use. */
+  start: () => Promise<{address: string; admin: string}>;
+  /** Leaves: withdraws the announcement, lets work in flight finish, and closes. */
+  stop: () => Promise<void>;
+  /** Closes at once, cutting off everything, without withdrawing the announcement. */
+  crash: () => void;
+  control: (control: Control) => void;
+  counters: () => CounterReport;
+  runs: () => readonly Run[];
+};
+
+/** Hooks of the program around an emulator. */
+export type BackendServerHooks = {
+  /** Called when the control path asked it to leave (after it has left) or to crash. */
+  onEnd?: (end: 'left' | 'crashed') => void;
+};
+
+const DEFAULT_DEADLINE_MS = 30_000;
+const DRAIN_POLL_MS = 20;
+/** The announcement travels by membership; callers that have not heard of it yet still send work. */
+const DRAIN_GRACE_MS = 500;
+
+const pathMatches = (pattern: string, path: string): boolean =>
+  pattern.endsWith('*') ? path.startsWith(pattern.slice(0, -1)) : path === pattern;
+
+const splitAddress = (address: string) => {
+  const [host, port] = address.split(':');
+  return {host, port: Number(port)};
+};
+
+const listen = async (server: Server, address: string): Promise<string> => new Promise((resolve, reject) => {
+  server.once('error', reject);
+  server.listen(splitAddress(address), () => {
+    const bound = server.address() as AddressInfo;
+    resolve(`${bound.address}:${bound.port}`);
+  });
+});
+
+const readBody = async (request: IncomingMessage): Promise<Buffer> => Buffer.concat(await request.toArray() as Buffer[]);
+
+const singleHeader = (request: IncomingMessage, name: string): string | undefined => {
+  const value = request.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+};
+
+const respond = (response: ServerResponse, status: number, body: Buffer | string = '', headers: Record<string, string> = {}) => {
+  if (!response.destroyed && !response.headersSent) {
+    response.writeHead(status, {'content-length': Buffer.byteLength(body), ...headers});
+    response.end(body);
+  }
+};
+
+const respondJson = (response: ServerResponse, value: unknown) => {
+  respond(response, 200, JSON.stringify(value), {'content-type': 'application/json'});
+};
+
+const waitFor = async (milliseconds: number, signal: AbortSignal): Promise<boolean> => {
+  try {
+    await delay(milliseconds, undefined, {signal});
+    return true;
+  } catch {
+    return false;
+  }
+};
+
+/** Identity and time of one request. */
+type Work = {
+  requestId: string;
+  bodyId: string;
+  callToken: string | undefined;
+  deadlineAt: number;
+  signal: AbortSignal;
+};
+
+/** Creates an emulated backend server; it does nothing before `start`. */
+export const createBackendServerEmulator = (options: BackendServerSettingsInput, hooks: BackendServerHooks = {}): BackendServerEmulator => {
+  const settings = backendServerSettingsSchema.parse(options);
+  const {service, overflow} = settings;
+  const random = createRandom(settings.seed);
+  const counters = createCounters();
+  const record = createRunRecord();
+  const slots = createSlots(settings.slots, overflow.kind === 'queue' ? overflow.length : 0);
+  const agent = new Agent({connections: settings.slots * 4, pipelining: 1});
+  const readyAt = new WeakMap<Socket, number>();
+  const frozen = new WeakSet<Socket>();
+  const sockets = new Set<Socket>();
+  let {slowness} = settings;
+  let startedAt = 0;
+  let acceptBusyUntil = 0;
+  const inFlight = {count: 0};
+  let announcement: Announcement | undefined;
+  const loadReports: Array<{at: number; load: number}> = [];
+
+  const workTime = (kind: EmulatedRequestKind): number =>
+    drawServiceTime(kind.serviceTime, random) * slowness * coldStartFactor(settings.coldStart, performance.now() - startedAt);
+
+  const endOf = (outcome: SubCallOutcome | 'aborted', work: Work): RunEnd => {
+    if (outcome === 'aborted' || work.signal.aborted) {
+      return performance.now() >= work.deadlineAt ? 'deadline' : 'cancelled';
+    }
+
+    return outcome.kind === 'failed' ? 'sub-call-failed' : 'completed';
+  };
+
+  const perform = async (kind: EmulatedRequestKind, work: Work): Promise<SubCallOutcome | 'aborted'> => {
+    if (!await waitFor(workTime(kind), work.signal)) {
+      return 'aborted';
+    }
+
+    return settings.local === undefined
+      ? {kind: 'completed'}
+      : runSubCalls({...work, agent, local: settings.local}, kind.steps);
+  };
+
+  const finish = (response: ServerResponse, kind: EmulatedRequestKind, work: Work, outcome: SubCallOutcome | 'aborted') => {
+    switch (endOf(outcome, work)) {
+      case 'completed': {
+        counters.completed++;
+        respond(response, 200, encodeMessage(work.bodyId, service, kind.responseBytes));
+        return;
+      }
+
+      case 'cancelled': {
+        counters.cancelled++;
+        return;
+      }
+
+      case 'deadline': {
+        counters.deadlineExpired++;
+        respond(response, 504);
+        return;
+      }
+
+      case 'sub-call-failed': {
+        counters.subCallFailed++;
+        const retryAfter = outcome !== 'aborted' && outcome.kind === 'failed' ? outcome.retryAfterSeconds : undefined;
+        respond(response, retryAfter === undefined ? 502 : 503, '', retryAfter === undefined ? {} : {'retry-after': String(retryAfter)});
+      }
+    }
+  };
+
+  const run = async (response: ServerResponse, kind: EmulatedRequestKind, work: Work) => {
+    const grant = await slots.acquire(work.signal);
+    if (grant.kind === 'full') {
+      counters.shed++;
+      respond(response, 503, '', {'retry-after': String(overflow.kind === 'shed' ? overflow.retryAfterSeconds : 1)});
+      return;
+    }
+
+    if (grant.kind === 'abandoned') {
+      finish(response, kind, work, 'aborted');
+      return;
+    }
+
+    const began = performance.now();
+    const started = record.start({
+      requestId: work.requestId, bodyId: work.bodyId, service, requestKind: kind.name, idempotent: kind.idempotent, startedAt: performance.timeOrigin + began,
+    });
+    const outcome = await perform(kind, work);
+    grant.release();
+    started.end = endOf(outcome, work);
+    started.slotMs = performance.now() - began;
+    finish(response, kind, work, outcome);
+  };
+
+  const readWork = async (request: IncomingMessage, signal: AbortSignal, deadlineAt: number): Promise<Work | undefined> => {
+    const body = await readBody(request);
+    const requestId = singleHeader(request, REQUEST_ID_HEADER) ?? 'none';
+    const check = body.length === 0 ? undefined : checkMessage(body);
+    if (check?.kind === 'truncated') {
+      counters.damagedBodies++;
+      return undefined;
+    }
+
+    return {
+      requestId, bodyId: check?.id ?? requestId, callToken: singleHeader(request, CALL_TOKEN_HEADER), deadlineAt, signal,
+    };
+  };
+
+  const serve = async (request: IncomingMessage, response: ServerResponse, kind: EmulatedRequestKind) => {
+    const aborted = new AbortController();
+    response.once('close', () => {
+      aborted.abort();
+    });
+    const deadlineMs = Number(singleHeader(request, DEADLINE_HEADER) ?? DEFAULT_DEADLINE_MS);
+    const deadlineAt = performance.now() + deadlineMs;
+    const timer = setTimeout(() => {
+      aborted.abort();
+    }, deadlineMs);
+    try {
+      const acceptDelayMs = (readyAt.get(request.socket) ?? 0) - performance.now();
+      if (acceptDelayMs > 0) {
+        await waitFor(acceptDelayMs, aborted.signal);
+      }
+
+      const work = await readWork(request, aborted.signal, deadlineAt);
+      if (work === undefined) {
+        respond(response, 400);
+      } else {
+        await run(response, kind, work);
+      }
+    } finally {
+      clearTimeout(timer);
+    }
+  };
+
+  /** Load as it was some seconds ago, and health that is always good: both mislead under overload. */
+  const respondMisleading = (response: ServerResponse, path: string): boolean => {
+    if (path === '/health') {
+      respondJson(response, {healthy: true});
+      return true;
+    }
+
+    if (path === '/load') {
+      const old = loadReports.findLast(({at}) => at <= performance.now() - settings.loadReportDelayMs);
+      respondJson(response, {load: old?.load ?? 0});
+      return true;
+    }
+
+    return false;
+  };
+
+  const handle = async (request: IncomingMessage, response: ServerResponse) => {
+    // A frozen connection stays open, accepts bytes and never answers.
+    if (frozen.has(request.socket)) {
+      return;
+    }
+
+    const path = (request.url ?? '/').split('?')[0]!;
+    if (respondMisleading(response, path)) {
+      return;
+    }
+
+    counters.requests++;
+    const kind = settings.requestKinds.find(candidate => candidate.methods.includes(request.method ?? 'GET') && pathMatches(candidate.path, path));
+    if (kind === undefined) {
+      counters.unmatched++;
+      respond(response, 404);
+      return;
+    }
+
+    inFlight.count++;
+    try {
+      await serve(request, response, kind);
+    } catch {
+      // The connection broke while the body was arriving.
+      counters.cancelled++;
+    } finally {
+      inFlight.count--;
+    }
+  };
+
+  const server = createServer((request, response) => {
+    void handle(request, response);
+  });
+  server.maxConnections = settings.connections;
+  server.keepAliveTimeout = 60_000;
+  server.on('drop', () => {
+    counters.connectionsRefused++;
+  });
+  server.on('connection', socket => {
+    counters.connectionsOpened++;
+    acceptBusyUntil = Math.max(acceptBusyUntil, performance.now()) + settings.connectionCostMs;
+    readyAt.set(socket, acceptBusyUntil);
+    sockets.add(socket);
+    socket.once('close', () => {
+      sockets.delete(socket);
+    });
+  });
+
+  const freezeConnections = () => {
+    for (const socket of sockets) {
+      frozen.add(socket);
+      // Responses under way are lost too: nothing leaves on this connection any more.
+      socket.write = () => true;
+    }
+  };
+
+  const counterReport = (): CounterReport => reportCounters(
+    counters,
+    {
+      name: settings.name, service, running: slots.running(), waiting: slots.waiting(),
+    },
+    record.runs(),
+  );
+
+  const loadTimer = setInterval(() => {
+    loadReports.push({at: performance.now(), load: slots.running() / settings.slots});
+    loadReports.splice(0, loadReports.length - 200);
+  }, 100);
+  loadTimer.unref();
+
+  const close = () => {
+    clearInterval(loadTimer);
+    server.close();
+    server.closeAllConnections();
+    admin.close();
+    admin.closeAllConnections();
+    void agent.destroy();
+  };
+
+  const crash = () => {
+    announcement?.abandon();
+    close();
+  };
+
+  const stop = async () => {
+    await announcement?.withdraw();
+    await delay(settings.local === undefined ? 0 : DRAIN_GRACE_MS);
+    const end = performance.now() + settings.drainMs;
+    while (inFlight.count > 0 && performance.now() < end) {
+      await delay(DRAIN_POLL_MS); // eslint-disable-line no-await-in-loop
+    }
+
+    close();
+  };
+
+  const leave = async () => {
+    await stop();
+    hooks.onEnd?.('left');
+  };
+
+  const control = (change: Control) => {
+    switch (change.kind) {
+      case 'slowness': {
+        slowness = change.factor;
+        return;
+      }
+
+      case 'freeze-connections': {
+        freezeConnections();
+        return;
+      }
+
+      case 'leave': {
+        void leave();
+        return;
+      }
+
+      case 'crash': {
+        crash();
+        hooks.onEnd?.('crashed');
+      }
+    }
+  };
+
+  const takeControl = async (request: IncomingMessage, response: ServerResponse) => {
+    const body = await readBody(request);
+    const change = controlSchema.safeParse(JSON.parse(body.toString()));
+    if (!change.success) {
+      respond(response, 400, change.error.message);
+      return;
+    }
+
+    respondJson(response, {taken: change.data.kind});
+    control(change.data);
+  };
+
+  const handleAdmin = async (request: IncomingMessage, response: ServerResponse) => {
+    switch (request.url ?? '') {
+      case '/counters': {
+        respondJson(response, counterReport());
+        return;
+      }
+
+      case '/runs': {
+        respondJson(response, record.runs());
+        return;
+      }
+
+      case '/control': {
+        await takeControl(request, response);
+        return;
+      }
+
+      default: {
+        respond(response, 404, 'use /counters, /runs or /control');
+      }
+    }
+  };
+
+  const admin = createServer((request, response) => {
+    void handleAdmin(request, response);
+  });
+
+  const announce = (address: string) => {
+    if (settings.local !== undefined) {
+      announcement = startAnnouncement(agent, settings.local, {
+        kind: 'BackendServer',
+        name: settings.name,
+        labels: {},
+        spec: {
+          service, address, slots: settings.slots, connections: settings.connections, coldStartMs: settings.coldStart.milliseconds,
+        },
+      });
+    }
+  };
+
+  return {
+    async start() {
+      startedAt = performance.now();
+      const address = await listen(server, settings.address);
+      const adminAddress = await listen(admin, settings.admin);
+      announce(address);
+      return {address, admin: adminAddress};
+    },
+    stop,
+    crash,
+    control,
+    counters: counterReport,
+    runs: () => record.runs(),
+  };
+};
--- /dev/null
+++ b/src/emulator/backend-server/sub-calls.ts
@@ -0,0 +1,76 @@
+/** Calls of an emulated backend server to other services, through the process on its host. */
+import {Buffer} from 'node:buffer';
+import {type Agent} from 'undici';
+import {CALL_TOKEN_HEADER, DEADLINE_HEADER, REQUEST_ID_HEADER} from '../../shared/constants.js';
+import {checkMessage, encodeMessage} from './message.js';
+import type {EmulatedSubCall} from './settings.js';
+
+/** What the sub-calls of a request need to know of it. */
+export type SubCallContext = {
+  agent: Agent;
+  /** Local listener of the process, `ip:port`. */
+  local: string;
+  requestId: string;
+  bodyId: string;
+  /** Token that the process gave with the request. */
+  callToken: string | undefined;
+  /** End of the request's time, by `performance.now()`. */
+  deadlineAt: number;
+  signal: AbortSignal;
+};
+
+/** Outcome of the sub-calls of a request. */
+export type SubCallOutcome =
+  | {kind: 'completed'}
+  /** `retryAfterSeconds` is set when the service rejected the call for overload. */
+  | {kind: 'failed'; service: string; retryAfterSeconds: number | undefined};
+
+const COMPLETED: SubCallOutcome = {kind: 'completed'};
+
+const headersOf = (context: SubCallContext) => ({
+  [REQUEST_ID_HEADER]: context.requestId,
+  [DEADLINE_HEADER]: String(Math.max(0, Math.floor(context.deadlineAt - performance.now()))),
+  ...(context.callToken === undefined ? {} : {[CALL_TOKEN_HEADER]: context.callToken}),
+});
+
+const callOnce = async (context: SubCallContext, call: EmulatedSubCall, bodyId: string): Promise<SubCallOutcome> => {
+  const failed: SubCallOutcome = {kind: 'failed', service: call.service, retryAfterSeconds: undefined};
+  const expectedId = call.method === 'GET' ? context.requestId : bodyId;
+  try {
+    const response = await context.agent.request({
+      origin: `http://${context.local}`,
+      method: call.method,
+      path: `/${call.service}${call.path}`,
+      headers: headersOf(context),
+      body: call.method === 'GET' ? undefined : encodeMessage(bodyId, call.service, 0),
+      signal: context.signal,
+    });
+    const body = Buffer.from(await response.body.arrayBuffer());
+    if (response.statusCode === 503) {
+      return {...failed, retryAfterSeconds: Number(response.headers['retry-after'] ?? 1)};
+    }
+
+    const check = checkMessage(body);
+    const own = check.kind === 'whole' && check.id === expectedId && check.service === call.service;
+    return response.statusCode === 200 && own ? COMPLETED : failed;
+  } catch {
+    return failed;
+  }
+};
+
+const runStep = async (context: SubCallContext, step: readonly EmulatedSubCall[], stepIndex: number): Promise<SubCallOutcome> => {
+  const calls = step.flatMap((call, callIndex) => Array.from({length: call.times}, (_, time) =>
+    ({call, bodyId: `${context.bodyId}/${stepIndex}.${callIndex}.${time}`})));
+  const outcomes = await Promise.all(calls.map(async ({call, bodyId}) => callOnce(context, call, bodyId)));
+  return outcomes.find(outcome => outcome.kind === 'failed') ?? COMPLETED;
+};
+
+/** Makes the sub-calls step by step and stops at the first step that failed. */
+export const runSubCalls = async (context: SubCallContext, steps: ReadonlyArray<readonly EmulatedSubCall[]>): Promise<SubCallOutcome> => {
+  let before = Promise.resolve<SubCallOutcome>(COMPLETED);
+  for (const [index, step] of steps.entries()) {
+    before = before.then(async outcome => outcome.kind === 'failed' ? outcome : runStep(context, step, index)); // eslint-disable-line promise/prefer-await-to-then
+  }
+
+  return before;
+};
