feat(load): add the open-loop load tool

Change: the schedule (rates, phases, restarts with bursts) is computed from the seed before the run; latency counts from the scheduled time. A request completes only with a whole response of its own within its deadline. Each sending carries a number that emulated backend servers repeat on sub-calls, so that retries by processes can be told from resends by clients. The record of a backend server now also holds calls that it shed.

--- a/src/emulator/backend-server/__tests__/runs.spec.ts
+++ b/src/emulator/backend-server/__tests__/runs.spec.ts
@@ -3,7 +3,7 @@
 import {countDuplicateRuns, type Run} from '../runs.js';
 
 const run = (change: Partial<Run>): Run => ({
-  requestId: 'r1', bodyId: 'b1', service: 'chiuse', requestKind: 'closure', idempotent: false, startedAt: 0, slotMs: 1, end: 'completed', ...change,
+  requestId: 'r1', sending: 1, callPath: '', bodyId: 'b1', service: 'chiuse', requestKind: 'closure', idempotent: false, startedAt: 0, slotMs: 1, end: 'completed', ...change,
 });
 
 const cases: Array<[title: string, runs: Run[], count: number]> = [
@@ -11,6 +11,7 @@
   ['the same body under two request ids', [run({}), run({requestId: 'r2'})], 1],
   ['a cancelled first run', [run({end: 'cancelled'}), run({})], 1],
   ['an idempotent request run twice', [run({idempotent: true}), run({idempotent: true})], 0],
+  ['a call that was shed before it ran', [run({startedAt: undefined, end: 'shed'}), run({})], 0],
   ['two requests', [run({}), run({bodyId: 'b2'})], 0],
   ['the same body at two services', [run({}), run({service: 'registro'})], 0],
 ];
--- a/src/emulator/backend-server/backend-server.ts
+++ b/src/emulator/backend-server/backend-server.ts
@@ -10,8 +10,10 @@
 import {createRandom} from '../../shared/random.js';
 import {startAnnouncement, type Announcement} from './announcement.js';
 import {createCounters, reportCounters, type CounterReport} from './counters.js';
-import {checkMessage, encodeMessage} from './message.js';
-import {createRunRecord, type Run, type RunEnd} from './runs.js';
+import {
+  CALL_PATH_HEADER, checkMessage, encodeMessage, SENDING_HEADER,
+} from './message.js';
+import type {Run, RunEnd} from './runs.js';
 import {coldStartFactor, drawServiceTime} from './service-time.js';
 import {
   backendServerSettingsSchema, controlSchema, type BackendServerSettingsInput, type Control, type EmulatedRequestKind,
@@ -86,10 +88,14 @@
   }
 };
 
+type WorkEnd = Extract<RunEnd, 'completed' | 'cancelled' | 'deadline' | 'sub-call-failed'>;
+
 /** Identity and time of one request. */
 type Work = {
   requestId: string;
   bodyId: string;
+  sending: number;
+  callPath: string;
   callToken: string | undefined;
   deadlineAt: number;
   signal: AbortSignal;
@@ -101,7 +107,7 @@
   const {service, overflow} = settings;
   const random = createRandom(settings.seed);
   const counters = createCounters();
-  const record = createRunRecord();
+  const runs: Run[] = [];
   const slots = createSlots(settings.slots, overflow.kind === 'queue' ? overflow.length : 0);
   const agent = new Agent({connections: settings.slots * 4, pipelining: 1});
   const readyAt = new WeakMap<Socket, number>();
@@ -117,7 +123,7 @@
   const workTime = (kind: EmulatedRequestKind): number =>
     drawServiceTime(kind.serviceTime, random) * slowness * coldStartFactor(settings.coldStart, performance.now() - startedAt);
 
-  const endOf = (outcome: SubCallOutcome | 'aborted', work: Work): RunEnd => {
+  const endOf = (outcome: SubCallOutcome | 'aborted', work: Work): WorkEnd => {
     if (outcome === 'aborted' || work.signal.aborted) {
       return performance.now() >= work.deadlineAt ? 'deadline' : 'cancelled';
     }
@@ -163,26 +169,39 @@
   };
 
   const run = async (response: ServerResponse, kind: EmulatedRequestKind, work: Work) => {
+    const entry: Run = {
+      requestId: work.requestId,
+      sending: work.sending,
+      callPath: work.callPath,
+      bodyId: work.bodyId,
+      service,
+      requestKind: kind.name,
+      idempotent: kind.idempotent,
+      startedAt: undefined,
+      slotMs: 0,
+      end: 'running',
+    };
+    runs.push(entry);
     const grant = await slots.acquire(work.signal);
     if (grant.kind === 'full') {
+      entry.end = 'shed';
       counters.shed++;
       respond(response, 503, '', {'retry-after': String(overflow.kind === 'shed' ? overflow.retryAfterSeconds : 1)});
       return;
     }
 
     if (grant.kind === 'abandoned') {
+      entry.end = 'abandoned';
       finish(response, kind, work, 'aborted');
       return;
     }
 
     const began = performance.now();
-    const started = record.start({
-      requestId: work.requestId, bodyId: work.bodyId, service, requestKind: kind.name, idempotent: kind.idempotent, startedAt: performance.timeOrigin + began,
-    });
+    entry.startedAt = performance.timeOrigin + began;
     const outcome = await perform(kind, work);
     grant.release();
-    started.end = endOf(outcome, work);
-    started.slotMs = performance.now() - began;
+    entry.end = endOf(outcome, work);
+    entry.slotMs = performance.now() - began;
     finish(response, kind, work, outcome);
   };
 
@@ -196,7 +215,13 @@
     }
 
     return {
-      requestId, bodyId: check?.id ?? requestId, callToken: singleHeader(request, CALL_TOKEN_HEADER), deadlineAt, signal,
+      requestId,
+      bodyId: check?.id ?? requestId,
+      sending: Number(singleHeader(request, SENDING_HEADER) ?? 0),
+      callPath: singleHeader(request, CALL_PATH_HEADER) ?? '',
+      callToken: singleHeader(request, CALL_TOKEN_HEADER),
+      deadlineAt,
+      signal,
     };
   };
 
@@ -304,7 +329,7 @@
     {
       name: settings.name, service, running: slots.running(), waiting: slots.waiting(),
     },
-    record.runs(),
+    runs,
   );
 
   const loadTimer = setInterval(() => {
@@ -387,7 +412,7 @@
       }
 
       case '/runs': {
-        respondJson(response, record.runs());
+        respondJson(response, runs);
         return;
       }
 
@@ -431,6 +456,6 @@
     crash,
     control,
     counters: counterReport,
-    runs: () => record.runs(),
+    runs: () => runs,
   };
 };
--- a/src/emulator/backend-server/message.ts
+++ b/src/emulator/backend-server/message.ts
@@ -3,6 +3,12 @@
 import {createHash} from 'node:crypto';
 import {z} from 'zod';
 
+/** Header with the number of the client's sending, which backend servers repeat on sub-calls. */
+export const SENDING_HEADER = 'emulator-sending';
+
+/** Header with the place of a sub-call in the request's tree of calls. */
+export const CALL_PATH_HEADER = 'emulator-call-path';
+
 const headSchema = z.object({
   /** Id of the request that the message belongs to. */
   id: z.string().min(1),
--- a/src/emulator/backend-server/runs.ts
+++ b/src/emulator/backend-server/runs.ts
@@ -1,39 +1,25 @@
-/** Record of what an emulated backend server ran. */
+/** Record of the calls that reached an emulated backend server, and of what it ran. */
 
-/** How a run ended. */
-export type RunEnd = 'completed' | 'cancelled' | 'deadline' | 'sub-call-failed';
+/** How a call ended: `shed` and `abandoned` ones never ran. */
+export type RunEnd = 'completed' | 'cancelled' | 'deadline' | 'sub-call-failed' | 'shed' | 'abandoned' | 'running';
 
-/** One run of a request; times are in milliseconds, `startedAt` since the Unix epoch. */
+/** One call that reached a backend server; times are in milliseconds, `startedAt` since the Unix epoch. */
 export type Run = {
   requestId: string;
+  /** Which sending by the client it belongs to, from 1; 0 when the client did not say. */
+  sending: number;
+  /** Place of the call in the request's tree of calls; empty for the client's own call. */
+  callPath: string;
   /** Id inside the body; the request id when the body has none. */
   bodyId: string;
   service: string;
   requestKind: string;
   idempotent: boolean;
-  startedAt: number;
+  /** When it got its slot; undefined for a call that did not run. */
+  startedAt: number | undefined;
   /** Time that the run held its slot. */
   slotMs: number;
-  end: RunEnd | 'running';
-};
-
-/** Record of runs. */
-export type RunRecord = {
-  start: (run: Omit<Run, 'slotMs' | 'end'>) => Run;
-  runs: () => readonly Run[];
-};
-
-/** Creates an empty record. */
-export const createRunRecord = (): RunRecord => {
-  const runs: Run[] = [];
-  return {
-    start(run) {
-      const started: Run = {...run, slotMs: 0, end: 'running'};
-      runs.push(started);
-      return started;
-    },
-    runs: () => runs,
-  };
+  end: RunEnd;
 };
 
 /**
@@ -42,7 +28,7 @@
 A run counts from its start: one that is cancelled half way may already have had its effect.
 */
 export const countDuplicateRuns = (runs: readonly Run[]): number => {
-  const once = runs.filter(run => !run.idempotent);
+  const once = runs.filter(run => !run.idempotent && run.startedAt !== undefined);
   const distinct = new Set(once.map(run => JSON.stringify([run.service, run.requestKind, run.bodyId])));
   return once.length - distinct.size;
 };
--- a/src/emulator/backend-server/sub-calls.ts
+++ b/src/emulator/backend-server/sub-calls.ts
@@ -2,7 +2,9 @@
 import {Buffer} from 'node:buffer';
 import {type Agent} from 'undici';
 import {CALL_TOKEN_HEADER, DEADLINE_HEADER, REQUEST_ID_HEADER} from '../../shared/constants.js';
-import {checkMessage, encodeMessage} from './message.js';
+import {
+  CALL_PATH_HEADER, checkMessage, encodeMessage, SENDING_HEADER,
+} from './message.js';
 import type {EmulatedSubCall} from './settings.js';
 
 /** What the sub-calls of a request need to know of it. */
@@ -12,6 +14,8 @@
   local: string;
   requestId: string;
   bodyId: string;
+  sending: number;
+  callPath: string;
   /** Token that the process gave with the request. */
   callToken: string | undefined;
   /** End of the request's time, by `performance.now()`. */
@@ -27,21 +31,24 @@
 
 const COMPLETED: SubCallOutcome = {kind: 'completed'};
 
-const headersOf = (context: SubCallContext) => ({
+const headersOf = (context: SubCallContext, callPath: string) => ({
+  [SENDING_HEADER]: String(context.sending),
+  [CALL_PATH_HEADER]: callPath,
   [REQUEST_ID_HEADER]: context.requestId,
   [DEADLINE_HEADER]: String(Math.max(0, Math.floor(context.deadlineAt - performance.now()))),
   ...(context.callToken === undefined ? {} : {[CALL_TOKEN_HEADER]: context.callToken}),
 });
 
-const callOnce = async (context: SubCallContext, call: EmulatedSubCall, bodyId: string): Promise<SubCallOutcome> => {
+const callOnce = async (context: SubCallContext, call: EmulatedSubCall, place: string): Promise<SubCallOutcome> => {
   const failed: SubCallOutcome = {kind: 'failed', service: call.service, retryAfterSeconds: undefined};
+  const bodyId = `${context.bodyId}/${place}`;
   const expectedId = call.method === 'GET' ? context.requestId : bodyId;
   try {
     const response = await context.agent.request({
       origin: `http://${context.local}`,
       method: call.method,
       path: `/${call.service}${call.path}`,
-      headers: headersOf(context),
+      headers: headersOf(context, context.callPath === '' ? place : `${context.callPath}/${place}`),
       body: call.method === 'GET' ? undefined : encodeMessage(bodyId, call.service, 0),
       signal: context.signal,
     });
@@ -60,8 +67,8 @@
 
 const runStep = async (context: SubCallContext, step: readonly EmulatedSubCall[], stepIndex: number): Promise<SubCallOutcome> => {
   const calls = step.flatMap((call, callIndex) => Array.from({length: call.times}, (_, time) =>
-    ({call, bodyId: `${context.bodyId}/${stepIndex}.${callIndex}.${time}`})));
-  const outcomes = await Promise.all(calls.map(async ({call, bodyId}) => callOnce(context, call, bodyId)));
+    ({call, place: `${stepIndex}.${callIndex}.${time}`})));
+  const outcomes = await Promise.all(calls.map(async ({call, place}) => callOnce(context, call, place)));
   return outcomes.find(outcome => outcome.kind === 'failed') ?? COMPLETED;
 };
 
--- /dev/null
+++ b/src/load/__tests__/request.spec.ts
@@ -0,0 +1,76 @@
+/** Guards against a client that drops its ticket, counts a wrong response as completed, or resends without end. */
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {once} from 'node:events';
+import test from 'ava';
+import {encodeMessage} from '../../emulator/backend-server/message.js';
+import {createLoad} from '../load.js';
+
+type Answer = (request: IncomingMessage, response: ServerResponse, count: number) => void;
+
+const answerWhole: Answer = (request, response) => {
+  response.end(encodeMessage(String(request.headers['jujubewell-request-id']), 'chiuse', 10));
+};
+
+const cases: Array<[title: string, answer: Answer, expected: {completed: boolean; sendings: number; resends: number; lastReason: string}]> = [
+  ['a whole response completes', answerWhole, {
+    completed: true, sendings: 1, resends: 0, lastReason: 'completed',
+  }],
+  ['a ticket is kept over a rejection', (request, response, count) => {
+    const ticket = request.headers['jujubewell-ticket'];
+    if (ticket === undefined) {
+      response.writeHead(428, {'jujubewell-ticket': 'T1'}).end();
+    } else if (count === 2) {
+      response.writeHead(503, {'jujubewell-outcome': 'not-run', 'jujubewell-reason': 'queue-time'}).end();
+    } else if (ticket === 'T1') {
+      answerWhole(request, response, count);
+    }
+  }, {
+    completed: true, sendings: 3, resends: 1, lastReason: 'completed',
+  }],
+  ['a response to another request does not count', (_, response) => {
+    response.end(encodeMessage('other', 'chiuse', 10));
+  }, {
+    completed: false, sendings: 3, resends: 2, lastReason: 'swapped',
+  }],
+  ['a response that breaks off does not count', (request, response) => {
+    const body = encodeMessage(String(request.headers['jujubewell-request-id']), 'chiuse', 10);
+    response.writeHead(200, {'content-length': body.length}).write(body.subarray(0, -1), () => {
+      response.destroy();
+    });
+  }, {
+    completed: false, sendings: 3, resends: 2, lastReason: 'truncated',
+  }],
+  ['a rejection is counted under its reason', (_, response) => {
+    response.writeHead(503, {'jujubewell-outcome': 'not-run', 'jujubewell-reason': 'admission'}).end();
+  }, {
+    completed: false, sendings: 3, resends: 2, lastReason: 'admission',
+  }],
+];
+
+for (const [title, answer, expected] of cases) {
+  test(title, async t => {
+    let count = 0;
+    const server = createServer((request, response) => {
+      request.resume();
+      answer(request, response, ++count);
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const load = createLoad({
+      entries: [`127.0.0.1:${(server.address() as AddressInfo).port}`],
+      durationMs: 1,
+      devices: 1,
+      kinds: [{
+        name: 'book', service: 'chiuse', method: 'POST', path: '/closures', idempotent: false, priority: 0, deadlineMs: 10_000, ratePerSecond: 1e-9,
+      }],
+      restarts: [{atMs: 0, spreadMs: 0, burstPerDevice: 1}],
+      client: {resends: 2, backoffMs: 1},
+    });
+    const {records} = await load.run();
+    t.is(records.length, 1);
+    t.like(records[0], expected);
+    server.close();
+    server.closeAllConnections();
+  });
+}
--- /dev/null
+++ b/src/load/device.ts
@@ -0,0 +1,56 @@
+/** Client device: its connections to entries, and its restarts. */
+import {Agent} from 'undici';
+
+/** Client device. */
+export type Device = {
+  index: number;
+  /** Whether it waits as long as Retry-After says. */
+  respectsRetryAfter: boolean;
+  /** Connections of the present life of the device. */
+  agent: () => Agent;
+  /** Signal that aborts when the present life of the device ends. */
+  life: () => AbortSignal;
+  /** Drops all connections and everything in flight on them, and starts anew. */
+  restart: () => void;
+  /** Reconnects: later requests use new connections, requests in flight end on the old ones. */
+  reconnect: () => void;
+  close: () => Promise<void>;
+};
+
+/** Options of a device. */
+export type DeviceOptions = {
+  index: number;
+  respectsRetryAfter: boolean;
+  connections: number;
+};
+
+/** Creates a device; it connects with its first request. */
+export const createDevice = (options: DeviceOptions): Device => {
+  // The request code owns every timeout, so that each is counted under its cause.
+  const createAgent = () => new Agent({
+    connections: options.connections, pipelining: 1, headersTimeout: 0, bodyTimeout: 0,
+  });
+  let agent = createAgent();
+  let life = new AbortController();
+  return {
+    index: options.index,
+    respectsRetryAfter: options.respectsRetryAfter,
+    agent: () => agent,
+    life: () => life.signal,
+    restart() {
+      const [oldLife, oldAgent] = [life, agent];
+      life = new AbortController();
+      agent = createAgent();
+      oldLife.abort();
+      void oldAgent.destroy();
+    },
+    reconnect() {
+      const old = agent;
+      agent = createAgent();
+      void old.close();
+    },
+    async close() {
+      await agent.destroy();
+    },
+  };
+};
--- /dev/null
+++ b/src/load/load.ts
@@ -0,0 +1,80 @@
+/** Open-loop load: requests start at their scheduled time, whatever the responses do. */
+import {setTimeout as delay} from 'node:timers/promises';
+import {createRandom} from '../shared/random.js';
+import {createDevice, type Device} from './device.js';
+import {runRequest} from './request.js';
+import {buildResult, type LoadResult, type RequestRecord} from './results.js';
+import {createSchedule} from './schedule.js';
+import {loadSettingsSchema, type LoadSettingsInput} from './settings.js';
+
+/** Load tool. */
+export type Load = {
+  /** Runs the whole schedule and waits for the last request. */
+  run: () => Promise<LoadResult>;
+  /** Requests started and finished so far. */
+  progress: () => {started: number; finished: number; completed: number; total: number};
+};
+
+const TICK_MS = 2;
+
+/** Takes items off the front of a list in order of time. */
+const takeDue = <Item extends {atMs: number}>(items: Item[], atMs: number): Item[] => {
+  const count = items.findIndex(item => item.atMs > atMs);
+  return items.splice(0, count === -1 ? items.length : count);
+};
+
+/** Creates a load tool; it does nothing before `run`. */
+export const createLoad = (options: LoadSettingsInput): Load => {
+  const settings = loadSettingsSchema.parse(options);
+  const random = createRandom(settings.seed);
+  const schedule = createSchedule(settings, random);
+  const total = schedule.arrivals.length;
+  const devices: Device[] = Array.from({length: settings.devices}, (_, index) => createDevice({
+    index, respectsRetryAfter: random() < settings.client.retryAfterShare, connections: settings.client.connectionsPerDevice,
+  }));
+  const records: RequestRecord[] = [];
+  const running: Array<Promise<void>> = [];
+
+  const reconnectSome = () => {
+    if (random() < settings.client.reconnectsPerSecond * TICK_MS / 1000) {
+      devices[Math.floor(random() * devices.length)]!.reconnect();
+    }
+  };
+
+  const runSchedule = async (startedAt: number) => {
+    const arrivals = [...schedule.arrivals];
+    const restarts = [...schedule.restarts];
+    while (arrivals.length > 0 || restarts.length > 0) {
+      const atMs = performance.now() - startedAt;
+      for (const {device} of takeDue(restarts, atMs)) {
+        devices[device]!.restart();
+      }
+
+      for (const arrival of takeDue(arrivals, atMs)) {
+        const device = devices[arrival.device]!;
+        running.push((async () => {
+          records.push(await runRequest(arrival, {
+            settings, device, random, startedAt,
+          }));
+        })());
+      }
+
+      reconnectSome();
+      await delay(TICK_MS); // eslint-disable-line no-await-in-loop
+    }
+  };
+
+  return {
+    async run() {
+      await delay(Math.max(0, (settings.startAt ?? 0) - Date.now()));
+      const startedAt = performance.now();
+      await runSchedule(startedAt);
+      await Promise.all(running);
+      await Promise.all(devices.map(async device => device.close()));
+      return buildResult(performance.timeOrigin + startedAt, records);
+    },
+    progress: () => ({
+      started: running.length, finished: records.length, completed: records.filter(({completed}) => completed).length, total,
+    }),
+  };
+};
--- /dev/null
+++ b/src/load/request.ts
@@ -0,0 +1,140 @@
+/** A client's request: sendings, resends and tickets until it completes or the client gives up. */
+import {setTimeout as delay} from 'node:timers/promises';
+import type {Random} from '../shared/random.js';
+import type {Device} from './device.js';
+import type {RequestRecord} from './results.js';
+import type {Arrival} from './schedule.js';
+import {send, type SendingResult} from './sending.js';
+import type {LoadSettings} from './settings.js';
+
+/** What a request needs to know of its run. */
+export type RequestContext = {
+  settings: LoadSettings;
+  device: Device;
+  random: Random;
+  /** Start of the schedule by `performance.now()`. */
+  startedAt: number;
+};
+
+/** A second 428 means that the system did not accept its own ticket; more would be an endless exchange. */
+const TICKETS_MAX = 3;
+
+const note = (record: RequestRecord, result: SendingResult, elapsedMs: number) => {
+  switch (result.kind) {
+    case 'truncated': {
+      record.truncated++;
+      break;
+    }
+
+    case 'swapped': {
+      record.swapped++;
+      break;
+    }
+
+    case 'broken': {
+      record.cut++;
+      break;
+    }
+
+    case 'rejected': {
+      record.lastOutcome = result.outcome;
+      if (result.outcome === 'not-run') {
+        record.notRunAtMs.push(elapsedMs);
+      }
+
+      break;
+    }
+
+    case 'completed':
+    case 'ticket':
+    case 'timed-out':
+    case 'restarted': {
+      break;
+    }
+  }
+
+  record.lastReason = result.kind === 'rejected' ? result.reason : result.kind;
+};
+
+const waitBefore = (context: RequestContext, result: SendingResult): number => {
+  if (result.kind === 'rejected' && result.retryAfterMs !== undefined && context.device.respectsRetryAfter) {
+    return result.retryAfterMs;
+  }
+
+  return context.settings.client.backoffMs * 2 * context.random();
+};
+
+const pickEntry = ({settings, device, random}: RequestContext, number: number): string => {
+  const {entries, client} = settings;
+  const own = device.index % entries.length;
+  const other = number > 1 && random() < client.otherEntryShare;
+  return entries[other ? Math.floor(random() * entries.length) : own]!;
+};
+
+const emptyRecord = (arrival: Arrival): RequestRecord => ({
+  id: arrival.id,
+  kind: arrival.kind.name,
+  priority: arrival.kind.priority,
+  group: arrival.group.name,
+  idempotent: arrival.kind.idempotent,
+  scheduledMs: arrival.atMs,
+  startLateMs: 0,
+  finishedMs: 0,
+  completed: false,
+  sendings: 0,
+  resends: 0,
+  notRunAtMs: [],
+  lastOutcome: 'none',
+  lastReason: 'none',
+  truncated: 0,
+  swapped: 0,
+  cut: 0,
+});
+
+/** Sends a request until it completes, its deadline has passed or its resends are used up. */
+export const runRequest = async (arrival: Arrival, context: RequestContext): Promise<RequestRecord> => {
+  const record = emptyRecord(arrival);
+  const elapsed = () => performance.now() - context.startedAt;
+  const remaining = () => arrival.atMs + arrival.kind.deadlineMs - elapsed();
+  let ticket: string | undefined;
+  let tickets = 0;
+  record.startLateMs = elapsed() - arrival.atMs;
+  const sendOnce = async (): Promise<SendingResult> => {
+    record.sendings++;
+    return send({
+      arrival,
+      device: context.device,
+      entry: pickEntry(context, record.sendings),
+      ticket,
+      number: record.sendings,
+      remainingMs: remaining(),
+      timeoutMs: Math.min(context.settings.client.timeoutMs, remaining()),
+    });
+  };
+
+  while (remaining() > 0) {
+    const result = await sendOnce(); // eslint-disable-line no-await-in-loop
+    note(record, result, elapsed());
+    if (result.kind === 'completed') {
+      record.completed = remaining() >= 0;
+      break;
+    }
+
+    if (result.kind === 'ticket' && tickets < TICKETS_MAX) {
+      ticket = result.ticket;
+      tickets++;
+      continue;
+    }
+
+    const waitMs = waitBefore(context, result);
+    if (record.resends >= context.settings.client.resends || waitMs >= remaining()) {
+      break;
+    }
+
+    record.resends++;
+    await delay(waitMs); // eslint-disable-line no-await-in-loop
+  }
+
+  record.finishedMs = elapsed();
+  return record;
+};
--- /dev/null
+++ b/src/load/results.ts
@@ -0,0 +1,115 @@
+/** Results of a load run: one record per request, and a summary per kind and priority. */
+import {build, type Histogram} from 'hdr-histogram-js';
+
+/** What became of one request; times are in milliseconds from the start of the schedule. */
+export type RequestRecord = {
+  id: string;
+  kind: string;
+  priority: number;
+  group: string;
+  idempotent: boolean;
+  scheduledMs: number;
+  /** How much later than scheduled the load tool sent it; large values mean that the tool was overloaded. */
+  startLateMs: number;
+  finishedMs: number;
+  /** Whether a whole response to it arrived within its deadline. */
+  completed: boolean;
+  /** Times it was sent, exchanges for a ticket included. */
+  sendings: number;
+  /** Times it was sent again after a failure. */
+  resends: number;
+  /** When rejections with the outcome `not-run` arrived. */
+  notRunAtMs: number[];
+  lastOutcome: string;
+  lastReason: string;
+  truncated: number;
+  swapped: number;
+  /** Sendings whose connection broke before a response. */
+  cut: number;
+};
+
+/** Requests that did not complete, under one reason and outcome of their last response. */
+export type FailureCount = {reason: string; outcome: string; count: number};
+
+/** Summary of the requests of one kind or one priority. */
+export type LoadSummary = {
+  name: string;
+  offered: number;
+  completed: number;
+  successRatio: number;
+  /** Latency of completed requests from their scheduled start; 0 when none completed. */
+  p50Milliseconds: number;
+  p99Milliseconds: number;
+  failures: FailureCount[];
+  truncated: number;
+  swapped: number;
+  cut: number;
+  resends: number;
+};
+
+/** Result of a load run. */
+export type LoadResult = {
+  /** Start of the schedule, in milliseconds since the Unix epoch. */
+  startedAt: number;
+  kinds: LoadSummary[];
+  priorities: LoadSummary[];
+  maxStartLateMs: number;
+  records: RequestRecord[];
+};
+
+/** Builds a histogram of the latencies of completed requests, in microseconds. */
+export const latencyHistogram = (records: readonly RequestRecord[]): Histogram => {
+  const histogram = build({lowestDiscernibleValue: 1, highestTrackableValue: 3_600_000_000, numberOfSignificantValueDigits: 3});
+  for (const record of records.filter(({completed}) => completed)) {
+    histogram.recordValue(Math.max(1, Math.round((record.finishedMs - record.scheduledMs) * 1000)));
+  }
+
+  return histogram;
+};
+
+const countFailures = (records: readonly RequestRecord[]): FailureCount[] => {
+  const counts = new Map<string, FailureCount>();
+  for (const {lastReason, lastOutcome} of records.filter(({completed}) => !completed)) {
+    const key = `${lastReason}/${lastOutcome}`;
+    const entry = counts.get(key) ?? {reason: lastReason, outcome: lastOutcome, count: 0};
+    entry.count++;
+    counts.set(key, entry);
+  }
+
+  return [...counts.values()].sort((a, b) => b.count - a.count);
+};
+
+const total = (records: readonly RequestRecord[], of: (record: RequestRecord) => number): number =>
+  records.reduce((sum, record) => sum + of(record), 0);
+
+/** Summarises records under a name. */
+export const summarise = (name: string, records: readonly RequestRecord[]): LoadSummary => {
+  const histogram = latencyHistogram(records);
+  const completed = records.filter(record => record.completed).length;
+  return {
+    name,
+    offered: records.length,
+    completed,
+    successRatio: records.length === 0 ? 0 : completed / records.length,
+    p50Milliseconds: completed === 0 ? 0 : histogram.getValueAtPercentile(50) / 1000,
+    p99Milliseconds: completed === 0 ? 0 : histogram.getValueAtPercentile(99) / 1000,
+    failures: countFailures(records),
+    truncated: total(records, record => record.truncated),
+    swapped: total(records, record => record.swapped),
+    cut: total(records, record => record.cut),
+    resends: total(records, record => record.resends),
+  };
+};
+
+const summariseBy = (records: readonly RequestRecord[], keyOf: (record: RequestRecord) => string): LoadSummary[] =>
+  [...new Set(records.map(record => keyOf(record)))].sort()
+    .map(key => summarise(key, records.filter(record => keyOf(record) === key)));
+
+/** Builds the result of a run. */
+export const buildResult = (startedAt: number, records: RequestRecord[]): LoadResult => ({
+  startedAt,
+  kinds: summariseBy(records, ({kind}) => kind),
+  priorities: summariseBy(records, ({priority}) => String(priority)),
+  maxStartLateMs: records.map(({startLateMs}) => startLateMs).sort((a, b) => a - b).at(-1) ?? 0,
+  records,
+});
--- /dev/null
+++ b/src/load/sending.ts
@@ -0,0 +1,107 @@
+/** One sending of a request, and what came back. */
+import {Buffer} from 'node:buffer';
+import {
+  DEADLINE_HEADER, GROUP_HEADER, OUTCOME_HEADER, REASON_HEADER, REQUEST_ID_HEADER, TICKET_HEADER,
+} from '../shared/constants.js';
+import {checkMessage, encodeMessage, SENDING_HEADER} from '../emulator/backend-server/message.js';
+import type {Device} from './device.js';
+import type {Arrival} from './schedule.js';
+
+/** What a sending came to. */
+export type SendingResult =
+  | {kind: 'completed'}
+  /** Nothing has run; the request is to be sent again with the ticket. */
+  | {kind: 'ticket'; ticket: string}
+  /** A response other than 200. */
+  | {kind: 'rejected'; status: number; reason: string; outcome: string; retryAfterMs: number | undefined}
+  /** A 200 response that is not whole. */
+  | {kind: 'truncated'}
+  /** A whole 200 response to another request. */
+  | {kind: 'swapped'}
+  /** The connection broke before a response. */
+  | {kind: 'broken'}
+  | {kind: 'timed-out'}
+  /** The device restarted. */
+  | {kind: 'restarted'};
+
+/** A request to send. */
+export type Sending = {
+  arrival: Arrival;
+  device: Device;
+  entry: string;
+  ticket: string | undefined;
+  /** Number of this sending, from 1. */
+  number: number;
+  remainingMs: number;
+  timeoutMs: number;
+};
+
+const headersOf = ({arrival, ticket, number, remainingMs}: Sending): Record<string, string> => ({
+  [REQUEST_ID_HEADER]: arrival.id,
+  [DEADLINE_HEADER]: String(Math.max(1, Math.floor(remainingMs))),
+  [SENDING_HEADER]: String(number),
+  ...(ticket === undefined ? {} : {[TICKET_HEADER]: ticket}),
+  ...(arrival.group.header === undefined ? {} : {[GROUP_HEADER]: arrival.group.header}),
+});
+
+const header = (headers: Record<string, string | string[] | undefined>, name: string): string | undefined => {
+  const value = headers[name];
+  return Array.isArray(value) ? value[0] : value;
+};
+
+const judgeBody = (body: Buffer, arrival: Arrival): SendingResult => {
+  const check = checkMessage(body);
+  if (check.kind === 'truncated') {
+    return {kind: 'truncated'};
+  }
+
+  return check.id === arrival.id && check.service === arrival.kind.service ? {kind: 'completed'} : {kind: 'swapped'};
+};
+
+const rejection = (status: number, headers: Record<string, string | string[] | undefined>): SendingResult => {
+  const ticket = header(headers, TICKET_HEADER);
+  if (status === 428 && ticket !== undefined) {
+    return {kind: 'ticket', ticket};
+  }
+
+  const retryAfter = header(headers, 'retry-after');
+  return {
+    kind: 'rejected',
+    status,
+    reason: header(headers, REASON_HEADER) ?? `status-${status}`,
+    outcome: header(headers, OUTCOME_HEADER) ?? 'unstated',
+    retryAfterMs: retryAfter === undefined ? undefined : Number(retryAfter) * 1000,
+  };
+};
+
+/** Sends a request once. */
+export const send = async (sending: Sending): Promise<SendingResult> => {
+  const {arrival, device, entry} = sending;
+  const {kind} = arrival;
+  const life = device.life();
+  const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(sending.timeoutMs)));
+  let headArrived = false;
+  try {
+    const response = await device.agent().request({
+      origin: `http://${entry}`,
+      method: kind.method,
+      path: `/${kind.service}${kind.path.replace('*', arrival.id)}`,
+      headers: headersOf(sending),
+      body: kind.method === 'GET' ? undefined : encodeMessage(arrival.id, kind.service, kind.bodyBytes),
+      signal: AbortSignal.any([life, timeout]),
+    });
+    headArrived = response.statusCode === 200;
+    const body = Buffer.from(await response.body.arrayBuffer());
+    return response.statusCode === 200 ? judgeBody(body, arrival) : rejection(response.statusCode, response.headers);
+  } catch {
+    if (life.aborted) {
+      return {kind: 'restarted'};
+    }
+
+    if (timeout.aborted) {
+      return {kind: 'timed-out'};
+    }
+
+    return {kind: headArrived ? 'truncated' : 'broken'};
+  }
+};
