--- a/src/emulator/backend-server/backend-server.ts
+++ b/src/emulator/backend-server/backend-server.ts
@@ -27,7 +27,7 @@
   start: () => Promise<{address: string; admin: string}>;
   /** Leaves: withdraws the announcement, lets work in flight finish, and closes. */
   stop: () => Promise<void>;
-  /** Closes at once, cutting off everything, without withdrawing the announcement. */
+  /** Cuts off all work at once, without withdrawing the announcement; the admin listener stays until `stop`. */
   crash: () => void;
   control: (control: Control) => void;
   counters: () => CounterReport;
@@ -36,8 +36,8 @@
 
 /** Hooks of the program around an emulator. */
 export type BackendServerHooks = {
-  /** Called when the control path asked it to leave (after it has left) or to crash. */
-  onEnd?: (end: 'left' | 'crashed') => void;
+  /** Called when it has left because the control path asked for it. */
+  onLeft?: () => void;
 };
 
 const DEFAULT_DEADLINE_MS = 30_000;
@@ -338,23 +338,26 @@
   }, 100);
   loadTimer.unref();
 
-  const close = () => {
+  /** Cuts off all work; the admin listener stays, because the record of runs is needed after a crash. */
+  const crash = () => {
+    announcement?.abandon();
+    announcement = undefined;
     clearInterval(loadTimer);
     server.close();
     server.closeAllConnections();
-    admin.close();
-    admin.closeAllConnections();
     void agent.destroy();
   };
 
-  const crash = () => {
-    announcement?.abandon();
-    close();
+  const close = () => {
+    crash();
+    admin.close();
+    admin.closeAllConnections();
   };
 
   const stop = async () => {
+    const announced = announcement !== undefined;
     await announcement?.withdraw();
-    await delay(settings.local === undefined ? 0 : DRAIN_GRACE_MS);
+    await delay(announced ? DRAIN_GRACE_MS : 0);
     const end = performance.now() + settings.drainMs;
     while (inFlight.count > 0 && performance.now() < end) {
       await delay(DRAIN_POLL_MS); // eslint-disable-line no-await-in-loop
@@ -365,7 +368,7 @@
 
   const leave = async () => {
     await stop();
-    hooks.onEnd?.('left');
+    hooks.onLeft?.();
   };
 
   const control = (change: Control) => {
@@ -387,7 +390,6 @@
 
       case 'crash': {
         crash();
-        hooks.onEnd?.('crashed');
       }
     }
   };
--- a/src/emulator/backend-server/main.ts
+++ b/src/emulator/backend-server/main.ts
@@ -11,8 +11,8 @@
 }
 
 const emulator = createBackendServerEmulator(JSON.parse(argument) as BackendServerSettingsInput, {
-  onEnd(end) {
-    process.exit(end === 'left' ? 0 : 1);
+  onLeft() {
+    process.exit(0);
   },
 });
 
