feat(fleet): decide membership, configuration order, roles, zone summaries and status

Change: pure decisions in src/decisions/fleet. The sequence in effect travels in the head of each message and in rare reports, not in the gossiped record: one configuration change would otherwise change every record, which is 955 records 0.4 times a second. Configurations are pushed as differences. Zone summaries are entries with growing versions, fetched when a digest differs.

--- /dev/null
+++ b/src/decisions/fleet/__tests__/fleet.spec.ts
@@ -0,0 +1,338 @@
+/** Guards invariants 6 and 8 and the membership against faults of hosts, network and platform, alone and two together. */
+import assert from 'node:assert/strict';
+import test, {type ExecutionContext} from 'ava';
+import fc from 'fast-check';
+import {emptyConfiguration, hashObjects, type Configuration} from '../../../objects/configuration.js';
+import {declaredObjectSchema} from '../../../objects/schema.js';
+import {endpointsOf, isStale, type FleetState} from '../fleet.js';
+import {Network} from './network.js';
+
+/** Builds a configuration with one service per sequence. */
+const configurationOf = (sequence: number, label = ''): Configuration => {
+  const objects = Array.from({length: sequence}, (_, index) => declaredObjectSchema.parse({kind: 'Service', name: `s${index}`, labels: {label}}));
+  return {
+    ...emptyConfiguration, sequence, objects, hash: hashObjects(objects),
+  };
+};
+
+const ZONES = ['north', 'south'];
+const HOSTS = ZONES.flatMap(zone => [1, 2, 3, 4].map(index => ({zone, host: `${zone}${index}`})));
+const CONTACTS = ['a-north1', 'a-south1', 'a-north2', 'a-south2'];
+
+const announce = (network: Network, host: string, draining = false): void => {
+  network.decide(network.processes.get(`a-${host}`)!, {
+    kind: 'local-changed',
+    backend: {
+      service: `${host.slice(0, -1)}-service`, slots: 10, connections: 100, coldStartMs: 0, draining, labels: {},
+    },
+  });
+};
+
+const startFleet = (seed: number): Network => {
+  const network = new Network(seed);
+  for (const {zone, host} of HOSTS) {
+    network.start(host, zone, CONTACTS);
+    announce(network, host);
+  }
+
+  network.run(6000);
+  network.apply(configurationOf(1));
+  network.run(3000);
+  return network;
+};
+
+const stateOf = (network: Network, host: string): FleetState => network.processes.get(`a-${host}`)!.state;
+const sequences = (network: Network): number[] =>
+  [...network.processes.values()].filter(({down, pausedUntil}) => !down && pausedUntil <= network.now).map(({state}) => state.configuration.current.sequence);
+const liveView = (network: Network, host: string): string[] =>
+  [...stateOf(network, host).membership.members.values()].filter(({record}) => record.state === 'alive').map(({record}) => record.host).sort();
+const allEqual = (network: Network, sequence: number): boolean => sequences(network).every(each => each === sequence);
+const assertConverged = (t: ExecutionContext, network: Network, sequence: number): void => {
+  t.deepEqual(sequences(network).filter(each => each !== sequence), []);
+  t.deepEqual(network.reverted, []);
+};
+
+const holdersOf = (network: Network, zone: string): string[] => stateOf(network, `${zone}1`).roles.holders;
+const replace = (network: Network, host: string, startedAt?: number): void => {
+  network.start(host, host.slice(0, -1), CONTACTS, startedAt);
+  announce(network, host);
+};
+
+type Fault = {
+  name: string; start: (network: Network) => void; heal: (network: Network) => void;
+  /** Whether every running process can still reach the newest configuration. */
+  connected: boolean;
+};
+
+const setCut = (cut: Network['cut']) => (network: Network): void => {
+  const before = network.cut;
+  network.cut = (from, to) => before(from, to) || cut(from, to);
+};
+
+const heal = (network: Network): void => {
+  network.cut = () => false;
+  network.faults = {lost: 0, duplicated: 0, delayMs: 5};
+  Object.assign(network.platform, {downUntil: 0, silentWatches: false, loseAnswers: false});
+  network.platform.cutZones.clear();
+};
+
+const half = (state: FleetState): boolean => /[12]$/u.test(state.self.host);
+const hostFault = (name: string, start: (network: Network, host: string) => void, finish: (network: Network, host: string) => void): Fault => ({
+  name,
+  connected: true,
+  start(network) {
+    start(network, holdersOf(network, 'north')[0]!);
+  },
+  heal(network) {
+    for (const {host} of HOSTS) {
+      finish(network, host);
+    }
+  },
+});
+const set = (name: string, connected: boolean, start: (network: Network) => void): Fault => ({
+  name, connected, start, heal,
+});
+
+const FAULTS: Fault[] = [
+  hostFault('a watcher is lost and replaced under its address', (network, host) => {
+    network.processes.get(`a-${host}`)!.down = true;
+  }, (network, host) => {
+    if (network.processes.get(`a-${host}`)!.down) {
+      replace(network, host);
+    }
+  }),
+  hostFault('a watcher is paused and wakes', (network, host) => {
+    network.processes.get(`a-${host}`)!.pausedUntil = network.now + 6000;
+  }, () => undefined),
+  set('messages are lost, duplicated, reordered and delayed', true, network => {
+    network.faults = {lost: 0.1, duplicated: 0.2, delayMs: 150};
+  }),
+  set('a zone is cut one way', true, setCut((from, to) => from.self.zone === 'north' && to.self.zone === 'south')),
+  set('all zones are cut', true, setCut((from, to) => from.self.zone !== to.self.zone)),
+  set('a zone is split in two and only one half reaches the platform', false, network => {
+    setCut((from, to) => half(from) !== half(to))(network);
+    network.platform.cutZones.add('south');
+  }),
+  set('the platform is down', true, network => {
+    network.platform.downUntil = Number.POSITIVE_INFINITY;
+  }),
+  set('a zone is cut from the platform', true, network => {
+    network.platform.cutZones.add('north');
+  }),
+  set('watches are silent', true, network => {
+    network.platform.silentWatches = true;
+  }),
+  set('the platform is restored to an older state, and answers to writes are lost', true, network => {
+    Object.assign(network.platform, {
+      downUntil: network.now + 1500, loseAnswers: true, head: undefined, version: 0,
+    });
+  }),
+];
+
+test('two faults together: no configuration reverts, and everyone has the newest within 3 s of acceptance and of healing', t => {
+  const index = fc.nat({max: FAULTS.length - 1});
+  fc.assert(fc.property(fc.nat(), index, index, (seed, first, second) => {
+    const network = startFleet(seed);
+    const faults = [FAULTS[first]!, FAULTS[second]!];
+    assert.ok(allEqual(network, 1));
+    for (const fault of faults) {
+      fault.start(network);
+    }
+
+    network.run(2500);
+    const {platform} = network;
+    const expected = (platform.head?.sequence ?? 0) >= 1 && network.now >= platform.downUntil && network.apply(configurationOf(2)) ? 2 : 1;
+    assert.ok(!(expected === 2 && network.apply(configurationOf(2, 'racing'), platform.version - 1)));
+    network.run(3000);
+    // Two cuts together may leave a part without any way to the newest configuration.
+    const cuts = faults.filter(({name}) => name.includes('cut') || name.includes('down'));
+    if (faults.every(({connected}) => connected) && new Set(cuts).size < 2) {
+      assert.ok(allEqual(network, expected), `${faults.map(({name}) => name).join('; ')}: ${sequences(network).join(' ')}`);
+    }
+
+    for (const fault of faults) {
+      fault.heal(network);
+    }
+
+    heal(network);
+    network.run(3000);
+    assert.ok(allEqual(network, expected), `${faults.map(({name}) => name).join('; ')} healed: ${sequences(network).join(' ')}`);
+    network.run(12_000);
+    assert.deepEqual(network.reverted, []);
+    assert.equal(platform.head?.sequence, expected);
+    assert.ok(platform.writes <= 12, `${platform.writes} writes`);
+    for (const {zone, host} of HOSTS) {
+      assert.deepEqual(liveView(network, host), HOSTS.filter(other => other.zone === zone && other.host !== host).map(other => other.host));
+    }
+  }), {numRuns: 60});
+  t.pass();
+});
+
+test('a process that starts while the platform is down takes the newest from peers and says so', t => {
+  const network = startFleet(1);
+  network.platform.downUntil = Number.POSITIVE_INFINITY;
+  replace(network, 'north3');
+  network.run(3000);
+  const {current, source} = stateOf(network, 'north3').configuration;
+  t.is(current.sequence, 1);
+  t.is(source.kind, 'peer');
+});
+
+test('an older watch event or peer does not bring an older configuration back', t => {
+  const network = startFleet(2);
+  const process = network.processes.get(`a-${holdersOf(network, 'north')[0]!}`)!;
+  network.apply(configurationOf(2));
+  network.run(3000);
+  network.decide(process, {kind: 'configuration-read', view: {by: 'watch', configuration: configurationOf(1), version: 1}});
+  const {self} = stateOf(network, 'south4');
+  const from = {
+    ...self, zone: 'south', sequence: 1, hash: configurationOf(1).hash, digest: 0,
+  };
+  network.decide(process, {kind: 'message-received', message: {from, body: {kind: 'configuration-full', configuration: configurationOf(1)}}});
+  network.run(1000);
+  assertConverged(t, network, 2);
+  t.is(network.platform.writes, 0);
+});
+
+test('content that does not have the stated hash is rejected', t => {
+  const network = startFleet(3);
+  network.apply({...configurationOf(2), hash: 'other'});
+  network.run(3000);
+  assertConverged(t, network, 1);
+  t.true(network.reports.some(({report}) => report.kind === 'configuration-rejected'));
+});
+
+test('of two configurations with one sequence every process keeps the same one and reports it', t => {
+  const network = startFleet(4);
+  setCut((from, to) => from.self.zone !== to.self.zone)(network);
+  const [low, high] = [configurationOf(2, 'a'), configurationOf(2, 'b')].sort((a, b) => (a.hash < b.hash ? -1 : 1)) as [Configuration, Configuration];
+  network.platform.cutZones.add('south');
+  network.apply(high);
+  network.run(3000);
+  network.platform.cutZones.clear();
+  network.platform.cutZones.add('north');
+  network.apply(low);
+  network.run(1000);
+  heal(network);
+  network.run(4000);
+  t.deepEqual([...new Set([...network.processes.values()].map(({state}) => state.configuration.current.hash))], [high.hash]);
+  t.is(network.platform.head?.hash, high.hash);
+  t.true(network.reports.some(({report}) => report.kind === 'configuration-conflict'));
+});
+
+test('a restored platform gets the newer configuration by few writes, also when answers are lost', t => {
+  const network = startFleet(5);
+  network.apply(configurationOf(2));
+  network.run(3000);
+  Object.assign(network.platform, {downUntil: network.now + 3000, loseAnswers: true});
+  network.run(3000);
+  Object.assign(network.platform, {head: configurationOf(1), version: 1});
+  network.run(10_000);
+  t.is(network.platform.head?.sequence, 2);
+  t.true(network.platform.writes <= 4, `${network.platform.writes} writes`);
+  assertConverged(t, network, 2);
+});
+
+test('a lost host is no endpoint after suspicion, and its late record does not bring it back', t => {
+  const network = startFleet(6);
+  network.processes.get('a-north3')!.down = true;
+  network.run(8000);
+  t.false(liveView(network, 'north1').includes('north3'));
+  t.false(endpointsOf(stateOf(network, 'north1')).some(({host}) => host === 'north3'));
+  const {self} = stateOf(network, 'north4');
+  const from = {
+    ...self, sequence: 1, hash: configurationOf(1).hash, digest: stateOf(network, 'north1').zones.digest,
+  };
+  const late = {...stateOf(network, 'north3').self};
+  network.decide(network.processes.get('a-north1')!, {kind: 'message-received', message: {from, body: {kind: 'gossip', updates: [late]}}});
+  t.false(liveView(network, 'north1').includes('north3'));
+});
+
+test('the record of a dead host is dropped after the stated time and does not wander back', t => {
+  const network = startFleet(7);
+  network.processes.get('a-north3')!.down = true;
+  network.run(630_000);
+  t.deepEqual(['north1', 'north2', 'north4'].filter(host => stateOf(network, host).membership.members.has('north3')), []);
+});
+
+test('a process that wakes after a pause refutes, and does not take the others for dead', t => {
+  const network = startFleet(8);
+  const paused = network.processes.get('a-north3')!;
+  paused.pausedUntil = network.now + 12_000;
+  network.run(11_900);
+  t.false(liveView(network, 'north1').includes('north3'));
+  network.run(4000);
+  t.true(liveView(network, 'north1').includes('north3'));
+  t.false(network.reports.some(({host, report}) => host === 'north3' && report.kind === 'member-dead'));
+  t.true(paused.state.self.version > 2);
+});
+
+test('a host replaced under its address takes over, also when its clock is behind', t => {
+  const network = startFleet(9);
+  replace(network, 'north3', 5);
+  network.run(4000);
+  const {incarnation} = stateOf(network, 'north3').self;
+  for (const host of ['north1', 'north2', 'north4']) {
+    t.is(stateOf(network, host).membership.members.get('north3')?.record.incarnation, incarnation);
+  }
+});
+
+test('groups that forgot each other during a long split merge through the contacts', t => {
+  const network = startFleet(10);
+  setCut((from, to) => half(from) !== half(to))(network);
+  network.run(700_000);
+  t.deepEqual(liveView(network, 'north4'), ['north3']);
+  t.is(stateOf(network, 'north4').membership.members.size, 1);
+  heal(network);
+  network.run(15_000);
+  t.deepEqual(liveView(network, 'north4'), ['north1', 'north2', 'north3']);
+});
+
+test('a draining or leaving host gets no new calls from its zone after 2 s and from another one after 5 s', t => {
+  const network = startFleet(11);
+  announce(network, 'north3', true);
+  network.decide(network.processes.get('a-north4')!, {kind: 'leave'});
+  network.run(2000);
+  const north = endpointsOf(stateOf(network, 'north1')).filter(({zone}) => zone === 'north');
+  t.deepEqual(north.filter(({draining}) => !draining).map(({host}) => host).sort(), ['north1', 'north2']);
+  network.run(3000);
+  const seen = endpointsOf(stateOf(network, 'south4')).filter(({zone}) => zone === 'north');
+  t.deepEqual(seen.map(({host}) => host).sort(), ['north1', 'north2']);
+});
+
+test('a zone that is not heard from is marked stale, its contacts stay, and it is heard again after the cut', t => {
+  const network = startFleet(12);
+  setCut((from, to) => from.self.zone !== to.self.zone)(network);
+  network.run(30_000);
+  t.true(isStale(stateOf(network, 'south4'), 'north'));
+  t.is(endpointsOf(stateOf(network, 'south4')).filter(({zone}) => zone === 'north').length, 3);
+  heal(network);
+  network.run(10_000);
+  t.false(isStale(stateOf(network, 'south4'), 'north'));
+});
+
+test('unchanged summaries are not sent again, and an unchanged status is not written again', t => {
+  const network = startFleet(13);
+  network.run(20_000);
+  network.sent = [];
+  const {statusWrites} = network.platform;
+  network.run(20_000);
+  t.is(network.sent.filter(({kind}) => kind === 'zones').length, 0);
+  t.is(network.platform.statusWrites, statusWrites);
+});
+
+test('the status of a zone says which host lags and why', t => {
+  const network = startFleet(14);
+  const lagging = HOSTS.map(({host}) => host).find(host => host.startsWith('north') && !holdersOf(network, 'north').includes(host))!;
+  network.run(5000);
+  // Only whole configurations and differences are lost, as with a full disk or a bad link; probes arrive.
+  const {state} = network.processes.get(`a-${lagging}`)!;
+  state.configuration.nextPullAt = Number.POSITIVE_INFINITY;
+  setCut((_, to) => to === state && network.now < 14_200)(network);
+  network.apply(configurationOf(2));
+  network.run(20_000);
+  const status = network.platform.statuses.get('north')!;
+  t.deepEqual(status.lagging.map(({host, sequence}) => ({host, sequence})), [{host: lagging, sequence: 1}]);
+  t.true(status.lagging[0]!.reason.length > 0);
+  t.true(network.platform.statusWrites <= 2 * ((network.now / 5000) + 1));
+});
--- /dev/null
+++ b/src/decisions/fleet/configuration-change.ts
@@ -0,0 +1,44 @@
+/**
+Configurations as differences. At 33,000 changes a day, sending a whole configuration of 1 MB each time would
+cost 380 KB/s per process; a difference carries the changed objects only.
+*/
+import {hashObjects, type Configuration} from '../../objects/configuration.js';
+import type {DeclaredObject} from '../../objects/schema.js';
+import type {ConfigurationChange} from './message.js';
+
+type Piece = ConfigurationChange['pieces'][number];
+
+const appendRun = (pieces: Piece[], start: number): void => {
+  const last = pieces.at(-1);
+  if (last !== undefined && 'start' in last && last.start + last.count === start) {
+    last.count++;
+  } else {
+    pieces.push({start, count: 1});
+  }
+};
+
+/** Describes a configuration by its difference to another one. */
+export const describeChange = (base: Configuration, next: Configuration): ConfigurationChange => {
+  const positions = new Map(base.objects.map((object, index) => [JSON.stringify(object), index]));
+  const pieces: Piece[] = [];
+  for (const object of next.objects) {
+    const start = positions.get(JSON.stringify(object));
+    if (start === undefined) {
+      pieces.push({put: object});
+    } else {
+      appendRun(pieces, start);
+    }
+  }
+
+  const {objects: _, ...head} = next;
+  return {
+    baseSequence: base.sequence, baseHash: base.hash, head, pieces,
+  };
+};
+
+/** Rebuilds the configuration on its base; undefined when the result does not have the stated hash. */
+export const applyChange = (base: Configuration, change: ConfigurationChange): Configuration | undefined => {
+  const objects = change.pieces.flatMap((piece): DeclaredObject[] =>
+    'put' in piece ? [piece.put] : base.objects.slice(piece.start, piece.start + piece.count));
+  return hashObjects(objects) === change.head.hash ? {...change.head, objects} : undefined;
+};
--- /dev/null
+++ b/src/decisions/fleet/fleet.ts
@@ -0,0 +1,212 @@
+/** Decides what a process tells others of the fleet and the platform, and what it believes of them. */
+import type {Random} from '../../shared/random.js';
+import {
+  createConfigurationState, handleChange, handleFull, handlePull, handleView, noticePosition, tickConfiguration,
+} from './configuration.js';
+import {
+  announce, answerDoubt, applyRecords, createMembershipState, handleAck, handleFailedProbe, handleIndirectAck,
+  handleProbe, handleProbeRequest, leave, tickMembership,
+} from './membership.js';
+import type {Message} from './message.js';
+import {handleSync, handleSyncReply, tickRepair} from './repair.js';
+import {chooseHolders, createRolesState} from './roles.js';
+import {report, isLive} from './sending.js';
+import type {
+  FleetAction, FleetEvent, FleetOptions, FleetState,
+} from './state.js';
+import {
+  createStatusState, endStatusWrite, handleReport, noteSequence, tickStatus,
+} from './status.js';
+import {handleWatchFailure, tickWatch} from './watch.js';
+import {
+  createZonesState, handleZones, handleZonesPull, noticeDigest, tickZones,
+} from './zone-summary.js';
+
+export type * from './state.js';
+export type * from './message.js';
+export {messageSchema, announcementSchema} from './message.js';
+export {composeStatus, ownLag} from './status.js';
+export {endpointOf, endpointsOf, endpointsOfZone} from './endpoints.js';
+export {isStale} from './zone-summary.js';
+
+/** Creates the state of a process that knows only its settings. */
+export const createFleetState = (options: FleetOptions): FleetState => ({
+  self: {
+    host: options.host,
+    zone: options.zone,
+    address: options.address,
+    incarnation: options.incarnation,
+    generation: options.startedAt,
+    version: 1,
+    state: 'alive',
+    backend: undefined,
+  },
+  contacts: options.contacts.filter(address => address !== options.address),
+  membership: createMembershipState(),
+  configuration: createConfigurationState(),
+  roles: createRolesState(options.host),
+  zones: createZonesState(),
+  status: createStatusState(),
+});
+
+const handleBody = (state: FleetState, message: Message, now: number, random: Random): FleetAction[] => {
+  const {from, body} = message;
+  switch (body.kind) {
+    case 'probe': {
+      return handleProbe(state, {from, body}, now);
+    }
+
+    case 'ack': {
+      return handleAck(state, {from, body}, now);
+    }
+
+    case 'probe-request': {
+      return handleProbeRequest(state, {from, body}, now);
+    }
+
+    case 'indirect-ack': {
+      return handleIndirectAck(state, {from, body});
+    }
+
+    case 'gossip': {
+      return [...applyRecords(state, body.updates, now), ...answerDoubt(state, from)];
+    }
+
+    case 'sync': {
+      return handleSync(state, {from, body}, now, random);
+    }
+
+    case 'sync-reply': {
+      return handleSyncReply(state, {from, body}, now);
+    }
+
+    case 'records': {
+      return applyRecords(state, body.records, now);
+    }
+
+    case 'configuration-pull': {
+      return handlePull(state, {from, body});
+    }
+
+    case 'configuration-change': {
+      return handleChange(state, {from, body}, now, random);
+    }
+
+    case 'configuration-full': {
+      return handleFull(state, {from, body}, now, random);
+    }
+
+    case 'zones-notice': {
+      return [];
+    }
+
+    case 'zones-pull': {
+      return handleZonesPull(state, {from, body});
+    }
+
+    case 'zones': {
+      return handleZones(state, {from, body});
+    }
+
+    case 'report': {
+      handleReport(state, from, body.reason);
+      return [];
+    }
+  }
+};
+
+const receive = (state: FleetState, message: Message, now: number, random: Random): FleetAction[] => {
+  const {from} = message;
+  if (from.host === state.self.host && from.incarnation === state.self.incarnation) {
+    return [];
+  }
+
+  noteSequence(state, from, now);
+  return [
+    ...handleBody(state, message, now, random),
+    ...noticePosition(state, from, now),
+    ...noticeDigest(state, from, now),
+  ];
+};
+
+const tick = (state: FleetState, now: number, random: Random): FleetAction[] => [
+  ...tickMembership(state, now, random),
+  ...tickRepair(state, now, random),
+  ...tickWatch(state, now, random),
+  ...tickConfiguration(state, now, random),
+  ...tickZones(state, now, random),
+  ...tickStatus(state, now, random),
+];
+
+const decide = (state: FleetState, event: FleetEvent, now: number, random: Random): FleetAction[] => {
+  switch (event.kind) {
+    case 'message-received': {
+      return receive(state, event.message, now, random);
+    }
+
+    case 'message-failed': {
+      return event.body.kind === 'probe' ? handleFailedProbe(state, event.body.probeId, random) : [];
+    }
+
+    case 'local-changed': {
+      return announce(state, event.backend);
+    }
+
+    case 'configuration-read': {
+      return handleView(state, event.view, now, random);
+    }
+
+    case 'configuration-failed': {
+      return handleWatchFailure(state, event.message, now, random);
+    }
+
+    case 'status-written': {
+      endStatusWrite(state, true);
+      return [];
+    }
+
+    case 'status-failed': {
+      endStatusWrite(state, false);
+      return [report({kind: 'status-failed', message: event.message})];
+    }
+
+    case 'tick': {
+      return tick(state, now, random);
+    }
+
+    case 'leave': {
+      return leave(state, random);
+    }
+  }
+};
+
+/** Joins the changes of one decision, so that the shell updates its endpoints once. */
+const collectChanges = (state: FleetState): FleetAction[] => {
+  const {changed, removed, members} = state.membership;
+  const {changed: zones} = state.zones;
+  if (changed.size + removed.size + zones.size === 0) {
+    return [];
+  }
+
+  chooseHolders(state);
+  const records = [...changed].map(host => members.get(host)?.record).filter(record => record !== undefined);
+  const action: FleetAction = {
+    kind: 'members-changed',
+    changed: records.filter(record => isLive(record)),
+    removed: [...removed, ...records.filter(record => !isLive(record)).map(record => record.host)],
+    zones: [...zones].filter(zone => zone !== state.self.zone),
+  };
+  changed.clear();
+  removed.clear();
+  zones.clear();
+  return [action];
+};
+
+/** Decides on one event; `now` is in milliseconds of a clock that never goes back. */
+export const decideFleet = (state: FleetState, event: FleetEvent, now: number, random: Random): FleetAction[] => {
+  if (state.self.state === 'left' && event.kind !== 'message-received') {
+    return [];
+  }
+
+  return [...decide(state, event, now, random), ...collectChanges(state)];
+};
--- /dev/null
+++ b/src/decisions/fleet/membership.ts
@@ -0,0 +1,371 @@
+/** Membership of a zone: records, probes, suspicion and the spread of updates. */
+import type {Random} from '../../shared/random.js';
+import {
+  CONTACT_INTERVAL_MS, INDIRECT_PROBE_AFTER_MS, INDIRECT_PROBE_COUNT, MEMBERS_MAX, PAUSE_MS, PROBE_INTERVAL_MS,
+  RELAYED_PROBES_MAX, RETRANSMIT_FACTOR, SPREAD_COUNT, SPREAD_INTERVAL_MS, SUSPICION_MS, TOMBSTONE_MS, UPDATES_PER_MESSAGE,
+} from './constants.js';
+import type {
+  Announcement, Body, MemberRecord, Received, Sender,
+} from './message.js';
+import {
+  isLive, liveMembers, reply, report, sample, send,
+} from './sending.js';
+import type {
+  FleetAction, FleetState, Member, MembershipState,
+} from './state.js';
+
+const STATE_RANK = {
+  alive: 0, suspect: 1, dead: 2, left: 3,
+} as const;
+
+/** Time between two attempts to raise the own generation, in milliseconds; bounds a dispute between two processes with one host name. */
+const RAISE_INTERVAL_MS = 10_000;
+
+/** Creates the state of a process that knows no other one. */
+export const createMembershipState = (): MembershipState => ({
+  members: new Map(),
+  updates: new Map(),
+  changed: new Set(),
+  removed: new Set(),
+  round: [],
+  probe: undefined,
+  relayed: new Map(),
+  lastProbeId: 0,
+  nextProbeAt: 0,
+  nextRepairAt: 0,
+  nextContactAt: 0,
+  spreadDue: false,
+  nextSpreadAt: 0,
+  nextRaiseAt: 0,
+  lastTickAt: undefined,
+});
+
+/** Orders two runs of a host's process by generation, then by id. */
+const compareRuns = (a: MemberRecord, b: MemberRecord): number =>
+  a.generation - b.generation || (a.incarnation === b.incarnation ? 0 : (a.incarnation > b.incarnation ? 1 : -1));
+
+/** Whether a record replaces another one of the same host. */
+export const isNewer = (a: MemberRecord, b: MemberRecord): boolean =>
+  (compareRuns(a, b) || a.version - b.version || STATE_RANK[a.state] - STATE_RANK[b.state]) > 0;
+
+/** Marks a record for being sent along with coming messages, and at once to a few members. */
+const queueUpdate = (state: FleetState, host: string): void => {
+  state.membership.updates.set(host, 0);
+  state.membership.spreadDue = true;
+};
+
+const recordOf = (state: FleetState, host: string): MemberRecord | undefined =>
+  host === state.self.host ? state.self : state.membership.members.get(host)?.record;
+
+/** Takes the updates that were sent least often, and drops those that were sent often enough. */
+export const takeUpdates = (state: FleetState, first: readonly MemberRecord[] = []): MemberRecord[] => {
+  const {updates, members} = state.membership;
+  const limit = RETRANSMIT_FACTOR * Math.ceil(Math.log10(members.size + 2));
+  const chosen = [...updates].sort((a, b) => a[1] - b[1]).slice(0, UPDATES_PER_MESSAGE);
+  for (const [host, count] of chosen) {
+    if (count + 1 >= limit) {
+      updates.delete(host);
+    } else {
+      updates.set(host, count + 1);
+    }
+  }
+
+  const records = chosen.map(([host]) => recordOf(state, host)).filter(record => record !== undefined);
+  return [...first, ...records.filter(record => !first.includes(record))];
+};
+
+/** A record about this process itself: refutes one that says it is not alive. */
+const applySelf = (state: FleetState, record: MemberRecord, now: number): FleetAction[] => {
+  const {self, membership} = state;
+  if (self.state === 'left') {
+    return [];
+  }
+
+  if (record.incarnation === self.incarnation) {
+    if (record.state === 'alive' ? record.version <= self.version : record.version < self.version) {
+      return [];
+    }
+
+    self.version = record.version + 1;
+    queueUpdate(state, self.host);
+    return [report({kind: 'refuted', version: self.version})];
+  }
+
+  // A predecessor with a fast clock, or a second process under this host name.
+  if (compareRuns(record, self) < 0 || now < membership.nextRaiseAt) {
+    return [];
+  }
+
+  membership.nextRaiseAt = now + RAISE_INTERVAL_MS;
+  self.generation = record.generation + 1;
+  queueUpdate(state, self.host);
+  return [report({kind: 'duplicate-host', host: record.host, incarnation: record.incarnation})];
+};
+
+const reportOf = (before: Member | undefined, record: MemberRecord): FleetAction[] => {
+  if (before !== undefined && before.record.state !== record.state && record.state !== 'left') {
+    const kind = record.state === 'alive' ? 'member-back' : (record.state === 'suspect' ? 'member-suspected' : 'member-dead');
+    return [report({kind, host: record.host})];
+  }
+
+  return [];
+};
+
+/** Takes a record if it is newer than the known one. */
+export const applyRecord = (state: FleetState, record: MemberRecord, now: number): FleetAction[] => {
+  const {members, changed, removed} = state.membership;
+  if (record.zone !== state.self.zone) {
+    return [];
+  }
+
+  if (record.host === state.self.host) {
+    return applySelf(state, record, now);
+  }
+
+  const known = members.get(record.host);
+  // Taking an unknown dead record would let tombstones wander between members for ever.
+  if (known === undefined ? !isLive(record) : !isNewer(record, known.record)) {
+    return [];
+  }
+
+  if (known === undefined && members.size >= MEMBERS_MAX) {
+    return [report({kind: 'limit-reached', limit: 'members'})];
+  }
+
+  const sameState = known?.record.state === record.state && compareRuns(known.record, record) === 0;
+  const sameRun = known?.record.incarnation === record.incarnation;
+  members.set(record.host, {
+    record,
+    since: sameState ? known.since : now,
+    sequence: sameRun ? known.sequence : 0,
+    sequenceAt: sameRun ? known.sequenceAt : now,
+    reason: sameRun ? known.reason : '',
+  });
+  changed.add(record.host);
+  removed.delete(record.host);
+  queueUpdate(state, record.host);
+  return reportOf(known, record);
+};
+
+/** Takes several records. */
+export const applyRecords = (state: FleetState, records: readonly MemberRecord[], now: number): FleetAction[] =>
+  records.flatMap(record => applyRecord(state, record, now));
+
+/** Record that the sender has to refute, if this process does not hold it for alive. */
+export const doubtAbout = (state: FleetState, from: Sender): MemberRecord[] => {
+  const record = state.membership.members.get(from.host)?.record;
+  return record === undefined || record.state === 'alive' || record.state === 'left' ? [] : [record];
+};
+
+const declare = (state: FleetState, member: Member, to: 'suspect' | 'dead', now: number): FleetAction[] =>
+  applyRecord(state, {...member.record, state: to}, now);
+
+const nextTarget = (state: FleetState, random: Random): MemberRecord | undefined => {
+  const {membership} = state;
+  if (membership.round.length === 0) {
+    const hosts = liveMembers(state).map(record => record.host);
+    membership.round = sample(hosts, hosts.length, random);
+  }
+
+  while (membership.round.length > 0) {
+    const record = membership.members.get(membership.round.pop()!)?.record;
+    if (record !== undefined && isLive(record)) {
+      return record;
+    }
+  }
+
+  return undefined;
+};
+
+const endProbe = (state: FleetState, now: number): FleetAction[] => {
+  const {probe, members} = state.membership;
+  state.membership.probe = undefined;
+  const member = probe === undefined ? undefined : members.get(probe.host);
+  return member?.record.state === 'alive' && member.record.address === probe!.address ? declare(state, member, 'suspect', now) : [];
+};
+
+const startProbe = (state: FleetState, now: number, random: Random): FleetAction[] => {
+  const {membership} = state;
+  membership.nextProbeAt = now + PROBE_INTERVAL_MS;
+  const ended = endProbe(state, now);
+  const target = nextTarget(state, random);
+  if (target === undefined) {
+    return ended;
+  }
+
+  const probeId = ++membership.lastProbeId;
+  membership.probe = {
+    probeId, host: target.host, address: target.address, sentAt: now, indirect: false,
+  };
+  const doubt = target.state === 'suspect' ? [target] : [];
+  return [...ended, send(state, target.address, {kind: 'probe', probeId, updates: takeUpdates(state, doubt)})];
+};
+
+const probeIndirectly = (state: FleetState, random: Random): FleetAction[] => {
+  const probe = state.membership.probe!;
+  probe.indirect = true;
+  const helpers = liveMembers(state).filter(record => record.host !== probe.host && record.state === 'alive');
+  return sample(helpers, INDIRECT_PROBE_COUNT, random).map(helper =>
+    send(state, helper.address, {
+      kind: 'probe-request', probeId: probe.probeId, target: probe.host, address: probe.address,
+    }));
+};
+
+const expire = (state: FleetState, now: number): FleetAction[] => {
+  const {members, removed, changed, updates, relayed} = state.membership;
+  for (const [probeId, {sentAt}] of relayed) {
+    if (now - sentAt > PROBE_INTERVAL_MS) {
+      relayed.delete(probeId);
+    }
+  }
+
+  const actions: FleetAction[] = [];
+  for (const [host, member] of members) {
+    if (member.record.state === 'suspect' && now - member.since >= SUSPICION_MS) {
+      actions.push(...declare(state, member, 'dead', now));
+    } else if (!isLive(member.record) && now - member.since >= TOMBSTONE_MS) {
+      members.delete(host);
+      updates.delete(host);
+      changed.delete(host);
+      removed.add(host);
+    }
+  }
+
+  return actions;
+};
+
+/** After a pause of this process, silence of others proves nothing: all waiting starts again. */
+const noticePause = (state: FleetState, now: number): FleetAction[] => {
+  const {membership} = state;
+  const pausedMs = now - (membership.lastTickAt ?? now);
+  membership.lastTickAt = now;
+  if (pausedMs < PAUSE_MS) {
+    return [];
+  }
+
+  membership.probe = undefined;
+  membership.relayed.clear();
+  membership.nextRepairAt = now;
+  for (const member of membership.members.values()) {
+    if (member.record.state === 'suspect') {
+      member.since = now;
+    }
+  }
+
+  return [report({kind: 'woke-up', pausedMs})];
+};
+
+/** Sends new updates at once to a few members, so that a draining or refuted host is known within seconds. */
+const spread = (state: FleetState, now: number, random: Random): FleetAction[] => {
+  const {membership} = state;
+  if (!membership.spreadDue || now < membership.nextSpreadAt) {
+    return [];
+  }
+
+  membership.spreadDue = false;
+  membership.nextSpreadAt = now + SPREAD_INTERVAL_MS;
+  const body: Body = {kind: 'gossip', updates: takeUpdates(state)};
+  return sample(liveMembers(state), SPREAD_COUNT, random).map(record => send(state, record.address, body));
+};
+
+/** Performs what is due. */
+export const tickMembership = (state: FleetState, now: number, random: Random): FleetAction[] => {
+  const {membership} = state;
+  const actions = noticePause(state, now);
+  if (now >= membership.nextProbeAt) {
+    actions.push(...startProbe(state, now, random));
+  }
+
+  const {probe} = membership;
+  if (probe !== undefined && !probe.indirect && now - probe.sentAt >= INDIRECT_PROBE_AFTER_MS) {
+    actions.push(...probeIndirectly(state, random));
+  }
+
+  actions.push(...expire(state, now), ...spread(state, now, random));
+  return actions;
+};
+
+/** Answers a probe; the answer carries updates the other way. */
+export const handleProbe = (state: FleetState, {from, body}: Received<'probe'>, now: number): FleetAction[] => {
+  const actions = applyRecords(state, body.updates, now);
+  return [...actions, reply(state, from, {kind: 'ack', probeId: body.probeId, updates: takeUpdates(state, doubtAbout(state, from))})];
+};
+
+/** Takes an answer to a probe of this process, made for itself or for another member. */
+export const handleAck = (state: FleetState, {from, body}: Received<'ack'>, now: number): FleetAction[] => {
+  const {membership} = state;
+  const actions = applyRecords(state, body.updates, now);
+  if (membership.probe?.probeId === body.probeId && membership.probe.host === from.host) {
+    membership.probe = undefined;
+  }
+
+  const relayed = membership.relayed.get(body.probeId);
+  if (relayed !== undefined) {
+    membership.relayed.delete(body.probeId);
+    actions.push(send(state, relayed.origin, {
+      kind: 'indirect-ack', probeId: relayed.originProbeId, target: from.host, incarnation: from.incarnation,
+    }));
+  }
+
+  return actions;
+};
+
+/** Probes a member for another one. */
+export const handleProbeRequest = (state: FleetState, {from, body}: Received<'probe-request'>, now: number): FleetAction[] => {
+  const {membership} = state;
+  if (membership.relayed.size >= RELAYED_PROBES_MAX) {
+    return [];
+  }
+
+  const probeId = ++membership.lastProbeId;
+  membership.relayed.set(probeId, {origin: from.address, originProbeId: body.probeId, sentAt: now});
+  return [send(state, body.address, {kind: 'probe', probeId, updates: takeUpdates(state)})];
+};
+
+/** Takes the word of another member that the target answered. */
+export const handleIndirectAck = (state: FleetState, {body}: Received<'indirect-ack'>): FleetAction[] => {
+  const {membership} = state;
+  if (membership.probe?.probeId === body.probeId && membership.probe.host === body.target) {
+    membership.probe = undefined;
+  }
+
+  return [];
+};
+
+/** A probe that could not be sent is repeated through others without waiting. */
+export const handleFailedProbe = (state: FleetState, probeId: number, random: Random): FleetAction[] => {
+  const {probe} = state.membership;
+  return probe?.probeId === probeId && !probe.indirect ? probeIndirectly(state, random) : [];
+};
+
+/** Whether a message of another member shows that it does not know the doubt about it. */
+export const answerDoubt = (state: FleetState, from: Sender): FleetAction[] => {
+  const doubt = from.zone === state.self.zone ? doubtAbout(state, from) : [];
+  return doubt.length === 0 ? [] : [reply(state, from, {kind: 'records', records: doubt})];
+};
+
+/** Changes what this process announces about its backend server. */
+export const announce = (state: FleetState, backend: Announcement | undefined): FleetAction[] => {
+  state.self.backend = backend;
+  state.self.version++;
+  queueUpdate(state, state.self.host);
+  return [];
+};
+
+/** Tells some members that this process leaves; they tell the others. */
+export const leave = (state: FleetState, random: Random): FleetAction[] => {
+  state.self.state = 'left';
+  state.self.version++;
+  const body: Body = {kind: 'gossip', updates: [{...state.self}]};
+  return sample(liveMembers(state), SPREAD_COUNT, random).map(record => send(state, record.address, body));
+};
+
+/** Time of the next attempt at an address that is no live member. */
+export const isContactDue = (state: FleetState, now: number): boolean => {
+  const due = now >= state.membership.nextContactAt;
+  if (due) {
+    state.membership.nextContactAt = now + CONTACT_INTERVAL_MS;
+  }
+
+  return due;
+};
--- /dev/null
+++ b/src/decisions/fleet/sending.ts
@@ -0,0 +1,54 @@
+/** Composes messages and chooses whom they go to. */
+import type {Random} from '../../shared/random.js';
+import type {Body, MemberRecord, Sender} from './message.js';
+import type {FleetAction, FleetReport, FleetState} from './state.js';
+
+const senderOf = (state: FleetState): Sender => ({
+  host: state.self.host,
+  zone: state.self.zone,
+  address: state.self.address,
+  incarnation: state.self.incarnation,
+  generation: state.self.generation,
+  version: state.self.version,
+  sequence: state.configuration.current.sequence,
+  hash: state.configuration.current.hash,
+  digest: state.zones.digest,
+});
+
+/** Sends a message on its own. */
+export const send = (state: FleetState, address: string, body: Body): FleetAction =>
+  ({
+    kind: 'send', address, message: {from: senderOf(state), body}, reply: false,
+  });
+
+/** Answers the message being handled. */
+export const reply = (state: FleetState, to: Sender, body: Body): FleetAction =>
+  ({
+    kind: 'send', address: to.address, message: {from: senderOf(state), body}, reply: true,
+  });
+
+/** Reports an explained event. */
+export const report = (event: FleetReport): FleetAction => ({kind: 'report', report: event});
+
+/** Whether a member may be spoken to. */
+export const isLive = (record: MemberRecord): boolean => record.state === 'alive' || record.state === 'suspect';
+
+/** Draws up to `count` different items. */
+export const sample = <Item>(items: readonly Item[], count: number, random: Random): Item[] => {
+  const rest = [...items];
+  return Array.from({length: Math.min(count, rest.length)}, () => rest.splice(Math.floor(random() * rest.length), 1)[0]!);
+};
+
+/** Records of the other live members. */
+export const liveMembers = (state: FleetState): MemberRecord[] =>
+  [...state.membership.members.values()].map(member => member.record).filter(record => isLive(record));
+
+/** Takes items while their JSON fits into a number of bytes; the first one always fits. */
+export const takeWithin = <Item>(items: readonly Item[], bytes: number): Item[] => {
+  let rest = bytes;
+  const end = items.findIndex((item, index) => {
+    rest -= JSON.stringify(item).length + 1;
+    return rest < 0 && index > 0;
+  });
+  return end === -1 ? [...items] : items.slice(0, end);
+};
--- /dev/null
+++ b/src/decisions/fleet/watch.ts
@@ -0,0 +1,40 @@
+/** Watch on the platform's configuration, kept by the watchers of a zone. */
+import type {Random} from '../../shared/random.js';
+import {PLATFORM_RETRY_MS, READ_INTERVAL_MS, WATCH_RENEWAL_MS} from './constants.js';
+import {handlePlatformFailure} from './configuration.js';
+import {isWatcher} from './roles.js';
+import {report} from './sending.js';
+import type {FleetAction, FleetState} from './state.js';
+
+const jitter = (milliseconds: number, random: Random): number => milliseconds * (0.9 + (random() * 0.2));
+
+/** Opens, renews or stops the watch. */
+export const tickWatch = (state: FleetState, now: number, random: Random): FleetAction[] => {
+  const {roles} = state;
+  if (!isWatcher(state)) {
+    const wasWatching = roles.watching;
+    roles.watching = false;
+    roles.nextReadAt = 0;
+    roles.nextWatchAt = 0;
+    state.configuration.platform = undefined;
+    return wasWatching ? [{kind: 'stop-watching'}] : [];
+  }
+
+  if (now < roles.nextWatchAt) {
+    return [];
+  }
+
+  const read = !roles.watching || now >= roles.nextReadAt || state.configuration.platform === undefined;
+  roles.watching = true;
+  roles.nextWatchAt = now + jitter(WATCH_RENEWAL_MS, random);
+  roles.nextReadAt = read ? now + jitter(READ_INTERVAL_MS, random) : roles.nextReadAt;
+  return [{kind: 'watch-platform', read}];
+};
+
+/** Plans the next attempt after the platform failed. */
+export const handleWatchFailure = (state: FleetState, message: string, now: number, random: Random): FleetAction[] => {
+  handlePlatformFailure(state);
+  state.roles.nextReadAt = 0;
+  state.roles.nextWatchAt = now + jitter(PLATFORM_RETRY_MS, random);
+  return [report({kind: 'platform-failed', message})];
+};
