feat(fleet): carry fleet messages by tRPC and perform the fleet decision's actions

Cause: the fleet decision had no shell. Change: src/daemon/fleet with an HMAC envelope (sender, recipient, incarnation, sequence number, time), one tRPC procedure that carries the answer back on the same request, a link to the platform, and createFleet. A message that times out closes its connection.

--- /dev/null
+++ b/src/daemon/fleet/__tests__/fleet.spec.ts
@@ -0,0 +1,243 @@
+/** Guards the messages between processes against strangers and silent connections, and the shell against a faulty platform. */
+import {once} from 'node:events';
+import {createServer, type RequestListener} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {
+  CONFIGURATION_KIND, CONFIGURATION_NAME, emptyConfiguration, hashObjects, type Configuration,
+} from '../../../objects/configuration.js';
+import {declaredObjectSchema} from '../../../objects/schema.js';
+import type {PlatformClient, PlatformObject, WatchEvent} from '../../../platform/client.js';
+import {fail, ok} from '../../../shared/result.js';
+import type {FleetEvent, Message} from '../../../decisions/fleet/fleet.js';
+import {CLOCK_DIFFERENCE_MAX_MS, ENVELOPE_BYTES_MAX, MESSAGE_LENGTH_MAX} from '../constants.js';
+import {createEnvelopeCodec, type Envelope} from '../envelope.js';
+import {createFleet, type Fleet, type FleetCount} from '../fleet.js';
+import {createPlatformLink} from '../platform-link.js';
+import {createHandler, createSender} from '../transport.js';
+
+const KEY = 'fleet-key';
+let wallNow = 1_000_000;
+const codecOf = (host: string, key = KEY) => createEnvelopeCodec({
+  host, incarnation: `${host}-1`, address: `a-${host}`, key, wallClock: () => wallNow,
+});
+const messageFrom = (host: string, reason = ''): Message => ({
+  from: {
+    host, zone: 'north', address: `a-${host}`, incarnation: `${host}-1`, generation: 1, version: 1, sequence: 0, hash: 'h', digest: 0,
+  },
+  body: {kind: 'report', reason},
+});
+
+const configurationOf = (sequence: number): Configuration => {
+  const objects = [declaredObjectSchema.parse({kind: 'Service', name: `s${sequence}`})];
+  return {
+    ...emptyConfiguration, sequence, objects, hash: hashObjects(objects),
+  };
+};
+
+const listen = async (t: ExecutionContext, listener: RequestListener): Promise<string> => {
+  const server = createServer(listener);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+};
+
+const envelopeFaults: Array<[title: string, change: (envelope: Envelope) => Envelope, reason: string]> = [
+  ['an altered message', envelope => ({...envelope, content: envelope.content.replace('north', 'south')}), 'forged'],
+  ['a later time', envelope => ({...envelope, sentAt: envelope.sentAt + 1}), 'forged'],
+  ['another sequence number', envelope => ({...envelope, sequence: 99}), 'forged'],
+  ['another key', () => codecOf('n1', 'other').seal('a-n2', messageFrom('n1')), 'forged'],
+  ['another recipient', () => codecOf('n1').seal('a-n3', messageFrom('n1')), 'wrong-recipient'],
+  ['another sender inside', () => codecOf('n1').seal('a-n2', messageFrom('n4')), 'sender-mismatch'],
+  ['content of another schema', () => codecOf('n1').seal('a-n2', {...messageFrom('n1'), extra: 1} as Message), 'malformed'],
+  ['a reason that is too long', () => codecOf('n1').seal('a-n2', messageFrom('n1', 'x'.repeat(201))), 'malformed'],
+];
+for (const [title, change, reason] of envelopeFaults) {
+  test.serial(`an envelope with ${title} is rejected as ${reason}`, t => {
+    t.like(codecOf('n2').open(change(codecOf('n1').seal('a-n2', messageFrom('n1')))), {kind: 'error', error: {kind: reason}});
+  });
+}
+
+test.serial('old and replayed messages are rejected, and messages that overtook each other are not', t => {
+  const [sender, receiver] = [codecOf('n1'), codecOf('n2')];
+  const [first, second, third] = [1, 2, 3].map(() => sender.seal('a-n2', messageFrom('n1'))) as [Envelope, Envelope, Envelope];
+  t.is(receiver.open(second).kind, 'ok');
+  t.is(receiver.open(first).kind, 'ok');
+  t.like(receiver.open(first), {error: {kind: 'replayed'}});
+  wallNow += CLOCK_DIFFERENCE_MAX_MS + 1;
+  t.like(receiver.open(third), {error: {kind: 'old'}});
+});
+
+test.serial('a large message without a configuration is rejected', t => {
+  const records = Array.from({length: 1000}, (_, index) => ({
+    ...messageFrom('n1').from, host: `h${index}`.padEnd(128, 'x'), state: 'alive' as const,
+  })).map(({sequence: _s, hash: _h, digest: _d, ...record}) => record);
+  const message: Message = {...messageFrom('n1'), body: {kind: 'records', records}};
+  t.true(JSON.stringify(message).length > MESSAGE_LENGTH_MAX);
+  t.like(codecOf('n2').open(codecOf('n1').seal('a-n2', message)), {error: {kind: 'too-large'}});
+});
+
+test('a request that is too large or not an envelope is rejected and counted, and other paths are left alone', async t => {
+  const rejected: string[] = [];
+  const handler = createHandler(() => ok(undefined), reason => rejected.push(reason));
+  const address = await listen(t, (request, response) => {
+    if (!handler(request, response)) {
+      response.writeHead(404).end();
+    }
+  });
+  const statusOf = async (path: string, body: string) => {
+    const response = await fetch(`http://${address}${path}`, {method: 'POST', headers: {'content-type': 'application/json'}, body});
+    return response.status;
+  };
+
+  t.is(await statusOf('/chiuse', '{}'), 404);
+  t.is(await statusOf('/trpc/deliver', '{"host":"n1"}'), 400);
+  t.is(await statusOf('/trpc/deliver', `"${'x'.repeat(ENVELOPE_BYTES_MAX)}"`), 413);
+  t.deepEqual(rejected, ['malformed', 'too-large']);
+});
+
+test('a connection that goes silent is replaced', async t => {
+  const handler = createHandler(() => ok(undefined), () => undefined);
+  const sockets = new Set<unknown>();
+  const address = await listen(t, (request, response) => {
+    sockets.add(request.socket);
+    if (sockets.size > 1) {
+      handler(request, response);
+    }
+  });
+  const sender = createSender();
+  const codec = codecOf('n1');
+  // The first attempts may time out before their request has arrived.
+  for (let attempt = 0; attempt < 20 && sockets.size === 0; attempt++) {
+    await t.throwsAsync(sender.deliver(address, codec.seal(address, messageFrom('n1')), 100)); // eslint-disable-line no-await-in-loop
+  }
+
+  t.is(await sender.deliver(address, codec.seal(address, messageFrom('n1')), 10_000), undefined);
+  t.is(sockets.size, 2);
+  await sender.close();
+});
+
+const createFakePlatform = () => {
+  const objects = new Map<string, PlatformObject>();
+  const watches = new Set<(event: WatchEvent) => void>();
+  let version = 0;
+  let isDown = false;
+  const down = fail({kind: 'unreachable', message: 'the platform is down'} as const);
+  const client: PlatformClient = {
+    async read(kind, name) {
+      const object = objects.get(`${kind}/${name}`);
+      return isDown ? down : (object === undefined ? fail({kind: 'not-found', message: 'not found'}) : ok(object));
+    },
+    list: async () => ok([...objects.values()]),
+    async write({kind, name, value, expectedVersion}) {
+      const current = objects.get(`${kind}/${name}`);
+      if (isDown || current?.version !== expectedVersion) {
+        return isDown ? down : fail({kind: 'conflict', message: 'conflict', current});
+      }
+
+      const object = {
+        kind, name, value, version: ++version,
+      };
+      objects.set(`${kind}/${name}`, object);
+      for (const onEvent of kind === CONFIGURATION_KIND ? watches : []) {
+        onEvent({kind: 'changed', object});
+      }
+
+      return ok(object);
+    },
+    watch(_, __, onEvent) {
+      watches.add(onEvent);
+      return {close: () => watches.delete(onEvent)};
+    },
+    async close() {
+      watches.clear();
+    },
+  };
+  const put = async (configuration: Configuration, expectedVersion?: number) =>
+    client.write({
+      kind: CONFIGURATION_KIND, name: CONFIGURATION_NAME, value: configuration, expectedVersion,
+    });
+  const setDown = (value: boolean) => {
+    isDown = value;
+  };
+
+  return {
+    client, objects, watches, put, setDown,
+  };
+};
+
+test('a configuration that cannot be read is a failure, so that it is not written over', async t => {
+  const platform = createFakePlatform();
+  const events: FleetEvent[] = [];
+  await platform.put({...configurationOf(1), sequence: 'x'} as unknown as Configuration);
+  const link = createPlatformLink({platform: platform.client, now: () => 0, onEvent: event => events.push(event)});
+  link.watch(true);
+  await wait(1);
+  t.deepEqual(events.map(({kind}) => kind), ['configuration-failed']);
+});
+
+test('renewing the watch leaves one open, and a late event of the closed one is ignored', async t => {
+  const platform = createFakePlatform();
+  const events: FleetEvent[] = [];
+  const link = createPlatformLink({platform: platform.client, now: () => 0, onEvent: event => events.push(event)});
+  link.watch(true);
+  await wait(1);
+  const [closed] = platform.watches;
+  link.watch(false);
+  closed!({kind: 'broken', message: 'late'});
+  t.is(platform.watches.size, 1);
+  t.deepEqual(events.map(({kind}) => kind), ['configuration-read']);
+  link.stopWatching();
+  t.is(platform.watches.size, 0);
+});
+
+/** Waits for a condition; the limit only ends a test that would hang. */
+const until = async (condition: () => boolean, rounds = 400): Promise<void> => {
+  for (let round = 0; round < rounds && !condition(); round++) {
+    await wait(50); // eslint-disable-line no-await-in-loop
+  }
+};
+
+test('three processes over loopback find each other, share configuration and endpoints, and notice who leaves', async t => {
+  const platform = createFakePlatform();
+  const counts: FleetCount[] = [];
+  const fleets: Fleet[] = [];
+  t.teardown(async () => Promise.all(fleets.map(async fleet => fleet.stop())));
+  const start = async (index: number, contacts: string[]) => {
+    const address = await listen(t, (request, response) => {
+      fleets[index]!.handler(request, response);
+    });
+    const fleet = createFleet({
+      host: `n${index}`, zone: 'north', address, incarnation: `i${index}`, contacts, key: KEY, platform: platform.client, onCount: count => counts.push(count),
+    });
+    fleets[index] = fleet;
+    fleet.start();
+    fleet.setBackendServer({
+      service: 'chiuse', slots: 50, connections: 410, coldStartMs: 0, draining: false, labels: {},
+    });
+    return address;
+  };
+
+  const contact = await start(0, []);
+  await start(1, [contact]);
+  await start(2, [contact]);
+  await platform.put(configurationOf(1));
+  await until(() => fleets.every(fleet => fleet.endpoints().length === 3 && fleet.configuration().sequence === 1));
+  t.deepEqual(fleets.map(fleet => fleet.endpoints().length), [3, 3, 3]);
+  t.deepEqual(fleets.map(fleet => fleet.configuration().sequence), [1, 1, 1]);
+  await until(() => platform.objects.has('ZoneStatus/north'));
+  t.like(platform.objects.get('ZoneStatus/north'), {value: {zone: 'north'}});
+
+  fleets[2]!.setDraining();
+  await until(() => fleets[0]!.endpoints().some(({draining}) => draining));
+  t.deepEqual(fleets[0]!.endpoints().filter(({draining}) => draining).map(({host}) => host), ['n2']);
+  await fleets[2]!.leave();
+  await until(() => fleets.slice(0, 2).every(fleet => fleet.endpoints().length === 2));
+  t.deepEqual(fleets.slice(0, 2).map(fleet => fleet.endpoints().length), [2, 2]);
+  t.false(counts.some(({counter}) => counter === 'message-rejected'));
+});
--- a/src/decisions/fleet/fleet.ts
+++ b/src/decisions/fleet/fleet.ts
@@ -5,7 +5,7 @@
 } from './configuration.js';
 import {
   announce, answerDoubt, applyRecords, createMembershipState, handleAck, handleFailedProbe, handleIndirectAck,
-  handleProbe, handleProbeRequest, leave, tickMembership,
+  handleProbe, handleProbeRequest, leave, recordOf, tickMembership,
 } from './membership.js';
 import type {Message} from './message.js';
 import {handleSync, handleSyncReply, tickRepair} from './repair.js';
@@ -182,14 +182,14 @@
 
 /** Joins the changes of one decision, so that the shell updates its endpoints once. */
 const collectChanges = (state: FleetState): FleetAction[] => {
-  const {changed, removed, members} = state.membership;
+  const {changed, removed} = state.membership;
   const {changed: zones} = state.zones;
   if (changed.size + removed.size + zones.size === 0) {
     return [];
   }
 
   chooseHolders(state);
-  const records = [...changed].map(host => members.get(host)?.record).filter(record => record !== undefined);
+  const records = [...changed].map(host => recordOf(state, host)).filter(record => record !== undefined);
   const action: FleetAction = {
     kind: 'members-changed',
     changed: records.filter(record => isLive(record)),
--- a/src/decisions/fleet/membership.ts
+++ b/src/decisions/fleet/membership.ts
@@ -54,8 +54,9 @@
   state.membership.spreadDue = true;
 };
 
-const recordOf = (state: FleetState, host: string): MemberRecord | undefined =>
-  host === state.self.host ? state.self : state.membership.members.get(host)?.record;
+/** Record of a host of the zone, this one included. */
+export const recordOf = (state: FleetState, host: string): MemberRecord | undefined =>
+  host === state.self.host ? {...state.self} : state.membership.members.get(host)?.record;
 
 /** Takes the updates that were sent least often, and drops those that were sent often enough. */
 export const takeUpdates = (state: FleetState, first: readonly MemberRecord[] = []): MemberRecord[] => {
@@ -348,6 +349,7 @@
 export const announce = (state: FleetState, backend: Announcement | undefined): FleetAction[] => {
   state.self.backend = backend;
   state.self.version++;
+  state.membership.changed.add(state.self.host);
   queueUpdate(state, state.self.host);
   return [];
 };
--- a/src/decisions/fleet/repair.ts
+++ b/src/decisions/fleet/repair.ts
@@ -17,7 +17,7 @@
 const bucketOf = (host: string): number => hash32(host) % BUCKET_COUNT;
 
 const allRecords = (state: FleetState): MemberRecord[] =>
-  [state.self, ...[...state.membership.members.values()].map(member => member.record)];
+  [{...state.self}, ...[...state.membership.members.values()].map(member => member.record)];
 
 /** Sums record hashes by bucket. Dead records are left out because members drop them at different times. */
 const hashBuckets = (state: FleetState): number[] => {
