--- a/src/daemon/__tests__/call-path.spec.ts
+++ b/src/daemon/__tests__/call-path.spec.ts
@@ -71,7 +71,8 @@
   t.is(first.statusCode, 428);
   await first.body.dump();
   t.is(closures, 0);
-  const reply = await request(url(0, '/chiuse/closures'), {method: 'POST', body: 'gate 1', headers: {'jujubewell-ticket': String(first.headers['jujubewell-ticket'])}});
+  const headers = {'jujubewell-ticket': String(first.headers['jujubewell-ticket'])};
+  const reply = await request(url(0, '/chiuse/closures'), {method: 'POST', body: 'gate 1', headers});
   t.is(await reply.body.text(), 'recorded gate 1');
   t.is(records, 1);
 });
@@ -92,7 +93,12 @@
     title: 'an unknown request kind', method: 'GET', path: '/chiuse/closures', status: 404, error: 'unknown-request-kind',
   },
   {
-    title: 'a forged ticket', method: 'POST', path: '/chiuse/closures', headers: {'jujubewell-ticket': 'chiuse.h0.i.n.1.aaaaaaaaaaaaaaaaaaaaaa'}, status: 400, error: 'forged-ticket',
+    title: 'a forged ticket',
+    method: 'POST',
+    path: '/chiuse/closures',
+    headers: {'jujubewell-ticket': 'chiuse.h0.i.127%2E0%2E0%2E1%3A1.n.1.aaaaaaaaaaaaaaaaaaaaaa'},
+    status: 400,
+    error: 'forged-ticket',
   },
   {
     title: 'a malformed ticket', method: 'POST', path: '/chiuse/closures', headers: {'jujubewell-ticket': 'x'}, status: 400, error: 'malformed-ticket',
--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -2,7 +2,7 @@
 import {randomBytes} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createClock} from '../shared/clock.js';
-import type {Configuration} from '../objects/configuration.js';
+import {emptyConfiguration, type Configuration} from '../objects/configuration.js';
 import {compilePolicy, type Policy} from '../objects/policy.js';
 import type {BackendServer} from '../objects/schema.js';
 import type {PlatformClient} from '../platform/client.js';
@@ -79,6 +79,7 @@
   });
   const replayBudget = createReplayBudget(settings.limits.replayBytes);
   let policy: Policy = compilePolicy([]);
+  let configuration = emptyConfiguration;
   let backendServer: BackendServer | undefined;
   let lastAnnouncementAt = 0;
   let leaving = false;
@@ -93,10 +94,16 @@
     host: settings.host, zone: settings.zone, incarnation, fleetKey: settings.fleetKey, ticketLifetimeMs: settings.limits.ticketLifetimeMs, policy, clock, random, metrics, eventLog, receiver, peers,
   });
 
-  const setConfiguration = (configuration: Configuration) => {
-    policy = compilePolicy(configuration.objects);
+  /** Rules that select backend servers depend on the labels of this host's one, so both changes compile anew. */
+  const compile = () => {
+    policy = compilePolicy(configuration.objects, backendServer?.labels);
     receiver.setPolicy(policy);
     sender.setPolicy(policy);
+  };
+
+  const setConfiguration = (accepted: Configuration) => {
+    configuration = accepted;
+    compile();
     metrics.setGauge('configuration_sequence', configuration.sequence);
     eventLog.report('configuration-in-effect', `configuration ${configuration.sequence} by ${configuration.author} is in effect`);
   };
@@ -115,6 +122,7 @@
     backendServer = announced;
     receiver.announce(announced);
     if (isNew) {
+      compile();
       eventLog.report('backend-server-announced', `backend server ${announced.name} of service ${announced.spec.service} announced ${announced.spec.slots} slots`);
       fleet.setBackendServer(announced);
     }
@@ -138,7 +146,7 @@
     ...context,
     fleetKey: settings.fleetKey,
     ticketRequest: createTicketRequests({
-      fleetKey: settings.fleetKey, host: settings.host, incarnation, policy: () => policy, sender, receiver, peers, endpointOf: fleet.endpointOf,
+      fleetKey: settings.fleetKey, host: settings.host, incarnation, policy: () => policy, sender, receiver, peers,
     }),
   });
   const localHandler = createLocal({
--- a/src/daemon/peer-transports.ts
+++ b/src/daemon/peer-transports.ts
@@ -31,7 +31,7 @@
 export type PeerTransports = {
   send: (peerCall: PeerCall) => Promise<Attempt>;
   /** Cancels a ticket at its bound process; the response is JSON, undefined when it could not be had. */
-  cancelTicket: (endpoint: Endpoint, ticket: string, timeoutMs: number) => Promise<Buffer | undefined>;
+  cancelTicket: (address: string, ticket: string, timeoutMs: number) => Promise<Buffer | undefined>;
   /** Closes connections to addresses that are no longer in use. */
   retain: (addresses: ReadonlySet<string>) => void;
   close: () => Promise<void>;
@@ -51,21 +51,21 @@
   const proof = peerProof(options.host, options.incarnation, options.fleetKey);
   const transports = new Map<string, Transport>();
 
-  const transportFor = (endpoint: Endpoint): Transport => {
-    const known = transports.get(endpoint.address);
+  const transportFor = (address: string, connections: number): Transport => {
+    const known = transports.get(address);
     if (known !== undefined) {
       return known;
     }
 
-    const created = createTransport({address: endpoint.address, connections: Math.min(options.connections, endpoint.connections)});
-    transports.set(endpoint.address, created);
+    const created = createTransport({address, connections: Math.min(options.connections, connections)});
+    transports.set(address, created);
     return created;
   };
 
   return {
     async send(peerCall) {
       const {call, message} = peerCall;
-      return transportFor(peerCall.endpoint).send({
+      return transportFor(peerCall.endpoint.address, peerCall.endpoint.connections).send({
         message,
         headers: {
           [PEER_HEADER]: proof,
@@ -78,8 +78,8 @@
         newConnection: peerCall.newConnection,
       });
     },
-    async cancelTicket(endpoint, ticket, timeoutMs) {
-      const attempt = await transportFor(endpoint).send({
+    async cancelTicket(address, ticket, timeoutMs) {
+      const attempt = await transportFor(address, options.connections).send({
         message: {
           method: 'DELETE', path: `/.jujubewell/tickets/${ticket}`, headers: {}, body: emptyBody,
         },
--- a/src/daemon/sender.ts
+++ b/src/daemon/sender.ts
@@ -108,10 +108,11 @@
   const exchanges = new Map<string, Exchange>();
   let callCount = 0;
 
-  const ticketFor = (endpoint: Pick<Endpoint, 'service' | 'host' | 'incarnation'>): string => issueTicket({
+  const ticketFor = (endpoint: Endpoint): string => issueTicket({
     service: endpoint.service,
     host: endpoint.host,
     incarnation: endpoint.incarnation,
+    address: endpoint.address,
     expiresAt: Date.now() + options.ticketLifetimeMs,
   }, options.fleetKey);
 
@@ -157,11 +158,7 @@
         reply: await receiver.handle({
           call,
           message: exchange.message,
-          ticket: ticket === undefined
-            ? undefined
-            : {
-              service: endpoint.service, host: endpoint.host, incarnation: endpoint.incarnation, nonce: '', expiresAt: exchange.clientTicket?.expiresAt ?? Date.now() + options.ticketLifetimeMs,
-            },
+          ticket: ticket === undefined ? undefined : ticketContent(ticket),
           signal: running.abort.signal,
         }),
       }
--- a/src/daemon/ticket-requests.ts
+++ b/src/daemon/ticket-requests.ts
@@ -3,7 +3,6 @@
 import {TICKET_HEADER} from '../shared/constants.js';
 import {readTicket, type Ticket} from '../shared/ticket.js';
 import type {Policy} from '../objects/policy.js';
-import type {Endpoint} from '../decisions/outbound/outbound.js';
 import {writeJson} from './http-server.js';
 import type {PeerTransports} from './peer-transports.js';
 import type {Receiver} from './receiver.js';
@@ -18,8 +17,6 @@
   sender: Sender;
   receiver: Receiver;
   peers: PeerTransports;
-  /** Endpoint of a process, by host. */
-  endpointOf: (host: string) => Endpoint | undefined;
 };
 
 /** Time for the bound process to respond, in milliseconds. */
@@ -49,12 +46,7 @@
   };
 
   const cancelRemotely = async (ticket: string, content: Ticket): Promise<unknown> => {
-    const endpoint = options.endpointOf(content.host);
-    if (endpoint === undefined) {
-      return UNREACHABLE;
-    }
-
-    const reply = await options.peers.cancelTicket(endpoint, ticket, CANCEL_TIMEOUT_MS);
+    const reply = await options.peers.cancelTicket(content.address, ticket, CANCEL_TIMEOUT_MS);
     return reply === undefined ? UNREACHABLE : JSON.parse(reply.toString());
   };
 
--- a/src/emulator/platform/emulator.ts
+++ b/src/emulator/platform/emulator.ts
@@ -412,9 +412,11 @@
       return;
     }
 
+    // The outage at arrival decides, so that a call that is counted during an outage never takes effect.
+    const {outage, slowMs} = faults;
     count(request, target);
-    await sleep(latencyMs + faults.slowMs);
-    switch (faults.outage) {
+    await sleep(latencyMs + slowMs);
+    switch (outage) {
       case 'refuse': {
         response.destroy();
         break;
--- a/src/shared/__tests__/ticket.spec.ts
+++ b/src/shared/__tests__/ticket.spec.ts
@@ -4,7 +4,7 @@
 
 const KEY = 'test-key';
 const binding = {
-  service: 'chiuse', host: 'c1.north', incarnation: 'i 1', expiresAt: 1000,
+  service: 'chiuse', host: 'c1.north', incarnation: 'i 1', address: '127.0.0.1:7001', expiresAt: 1000,
 };
 
 test('a ticket reads back as it was issued', t => {
--- a/src/shared/ticket.ts
+++ b/src/shared/ticket.ts
@@ -10,6 +10,8 @@
   host: string;
   /** Incarnation of that process. */
   incarnation: string;
+  /** Address of that process, so that any process can reach it, whether or not it knows the host. */
+  address: string;
   /** Random part that makes the ticket unique. */
   nonce: string;
   /** Expiry in milliseconds since the Unix epoch, by the issuer's clock. */
@@ -20,7 +22,7 @@
 export type TicketFault = {kind: 'malformed-ticket' | 'forged-ticket'; message: string};
 
 const MAC_LENGTH = 22;
-const FIELD_COUNT = 5;
+const FIELD_COUNT = 6;
 
 const sign = (text: string, key: string): string =>
   createHmac('sha256', key).update(`ticket:${text}`).digest('base64url').slice(0, MAC_LENGTH);
@@ -29,7 +31,7 @@
 
 /** Issues a ticket for a process incarnation. */
 export const issueTicket = (binding: Omit<Ticket, 'nonce'>, key: string): string => {
-  const parts = [binding.service, binding.host, binding.incarnation, randomBytes(12).toString('base64url'), String(binding.expiresAt)];
+  const parts = [binding.service, binding.host, binding.incarnation, binding.address, randomBytes(12).toString('base64url'), String(binding.expiresAt)];
   const text = parts.map(part => encodePart(part)).join('.');
   return `${text}.${sign(text, key)}`;
 };
@@ -50,8 +52,8 @@
     return fail({kind: 'forged-ticket', message: 'the ticket was not issued by this deployment; ask for a new one'});
   }
 
-  const [service, host, incarnation, nonce, expiresAt] = parts.map(part => decodeURIComponent(part)) as [string, string, string, string, string];
+  const [service, host, incarnation, address, nonce, expiresAt] = parts.map(part => decodeURIComponent(part)) as [string, string, string, string, string, string];
   return ok({
-    service, host, incarnation, nonce, expiresAt: Number(expiresAt),
+    service, host, incarnation, address, nonce, expiresAt: Number(expiresAt),
   });
 };
