feat(outbound): complete routing, retries, allowances, ejection and admission feedback

Cause: the outbound decision sent every call to a random endpoint, never retried, and passed on allowances and fractions unused.

Change: retry-budget (pools of tokens per client request and per parent call), retry-policy (which failures, backoff, ratio per service, asks on a new connection after silence), routing with spill-over (two choices, limits, slow start, gradual spill), outlier-ejection, observation and admission-feedback. New events: parent-opened, parent-closed, endpoints-updated; new actions: parent-left, wake.

--- /dev/null
+++ b/src/decisions/outbound/__tests__/admission-feedback.spec.ts
@@ -0,0 +1,99 @@
+/** Guards against urgent calls rejected before others, thresholds that never recover, and callers that return together. */
+import test from 'ava';
+import fc from 'fast-check';
+import {FRACTION_FLOOR} from '../../../shared/constants.js';
+import {
+  admit, createAdmissionFeedback, learnFraction, learntFraction, PRECEDENCE_MS, RECOVERY_HOLD_MS, retryAfterMs, ROWS_MAX,
+} from '../admission-feedback.js';
+import {
+  call, createDriver, hosts, responded, type Attempt,
+} from './support.js';
+
+const learnMany = (reports: readonly number[], endpoints: number): number => {
+  const feedback = createAdmissionFeedback();
+  for (const fraction of reports) {
+    learnFraction(feedback, call(), {fraction, endpoints}, 0);
+  }
+
+  return learntFraction(feedback, call(), 0);
+};
+
+test('a fall is learnt from about one response per backend server', t => {
+  t.is(learnMany([0.2], 1), 0.2);
+  t.true(learnMany([0.2, 0.2, 0.2, 0.2, 0.2], 5) < 0.35);
+  t.true(learnMany([0.2], 5) > 0.7, 'one odd backend server does not set the fraction of all');
+  t.is(learnMany([0, 0, Number.NaN, -1], 1) >= FRACTION_FLOOR, true);
+  t.true(Math.abs(learnMany(Array.from({length: 500}, () => 0), 3) - FRACTION_FLOOR) < 1e-9);
+});
+
+test('without feedback a fraction recovers, also after a long pause of the process', t => {
+  const feedback = createAdmissionFeedback();
+  learnFraction(feedback, call(), {fraction: 0.1, endpoints: 1}, 0);
+  const fractions = [RECOVERY_HOLD_MS, RECOVERY_HOLD_MS + 1000, 1e9].map(now => learntFraction(feedback, call(), now));
+  t.deepEqual(fractions, [0.1, 0.4, 1]);
+});
+
+test('a learnt fraction rejects early by the admission hash, and travels with the attempt', t => {
+  const driver = createDriver(hosts(1));
+  driver.end(driver.arrive({admissionHash: 0}) as Attempt, responded({fraction: 0.4}));
+  t.like(driver.arrive({admissionHash: 0.4}), {
+    kind: 'reject', reason: 'admission', outcome: 'not-run', fraction: 0.4,
+  });
+  t.like(driver.arrive({admissionHash: 0.39}), {kind: 'attempt', fraction: 0.4});
+  t.like(driver.arrive({admissionHash: 0.39, fraction: 0.2}), {kind: 'attempt', fraction: 0.2});
+  t.like(driver.arrive({admissionHash: 0.9, group: 'other'}), {kind: 'attempt', fraction: 1}, 'groups do not share fractions');
+});
+
+const urgencyEvent = fc.record({
+  learns: fc.boolean(), priority: fc.nat(2), fraction: fc.constantFrom(0, 0, 0, 0.3, 1), hash: fc.constantFrom(0.005, 0.1, 0.9, 0.9), wait: fc.integer({min: 0, max: 300}),
+});
+
+test('the highest priority is never rejected early while a lower one is admitted', t => {
+  let rejections = 0;
+  t.notThrows(() => {
+    fc.assert(fc.property(fc.array(urgencyEvent, {minLength: 100, maxLength: 200}), events => {
+      const feedback = createAdmissionFeedback();
+      const last = {now: 0, lowerAdmitted: -1e9, urgentRejected: -1e9};
+      return events.every(({learns, priority, fraction, hash, wait}) => {
+        last.now += wait;
+        const arriving = call({priority, admissionHash: hash});
+        if (learns) {
+          learnFraction(feedback, arriving, {fraction, endpoints: 1}, last.now);
+          return true;
+        }
+
+        const {admitted, fraction: applied} = admit(feedback, arriving, last.now);
+        if (priority > 0) {
+        // The trickle at the floor is a measurement and does not count as admission before a rejection.
+          last.lowerAdmitted = admitted && applied > FRACTION_FLOOR * 1.01 ? last.now : last.lowerAdmitted;
+          return !admitted || last.now - last.urgentRejected >= PRECEDENCE_MS;
+        }
+
+        rejections += admitted ? 0 : 1;
+        last.urgentRejected = admitted ? last.urgentRejected : last.now;
+        return admitted || last.now - last.lowerAdmitted >= PRECEDENCE_MS;
+      });
+    }), {numRuns: 500, seed: 20_266});
+  });
+  t.true(rejections > 100, `urgent calls must be rejected at times, or the order is not tested: ${rejections}`);
+});
+
+test('the table of fractions is bounded and evicts idle rows first', t => {
+  const feedback = createAdmissionFeedback();
+  for (let index = 0; index < ROWS_MAX + 100; index++) {
+    learnFraction(feedback, call({group: `g${index}`}), {fraction: 0.5, endpoints: 1}, index);
+    admit(feedback, call({group: 'g0'}), index);
+  }
+
+  t.is(feedback.rows.size, ROWS_MAX);
+  t.true(learntFraction(feedback, call({group: `g${ROWS_MAX + 99}`}), ROWS_MAX) < 1);
+  t.true(feedback.rows.has('s s/k 1 g0') && !feedback.rows.has('s s/k 1 g1'));
+});
+
+test('waits asked of rejected callers are spread over a window that grows with the overload', t => {
+  const {random} = createDriver([]);
+  for (const fraction of [1, 0.1, 0.02]) {
+    const waits = Array.from({length: 500}, () => retryAfterMs(fraction, random) * fraction);
+    t.true(Math.max(...waits) - Math.min(...waits) > 900 && Math.max(...waits) <= 1500);
+  }
+});
--- /dev/null
+++ b/src/decisions/outbound/__tests__/outbound.spec.ts
@@ -0,0 +1,73 @@
+/** Guards against calls that are kept, ended twice or refused for ever in extreme cases. */
+import test from 'ava';
+import {HOP_COUNT_MAX} from '../../../shared/constants.js';
+import {chooseTicketEndpoint, OVERDUE_GRACE_MS} from '../outbound.js';
+import {PARENT_GRACE_MS} from '../retry-budget.js';
+import {
+  createDriver, hosts, rejected, responded, type Attempt,
+} from './support.js';
+
+const refusals: Array<[title: string, fields: Parameters<typeof createDriver>[0], callFields: {remainingMs?: number; hops?: number; service?: string}, reason: string]> = [
+  ['without endpoints', [], {}, 'no-backend-server'],
+  ['of an unknown service', hosts(3), {service: 'other'}, 'no-backend-server'],
+  ['with only draining endpoints', hosts(3, {draining: true}), {}, 'no-backend-server'],
+  ['past its deadline', hosts(3), {remainingMs: 0}, 'deadline'],
+  ['at the hop limit', hosts(3), {hops: HOP_COUNT_MAX}, 'hop-limit'],
+];
+
+for (const [title, endpoints, fields, reason] of refusals) {
+  test(`a call ${title} is rejected at once, truthfully`, t => {
+    const driver = createDriver(endpoints);
+    t.like(driver.arrive(fields), {kind: 'reject', reason, outcome: 'not-run'});
+    for (const bound of [{boundHost: 'gone', boundIncarnation: '1'}, {boundHost: 'a1', boundIncarnation: 'old'}]) {
+      t.like(driver.arrive({...fields, idempotent: false}, bound), {kind: 'reject', outcome: 'unknown'}, 'an earlier send of a client\'s ticket is unknown');
+    }
+
+    t.is(driver.state.calls.size, 0);
+  });
+}
+
+test('duplicate, late and foreign results and arrivals change nothing', t => {
+  const driver = createDriver(hosts(3));
+  const attempt = driver.arrive() as Attempt;
+  t.deepEqual(driver.end({...attempt, attemptId: 'other'}, responded()), []);
+  t.deepEqual(driver.end({...attempt, ask: 2}, responded()), []);
+  driver.calls = 0;
+  t.deepEqual([driver.arrive()].filter(Boolean), [], 'a call id that is known is not started twice');
+  t.like(driver.end(attempt, responded({retryBudget: 1}))[0], {kind: 'forward', outcome: 'run'});
+  t.deepEqual(driver.end(attempt, responded()), []);
+  t.deepEqual(driver.decide({kind: 'caller-gone', callId: attempt.callId}), []);
+});
+
+test('a caller that goes away while its call waits ends the call', t => {
+  const driver = createDriver(hosts(3));
+  driver.end(driver.arrive() as Attempt, {kind: 'lost'});
+  t.deepEqual([driver.decide({kind: 'caller-gone', callId: 'c1'}), driver.advance(1000), driver.state.calls.size], [[], [], 0]);
+});
+
+test('after a long pause, overdue calls end and nothing is sent past its deadline', t => {
+  const driver = createDriver(hosts(3));
+  const running = driver.arrive({remainingMs: 1000}) as Attempt;
+  driver.end(driver.arrive({remainingMs: 1000}) as Attempt, rejected());
+  const lost = driver.arrive({remainingMs: 1000}) as Attempt;
+  driver.end(lost, {kind: 'lost'});
+  const actions = driver.advance(1000 + OVERDUE_GRACE_MS);
+  t.deepEqual(actions.map(action => [action.kind, 'outcome' in action && action.outcome]), [
+    ['reject', 'not-run'], ['reject', 'unknown'], ['cancel-attempt', false], ['reject', 'unknown'],
+  ]);
+  t.deepEqual(driver.end(running, responded()), []);
+  t.is(driver.state.calls.size, 0);
+});
+
+test('parents that are never closed are dropped, and their sub-calls get no retries', t => {
+  const driver = createDriver(hosts(3));
+  driver.openParent('p', 9);
+  driver.advance(60_000 + PARENT_GRACE_MS);
+  t.deepEqual([driver.state.budgets.parents.size, (driver.arrive({}, {parentCallId: 'p'}) as Attempt).retryBudget], [0, 0]);
+});
+
+test('a ticket is bound to an endpoint that takes calls, and choosing it starts none', t => {
+  const {state, random} = createDriver([...hosts(1), ...hosts(1, {zone: 'b'})]);
+  t.is(chooseTicketEndpoint(state, {service: 's', priority: 0}, 0, random)?.host, 'a0');
+  t.is(state.routing.services.get('s')!.byHost.get('a0')!.inFlight, 0);
+});
--- /dev/null
+++ b/src/decisions/outbound/__tests__/retry-budget.spec.ts
@@ -0,0 +1,162 @@
+/** Guards against retries that multiply along a call tree, and against allowances that are granted twice. */
+import test from 'ava';
+import fc from 'fast-check';
+import {createRandom} from '../../../shared/random.js';
+import type {AttemptResult, OutboundAction} from '../outbound.js';
+import {
+  closeParent, createRetryBudgets, expirePools, grant, joinPool, leavePool, openParent, REQUEST_MEMORY_MS, REQUESTS_MAX,
+} from '../retry-budget.js';
+import {
+  createDriver, hosts, rejected, responded, type Attempt, type Driver,
+} from './support.js';
+
+/** Run of an attempt at a backend server; nobody waits for its response when `attempt` is undefined. */
+type Run = {parentCallId: string; attempt: Attempt | undefined; depth: number; open: number; granted: number};
+
+const DEPTH_MAX = 13;
+const CALLS_MAX = 200;
+
+/** Plays a random tree of calls in which every hop uses the same outbound state, and counts its retries. */
+const playTree = (seed: number, allowance: number): {retries: number; deepest: number; driver: Driver} => {
+  const driver = createDriver(hosts(4, {slots: 10_000, connections: 10_000}), {seed});
+  const random = createRandom(seed + 1);
+  const pick = <Item>(items: readonly Item[]): Item => items[Math.floor(random() * items.length)]!;
+  const remove = <Item>(items: Item[]): Item => items.splice(Math.floor(random() * items.length), 1)[0]!;
+  const sent: Attempt[] = [];
+  const runs: Run[] = [];
+  const origins = new Map<string, {depth: number; parent: Run | undefined}>();
+  let retries = 0;
+
+  const take = (actions: readonly OutboundAction[]): void => {
+    for (const action of actions) {
+      if (action.kind === 'attempt') {
+        sent.push(action);
+      } else if (action.kind === 'forward' || action.kind === 'reject') {
+        origins.get(action.callId)!.parent!.open--;
+      }
+
+      retries += action.kind === 'retry-counted' && action.reason !== 'silent-reask' ? 1 : 0;
+    }
+  };
+
+  const arrive = (depth: number, parent: Run): void => {
+    origins.set(`c${driver.calls + 1}`, {depth, parent});
+    take([driver.arrive({requestId: 'one', retryBudget: allowance, idempotent: random() < 0.7}, depth === 1 ? {} : {parentCallId: parent.parentCallId})]);
+  };
+
+  const startRun = (attempt: Attempt): Run => {
+    const {depth} = origins.get(attempt.callId)!;
+    const parentCallId = `${attempt.attemptId}.${attempt.ask}`;
+    const children = depth < DEPTH_MAX && driver.calls < CALLS_MAX ? pick([0, 1, 1, 2, 4]) : 0;
+    const run: Run = {
+      parentCallId, attempt, depth, open: children, granted: attempt.retryBudget,
+    };
+    runs.push(run);
+    driver.openParent(parentCallId, attempt.retryBudget);
+    for (let child = 0; child < children; child++) {
+      arrive(depth + 1, run);
+    }
+
+    return run;
+  };
+
+  const endRun = ({parentCallId, attempt, granted}: Run): void => {
+    const {retryBudget: unused} = driver.decide({kind: 'parent-closed', parentCallId})[0] as Extract<OutboundAction, {kind: 'parent-left'}>;
+    // A process that spent nothing may claim any number; one that spent tokens claims at most the truth.
+    const retryBudget = pick(unused < granted ? [unused, 0, -5, Number.NaN] : [unused, 0, 1000, Number.MAX_VALUE, Number.NaN, -1]);
+    take(attempt === undefined ? [] : driver.end(attempt, responded({retryBudget, status: pick([200, 503, 502, 504]), gaveUp: random() < 0.2})));
+  };
+
+  const endSent = (attempt: Attempt): void => {
+    const failure = pick<AttemptResult | undefined>([undefined, undefined, undefined, {kind: 'not-connected'}, {kind: 'lost'}, {kind: 'silent'}, rejected({retryBudget: 1000})]);
+    if (failure === undefined) {
+      startRun(attempt);
+      return;
+    }
+
+    if ((failure.kind === 'lost' || failure.kind === 'silent') && random() < 0.7) {
+      startRun(attempt).attempt = undefined;
+    }
+
+    take(driver.end(attempt, failure));
+  };
+
+  const client: Run = {
+    parentCallId: '', attempt: undefined, depth: 0, open: 0, granted: 0,
+  };
+  arrive(1, client);
+  for (let resends = 3; sent.length + runs.length + driver.state.calls.size > 0;) {
+    const turn = random();
+    if (turn < 0.05 && resends-- > 0) {
+      arrive(1, client);
+    } else if (turn < 0.5 && sent.length > 0) {
+      endSent(remove(sent));
+    } else if (turn < 0.8 && runs.length > 0) {
+      const run = remove(runs);
+      if (run.open > 0 && random() < 0.95) {
+        runs.push(run);
+      } else {
+        endRun(run);
+      }
+    } else {
+      take(driver.advance(random() * 30));
+    }
+  }
+
+  return {retries, deepest: Math.max(...[...origins.values()].map(({depth}) => depth)), driver};
+};
+
+test('a request has at most A retries over its whole tree, with losses, resends and false returned budgets', t => {
+  let exhausted = 0;
+  let full = 0;
+  fc.assert(fc.property(fc.integer({min: 0, max: 1_000_000}), fc.integer({min: 0, max: 12}), (seed, allowance) => {
+    const {retries, deepest, driver} = playTree(seed, allowance);
+    full += deepest === DEPTH_MAX ? 1 : 0;
+    exhausted += retries === allowance && allowance > 0 ? 1 : 0;
+    return retries <= allowance && driver.state.calls.size === 0 && driver.state.waiting.size === 0;
+  }), {numRuns: 600, seed: 20_261});
+  t.true(exhausted > 50 && full > 50, `trees must use up their allowance and reach the full depth, or the bound is not tested: ${exhausted}, ${full}`);
+});
+
+test('a lost response counts as spent, and a resend continues with what is left', t => {
+  const driver = createDriver(hosts(3));
+  const first = driver.arrive({requestId: 'same', retryBudget: 6, idempotent: false}) as Attempt;
+  t.is(first.retryBudget, 6);
+  driver.end(first, {kind: 'lost'});
+  t.is((driver.arrive({requestId: 'same', retryBudget: 6, idempotent: false}) as Attempt).retryBudget, 0);
+  t.is((driver.arrive({requestId: 'other', retryBudget: 6, idempotent: false}) as Attempt).retryBudget, 6);
+});
+
+test('the memory of requests is bounded, never forgets a spent one early, and expires', t => {
+  const budgets = createRetryBudgets();
+  const use = (requestId: string, granted = grant) => {
+    const pool = joinPool(budgets, {requestId, retryBudget: 1}, undefined);
+    const tokens = granted(pool, false, () => 0);
+    leavePool(budgets, pool, requestId, 0);
+    return tokens;
+  };
+
+  const grants = Array.from({length: REQUESTS_MAX + 1}, (_, index) => use(`r${index}`));
+  t.deepEqual([budgets.requests.size, grants[0], grants.at(-1), use('r0')], [REQUESTS_MAX, 1, 0, 0]);
+  expirePools(budgets, REQUEST_MEMORY_MS);
+  use('unspent', () => 0);
+  t.is(budgets.requests.size, 0);
+});
+
+test('simultaneous sub-calls get equal parts once the fan-out of their parent\'s kind is known', t => {
+  const budgets = createRetryBudgets();
+  const random = createRandom(1);
+  const sums = [0, 0, 0, 0, 0];
+  for (let parent = 0; parent < 2000; parent++) {
+    openParent(budgets, {
+      parentCallId: `${parent}`, parentKind: 's/k', retryBudget: 4, remainingMs: 1,
+    }, 0);
+    for (const child of sums.keys()) {
+      sums[child]! += grant(joinPool(budgets, {requestId: 'r', retryBudget: 99}, `${parent}`), false, random);
+    }
+
+    closeParent(budgets, `${parent}`);
+  }
+
+  t.deepEqual(sums.filter(sum => Math.abs((sum / 2000) - 0.8) > 0.1), []);
+});
--- /dev/null
+++ b/src/decisions/outbound/__tests__/retry-policy.spec.ts
@@ -0,0 +1,137 @@
+/** Guards against a second run of a non-idempotent call, against untrue `not-run` rejections, and against retries that add to an overload. */
+import test from 'ava';
+import fc from 'fast-check';
+import type {AttemptResult, OutboundAction} from '../outbound.js';
+import {judge, REASKS_MAX, type RetryReason} from '../retry-policy.js';
+import {
+  createDriver, endpoint, hosts, rejected, responded, type Attempt,
+} from './support.js';
+
+const cases: Array<[title: string, result: AttemptResult, idempotent: RetryReason | undefined, other: RetryReason | undefined]> = [
+  ['not-run rejection', rejected(), 'rejected', 'rejected'],
+  ['rejection of unknown outcome', rejected({outcome: 'unknown'}), 'rejected', undefined],
+  ['rejection that a lower hop gave up on', rejected({gaveUp: true}), undefined, undefined],
+  ['expired ticket', rejected({reason: 'ticket-expired'}), undefined, undefined],
+  ['failed connect', {kind: 'not-connected'}, 'not-connected', 'not-connected'],
+  ['lost response', {kind: 'lost'}, 'lost', undefined],
+  ['silence', {kind: 'silent'}, 'silent', undefined],
+  ['timeout', {kind: 'timed-out'}, 'timed-out', undefined],
+  ['503', responded({status: 503}), 'status', undefined],
+  ['503 that a lower hop gave up on', responded({status: 503, gaveUp: true}), undefined, undefined],
+];
+
+for (const [title, result, idempotent, other] of cases) {
+  test(`retry after: ${title}`, t => {
+    const verdicts = [[true, true], [false, true], [true, false]].map(([isIdempotent, replayable]) =>
+      judge(result, {idempotent: isIdempotent!, replayable: replayable!, askedBefore: false}));
+    t.deepEqual(verdicts.map(verdict => verdict.kind === 'failed' && verdict.retry), [idempotent, other, undefined]);
+  });
+}
+
+test('a retry goes to another backend server first, after a jittered wait', t => {
+  const waits = Array.from({length: 100}, (_, seed) => {
+    const driver = createDriver(hosts(2), {seed});
+    const first = driver.arrive() as Attempt;
+    const [, wake] = driver.end(first, {kind: 'lost'});
+    t.not((driver.advance(30)[0] as Attempt).endpoint.host, first.endpoint.host);
+    return wake?.kind === 'wake' ? wake.wakeAt : 0;
+  });
+  t.true(Math.min(...waits) > 10 && Math.max(...waits) - Math.min(...waits) > 10);
+});
+
+test('the only backend server is asked again only after its retry-after', t => {
+  const driver = createDriver(hosts(1));
+  driver.end(driver.arrive() as Attempt, rejected({retryAfterMs: 2000}));
+  t.deepEqual(driver.advance(1999), []);
+  t.like(driver.advance(1)[0], {kind: 'attempt'});
+  t.like(driver.end(driver.arrive({remainingMs: 10}) as Attempt, rejected({retryAfterMs: 20}))[0], {kind: 'forward'}, 'never beyond the deadline');
+});
+
+test('retries stay within the ratio of calls, and a quiet service can still retry', t => {
+  const countRetries = (calls: number, ratio: number): number => {
+    const driver = createDriver(hosts(4), {ratio});
+    const ends = Array.from({length: calls}, () => driver.end(driver.arrive() as Attempt, {kind: 'not-connected'}));
+    return ends.filter(([action]) => action?.kind === 'retry-counted').length;
+  };
+
+  t.deepEqual([countRetries(2, 0.1), countRetries(5, 0), countRetries(100, 0.1)], [2, 0, 13]);
+});
+
+test('silence is asked about on a new connection with the same attempt id, a few times and without a token', t => {
+  const driver = createDriver(hosts(3));
+  let attempt = driver.arrive({retryBudget: 0, idempotent: false}) as Attempt;
+  const {attemptId, endpoint: asked} = attempt;
+  for (let ask = 2; ask <= REASKS_MAX + 1; ask++) {
+    const [counted, again] = driver.end(attempt, {kind: 'silent'}) as [OutboundAction, Attempt];
+    t.like([counted, again], [{kind: 'retry-counted', reason: 'silent-reask'}, {
+      attemptId, ask, newConnection: true, endpoint: asked,
+    }]);
+    t.deepEqual(driver.end(attempt, {kind: 'silent'}), [], 'a duplicate result is ignored');
+    attempt = again;
+  }
+
+  t.like(driver.end(attempt, {kind: 'silent'})[0], {kind: 'reject', reason: 'connection-lost', outcome: 'unknown'});
+});
+
+test('a hop does not retry what its sub-call gave up on, and the parent is told', t => {
+  const driver = createDriver(hosts(3));
+  driver.openParent('p', 0);
+  driver.end(driver.arrive({}, {parentCallId: 'p'}) as Attempt, {kind: 'lost'});
+  t.like(driver.decide({kind: 'parent-closed', parentCallId: 'p'})[0], {kind: 'parent-left', gaveUp: true});
+  t.like(driver.end(driver.arrive() as Attempt, responded({status: 502, gaveUp: true}))[0], {kind: 'forward'});
+});
+
+const anyResult = fc.constantFrom<AttemptResult>(...cases.map(([, result]) => result), rejected({reason: 'draining'}), responded());
+
+const isRefusal = (result: AttemptResult): boolean => result.kind === 'not-connected' || (result.kind === 'rejected' && result.outcome === 'not-run');
+
+/** Runs one call through the results; `maybeRan` follows a naive model of what the backend server may have seen. */
+const playCall = (results: readonly AttemptResult[], idempotent: boolean, bound: {boundHost?: string; boundIncarnation?: string; rebindable?: boolean}) => {
+  const driver = createDriver(hosts(3));
+  const attempts: Attempt[] = [];
+  let maybeRan = false;
+  let last: OutboundAction | undefined = driver.arrive({retryBudget: 20, idempotent}, bound);
+  for (const result of results) {
+    if (last?.kind === 'attempt') {
+      attempts.push(last);
+      const ledgerAnswers = result.kind === 'rejected' && !idempotent;
+      maybeRan = !isRefusal(result) || (maybeRan && !ledgerAnswers);
+      const actions = driver.end(last, result);
+      const wake = actions.find(action => action.kind === 'wake');
+      last = wake === undefined ? actions.at(-1) : driver.advance(wake.wakeAt - driver.now)[0];
+    }
+  }
+
+  return {
+    attempts, maybeRan, claimsNotRun: last !== undefined && 'outcome' in last && last.outcome === 'not-run', last,
+  };
+};
+
+const bindings = fc.constantFrom({}, {boundHost: 'a1', boundIncarnation: '1'});
+
+test('a call that may have run is not sent again unless idempotent, tickets stay bound, and not-run is only said when true', t => {
+  t.notThrows(() => {
+    fc.assert(fc.property(fc.array(anyResult, {minLength: 1, maxLength: 12}), fc.boolean(), bindings, (results, idempotent, binding) => {
+      const bound = 'boundHost' in binding;
+      const {attempts, maybeRan, claimsNotRun, last} = playCall(results, idempotent && !bound, binding);
+      const doubt = results.findIndex(result => !isRefusal(result));
+      const further = attempts.slice(doubt + 1).filter(({attemptId}) => attemptId !== attempts[doubt]?.attemptId);
+      const stays = attempts.every(({endpoint: {host}, ticketNeeded}) => host === 'a1' && !ticketNeeded);
+      // After silence the ledger of the same ticket may still refuse truthfully.
+      const once = idempotent || doubt === -1 || results[doubt]!.kind === 'silent' || further.length === 0;
+      return once && !(claimsNotRun && maybeRan) && (!bound || (stays && !(last?.kind === 'reject' && claimsNotRun)));
+    }), {numRuns: 4000, seed: 20_263});
+  });
+});
+
+test('a sub-call takes a new ticket elsewhere after a not-run rejection', t => {
+  const {attempts} = playCall([rejected(), responded()], false, {boundHost: 'a1', boundIncarnation: '1', rebindable: true});
+  t.deepEqual(attempts.map(({ticketNeeded}) => ticketNeeded), [false, true]);
+  t.not(attempts[1]!.endpoint.host, 'a1');
+});
+
+test('a draining host still gets the resends of its tickets, because only it knows their outcome', t => {
+  const driver = createDriver([endpoint('a1', {draining: true})]);
+  t.like(driver.arrive({idempotent: false}, {boundHost: 'a1', boundIncarnation: '1'}), {kind: 'attempt'});
+  t.like(driver.arrive(), {kind: 'reject', reason: 'no-backend-server'});
+});
--- /dev/null
+++ b/src/decisions/outbound/outlier-ejection.ts
@@ -0,0 +1,74 @@
+/** Takes backend servers that keep failing out of use for a time, and lets single calls probe them afterwards. */
+import type {Moment} from './events.js';
+
+/** Failures in a row that eject a backend server. */
+export const EJECTION_FAILURES = 5;
+const EJECTION_BASE_MS = 1000;
+const EJECTION_MAX_MS = 60_000;
+/** Time of undisturbed service after which earlier ejections no longer lengthen the next, in milliseconds. */
+const EJECTION_MEMORY_MS = 60_000;
+/**
+ * Share of a service's endpoints that may be ejected. Failures of more of them point to a cause that they share,
+ * where ejecting would only concentrate the load on the rest.
+ */
+const EJECTED_SHARE = 1 / 3;
+
+/** Record of an endpoint's failures. */
+export type Health = {
+  state: 'serving' | 'ejected' | 'probing';
+  failures: number;
+  /** Whether the failures in a row were all failures to connect. */
+  connectOnly: boolean;
+  ejections: number;
+  ejectedUntil: number;
+  reinstatedAt: number;
+};
+
+/** Numbers of a service's endpoints that bound its ejections. */
+export type EjectionQuota = {endpoints: number; ejected: number};
+
+/** Creates a clean record. */
+export const createHealth = (): Health => ({
+  state: 'serving', failures: 0, connectOnly: true, ejections: 0, ejectedUntil: 0, reinstatedAt: Number.NEGATIVE_INFINITY,
+});
+
+const withinShare = (quota: EjectionQuota): boolean =>
+  quota.endpoints > 1 && quota.ejected < Math.max(1, Math.floor(quota.endpoints * EJECTED_SHARE));
+
+const eject = (health: Health, {now, random}: Moment): void => {
+  const forgotten = health.state === 'serving' && now - health.reinstatedAt > EJECTION_MEMORY_MS;
+  health.ejections = forgotten ? 1 : health.ejections + 1;
+  const length = Math.min(EJECTION_MAX_MS, EJECTION_BASE_MS * (2 ** (health.ejections - 1)));
+  health.ejectedUntil = now + (length * (0.75 + (random() / 2)));
+  health.state = 'ejected';
+};
+
+/** Failed call; `probe` tells that it was sent to decide on an ejected endpoint. */
+export type Failure = {cause: 'connect' | 'other'; probe: boolean; quota: EjectionQuota};
+
+/** Notes a failed call; ejects after several in a row, or at once when a probe failed. */
+export const noteFailure = (health: Health, {cause, probe, quota}: Failure, moment: Moment): void => {
+  health.connectOnly = (health.failures === 0 || health.connectOnly) && cause === 'connect';
+  health.failures++;
+  const probeFailed = probe && health.state === 'probing';
+  const due = health.state === 'serving' && health.failures >= EJECTION_FAILURES;
+  if (probeFailed || (due && (health.connectOnly || withinShare(quota)))) {
+    eject(health, moment);
+  }
+};
+
+/** Notes a successful call, which reinstates an ejected endpoint. */
+export const noteSuccess = (health: Health, now: number): void => {
+  health.failures = 0;
+  if (health.state !== 'serving') {
+    health.state = 'serving';
+    health.reinstatedAt = now;
+  }
+};
+
+/** Notes that a probe ended without telling anything; the next call may probe. */
+export const noteNothing = (health: Health, probe: boolean): void => {
+  if (probe && health.state === 'probing') {
+    health.state = 'ejected';
+  }
+};
