feat(daemon): perform the complete outbound decisions

Cause: the shell knew only one attempt per call. Change: repeated asks, retries with backoff, retry budgets shared by the sub-calls of a call, the mark of a failure that a lower hop gave up on, and tickets whose host is not known here: the call goes to the address in the ticket. Result: tests of src/daemon and src/decisions/outbound pass; nothing is measured yet.

--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -136,7 +136,7 @@
 
     const text = singleHeader(headers, TICKET_HEADER);
     if (text === undefined) {
-      const ticket = sender.issueTicket(treatment.service);
+      const ticket = sender.issueTicket(treatment);
       return ticket === undefined ? refused('no-backend-server') : {reason: 'ticket-required', headers: {[TICKET_HEADER]: ticket}};
     }
 
--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -85,7 +85,16 @@
   let leaving = false;
 
   const receiver = createReceiver({
-    incarnation, policy, clock, random, metrics, eventLog,
+    incarnation,
+    policy,
+    clock,
+    random,
+    metrics,
+    eventLog,
+    openParent(parent) {
+      sender.openParent(parent);
+    },
+    closeParent: callId => sender.closeParent(callId),
   });
   const peers = createPeerTransports({
     host: settings.host, incarnation, fleetKey: settings.fleetKey, connections: settings.limits.peerConnections,
--- a/src/daemon/receiver.ts
+++ b/src/daemon/receiver.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {randomBytes} from 'node:crypto';
 import {
-  CALL_TOKEN_HEADER, DEADLINE_HEADER, FRACTION_HEADER, LOAD_HEADER, OUTCOME_HEADER, REASON_HEADER, REQUEST_ID_HEADER, RETRY_BUDGET_HEADER,
+  CALL_TOKEN_HEADER, DEADLINE_HEADER, FRACTION_HEADER, GAVE_UP_HEADER, LOAD_HEADER, OUTCOME_HEADER, REASON_HEADER, REQUEST_ID_HEADER, RETRY_BUDGET_HEADER,
 } from '../shared/constants.js';
 import type {Call} from '../shared/call.js';
 import type {Clock} from '../shared/clock.js';
@@ -19,6 +19,7 @@
 } from './message.js';
 import type {Metrics} from './metrics.js';
 import {remedyFor, type RejectionReason} from './remedies.js';
+import type {ParentRest, Sender} from './sender.js';
 import {createTransport, type Transport} from './transport.js';
 
 /** Call that the backend server of this host is working on; its sub-calls belong to it. */
@@ -71,6 +72,9 @@
   random: Random;
   metrics: Metrics;
   eventLog: EventLog;
+  /** Retry budgets that sub-calls share. */
+  openParent: Sender['openParent'];
+  closeParent: Sender['closeParent'];
 };
 
 type Entry = ReceivedCall & {
@@ -173,7 +177,7 @@
     }, {[LOAD_HEADER]: inboundFeedback(state, call).load.toFixed(3)});
   };
 
-  const withFeedback = (entry: Entry, reply: Reply): Reply => {
+  const withFeedback = (entry: Entry, reply: Reply, rest: ParentRest): Reply => {
     const feedback = inboundFeedback(state, entry.call);
     return {
       ...reply,
@@ -182,7 +186,8 @@
         [OUTCOME_HEADER]: reply.headers[OUTCOME_HEADER] ?? 'run',
         [FRACTION_HEADER]: String(Math.min(feedback.fraction, entry.subCallFraction)),
         [LOAD_HEADER]: feedback.load.toFixed(3),
-        [RETRY_BUDGET_HEADER]: String(entry.call.retryBudget),
+        [RETRY_BUDGET_HEADER]: String(rest.retryBudget),
+        ...(rest.gaveUp && {[GAVE_UP_HEADER]: '1'}),
       },
     };
   };
@@ -198,7 +203,8 @@
 
   const finish = (entry: Entry, attempt: Attempt, durationMs: number) => {
     const outcome = outcomeOf(attempt, durationMs);
-    const reply = attempt.kind === 'replied' ? withFeedback(entry, attempt.reply) : undefined;
+    const rest = options.closeParent(entry.callId);
+    const reply = attempt.kind === 'replied' ? withFeedback(entry, attempt.reply, rest) : undefined;
     const responseBytes = reply === undefined ? undefined : storeReply(entry, reply);
     apply({
       kind: 'backend-ended', callId: entry.callId, outcome, ...(responseBytes !== undefined && {responseBytes}),
@@ -216,6 +222,10 @@
     const sentAt = clock.now();
     entry.token = `${entry.callId}.${randomBytes(TOKEN_BYTES).toString('base64url')}`;
     tokens.set(entry.token, entry);
+    const {call} = entry;
+    options.openParent({
+      callId: entry.callId, kind: `${call.service}/${call.requestKind}`, retryBudget: call.retryBudget, remainingMs: timeoutMs,
+    });
     const attempt = transport === undefined
       ? {kind: 'not-connected'} as const
       : await transport.send({
@@ -232,7 +242,7 @@
       });
     if (attempt.kind === 'replied' && !Buffer.isBuffer(attempt.reply.body)) {
       // The slot stays taken until the last byte has passed; the reply is passed on meanwhile.
-      const reply = withFeedback(entry, attempt.reply);
+      const reply = withFeedback(entry, attempt.reply, options.closeParent(entry.callId));
       const {body} = attempt.reply;
       body.once('close', () => {
         apply({kind: 'backend-ended', callId: entry.callId, outcome: {kind: 'responded', status: reply.status, durationMs: clock.now() - sentAt}});
--- a/src/daemon/remedies.ts
+++ b/src/daemon/remedies.ts
@@ -49,6 +49,8 @@
   'ticket-other-incarnation': {status: 410, message: 'the process that the ticket is bound to was replaced; read the outcome from the service before asking for a new ticket'},
   'ticket-cancelled': {status: 409, message: 'the ticket was cancelled and its request will not run; ask for a new ticket'},
   'ledger-full': {status: 503, message: 'too many tickets are open; try again after the stated time'},
+  'backend-servers-full': {status: 503, message: 'every backend server has as many calls from this host as it may have; try again after the stated time'},
+  'connection-lost': {status: 502, message: 'the connection was lost after the call was sent; ask again with the same ticket for the outcome'},
   'hop-limit': {status: 508, message: 'the chain of calls is too deep; look for a loop between services'},
   'retries-exhausted': {status: 503, message: 'the call failed and may not be retried further; try again after the stated time'},
   'ticket-host-unreachable': {status: 503, message: 'the process that the ticket is bound to cannot be reached; ask again with the same ticket'},
--- a/src/daemon/sender.ts
+++ b/src/daemon/sender.ts
@@ -1,7 +1,7 @@
 /** Performs the outbound decisions: sends calls to backend servers and passes their replies back. */
 import {Buffer} from 'node:buffer';
 import {
-  FRACTION_HEADER, LOAD_HEADER, OUTCOME_HEADER, REASON_HEADER, RETRY_AFTER_HEADER, RETRY_BUDGET_HEADER,
+  FRACTION_HEADER, GAVE_UP_HEADER, LOAD_HEADER, OUTCOME_HEADER, REASON_HEADER, RETRY_AFTER_HEADER, RETRY_BUDGET_HEADER,
 } from '../shared/constants.js';
 import type {Call} from '../shared/call.js';
 import type {Clock} from '../shared/clock.js';
@@ -9,7 +9,7 @@
 import {issueTicket, readTicket, type Ticket} from '../shared/ticket.js';
 import type {Policy} from '../objects/policy.js';
 import {
-  createOutboundState, decideOutbound, type AttemptResult, type Endpoint, type OutboundAction, type OutboundEvent,
+  chooseTicketEndpoint, createOutboundState, decideOutbound, type AttemptResult, type Endpoint, type OutboundAction, type OutboundEvent,
 } from '../decisions/outbound/outbound.js';
 import type {EventLog} from './event-log.js';
 import {numberHeader, singleHeader} from './headers.js';
@@ -33,11 +33,21 @@
   signal: AbortSignal;
 };
 
+/** Call at the backend server of this host, whose sub-calls share its retry budget. */
+export type ParentCall = {callId: string; kind: string; retryBudget: number; remainingMs: number};
+
+/** Unused retry budget of a call, and whether a sub-call of it was given up on. */
+export type ParentRest = {retryBudget: number; gaveUp: boolean};
+
 /** Outbound side of a process. */
 export type Sender = {
   handle: (sent: SentCall) => Promise<Reply>;
   /** Issues a ticket bound to a backend server of the service; undefined when none is known. */
-  issueTicket: (service: string) => string | undefined;
+  issueTicket: (treatment: {service: string; priority: number}) => string | undefined;
+  /** Opens the retry budget that the sub-calls of a call share. */
+  openParent: (parent: ParentCall) => void;
+  /** Closes it and tells what its response carries. */
+  closeParent: (callId: string) => ParentRest;
   setEndpoints: (endpoints: readonly Endpoint[]) => void;
   setPolicy: (policy: Policy) => void;
   tick: () => void;
@@ -60,6 +70,9 @@
   peers: PeerTransports;
 };
 
+/** Calls in flight to a host that is known only by a ticket. */
+const UNKNOWN_HOST_CALLS = 16;
+
 type RunningAttempt = {abort: AbortController; reply: Reply | undefined};
 
 type Exchange = SentCall & {
@@ -82,17 +95,32 @@
     fraction: numberHeader(headers, FRACTION_HEADER) ?? 1,
     load: numberHeader(headers, LOAD_HEADER) ?? 0,
     retryBudget: Math.min(call.retryBudget, numberHeader(headers, RETRY_BUDGET_HEADER) ?? 0),
+    gaveUp: singleHeader(headers, GAVE_UP_HEADER) !== undefined,
   };
   const reason = singleHeader(headers, REASON_HEADER);
-  return reason !== undefined && singleHeader(headers, OUTCOME_HEADER) === 'not-run'
+  const outcome = singleHeader(headers, OUTCOME_HEADER);
+  return reason === undefined
     ? {
-      kind: 'rejected', reason, retryAfterMs: numberHeader(headers, RETRY_AFTER_HEADER) ?? 0, ...facts,
+      kind: 'responded', status, durationMs, ...facts,
     }
     : {
-      kind: 'responded', status, durationMs, ...facts,
+      kind: 'rejected', reason, outcome: outcome === 'not-run' ? 'not-run' : 'unknown', retryAfterMs: numberHeader(headers, RETRY_AFTER_HEADER) ?? 0, ...facts,
     };
 };
 
+/** Endpoint by a ticket's content alone; its slots and connections are not known here. */
+const endpointOfTicket = (ticket: Ticket): Endpoint => ({
+  host: ticket.host,
+  zone: '',
+  incarnation: ticket.incarnation,
+  service: ticket.service,
+  address: ticket.address,
+  slots: UNKNOWN_HOST_CALLS,
+  connections: UNKNOWN_HOST_CALLS,
+  draining: false,
+  coldStartMs: 0,
+});
+
 const discard = (reply: Reply | undefined) => {
   if (reply !== undefined && !Buffer.isBuffer(reply.body)) {
     reply.body.destroy();
@@ -107,6 +135,7 @@
   const state = createOutboundState({host: options.host, zone: options.zone, policy: options.policy});
   const exchanges = new Map<string, Exchange>();
   let callCount = 0;
+  let parentRest: ParentRest = {retryBudget: 0, gaveUp: false};
 
   const ticketFor = (endpoint: Endpoint): string => issueTicket({
     service: endpoint.service,
@@ -172,15 +201,14 @@
     }
 
     apply({
-      kind: 'attempt-ended', callId: exchange.callId, attemptId, result: resultOf(ended, call, clock.now() - startedAt), replayable: exchange.message.body.replayable(),
+      kind: 'attempt-ended', callId: exchange.callId, attemptId, ask: action.ask, result: resultOf(ended, call, clock.now() - startedAt), replayable: exchange.message.body.replayable(),
     });
   };
 
   const reject = (exchange: Exchange, action: Extract<OutboundAction, {kind: 'reject'}>) => {
     const {call} = exchange;
     const {status, message} = remedyFor(action.reason);
-    // Another copy of a client's ticketed request may have reached its process through another entry, so only that process can say "not run".
-    const outcome = exchange.clientTicket === undefined ? action.outcome : 'unknown';
+    const {outcome} = action;
     metrics.countRejection(action.reason, 'outbound', call);
     const explainId = eventLog.explain({
       part: 'outbound',
@@ -214,7 +242,9 @@
 
     settle(exchange, {
       ...reply,
-      headers: {...reply.headers, [FRACTION_HEADER]: String(action.fraction), [RETRY_BUDGET_HEADER]: String(action.retryBudget)},
+      headers: {
+        ...reply.headers, [FRACTION_HEADER]: String(action.fraction), [RETRY_BUDGET_HEADER]: String(action.retryBudget), [OUTCOME_HEADER]: action.outcome,
+      },
     });
   };
 
@@ -229,6 +259,16 @@
       return;
     }
 
+    if (action.kind === 'parent-left') {
+      parentRest = {retryBudget: action.retryBudget, gaveUp: action.gaveUp};
+      return;
+    }
+
+    if (action.kind === 'wake') {
+      setTimeout(apply, Math.max(0, action.wakeAt - clock.now()), {kind: 'tick'} satisfies OutboundEvent);
+      return;
+    }
+
     const exchange = exchanges.get(action.callId);
     if (exchange === undefined) {
       return;
@@ -279,14 +319,30 @@
       exchanges.set(callId, exchange);
       sent.signal.addEventListener('abort', onGone, {once: true});
       apply({
-        kind: 'call-arrived', callId, call: sent.call, ...(sent.clientTicket !== undefined && {boundHost: sent.clientTicket.host, boundIncarnation: sent.clientTicket.incarnation}),
+        kind: 'call-arrived',
+        callId,
+        call: sent.call,
+        ...(sent.parentCallId !== undefined && {parentCallId: sent.parentCallId}),
+        ...(sent.clientTicket !== undefined && {
+          boundHost: sent.clientTicket.host,
+          boundIncarnation: sent.clientTicket.incarnation,
+          boundEndpoint: endpointOfTicket(sent.clientTicket),
+        }),
       });
     }),
-    issueTicket(service) {
-      const candidates = (state.endpoints.get(service) ?? []).filter(endpoint => !endpoint.draining);
-      const endpoint = candidates[Math.floor(options.random() * candidates.length)];
+    issueTicket(treatment) {
+      const endpoint = chooseTicketEndpoint(state, treatment, clock.now(), options.random);
       return endpoint === undefined ? undefined : ticketFor(endpoint);
     },
+    openParent(parent) {
+      apply({
+        kind: 'parent-opened', parentCallId: parent.callId, parentKind: parent.kind, retryBudget: parent.retryBudget, remainingMs: parent.remainingMs,
+      });
+    },
+    closeParent(callId) {
+      apply({kind: 'parent-closed', parentCallId: callId});
+      return parentRest;
+    },
     setEndpoints(endpoints) {
       apply({kind: 'endpoints-changed', endpoints});
       peers.retain(new Set(endpoints.map(endpoint => endpoint.address)));
--- a/src/daemon/ticket-requests.ts
+++ b/src/daemon/ticket-requests.ts
@@ -35,7 +35,7 @@
       return;
     }
 
-    const ticket = options.sender.issueTicket(service);
+    const ticket = options.sender.issueTicket({service, priority: 0});
     if (ticket === undefined) {
       writeJson(response, 503, {error: 'no-backend-server', message: 'no backend server of the service is known here; try again later'});
       return;
--- a/src/decisions/outbound/__tests__/support.ts
+++ b/src/decisions/outbound/__tests__/support.ts
@@ -25,7 +25,9 @@
     service: 's', requestKind: 'k', methods: [], path: '/', idempotent: true, priority: 1, priorityName: 'p',
     deadlineMs: 1000, retryBudget: 3, retryRatio, queueMs: 100, concurrency: undefined, weights: new Map(),
   };
-  return {priorityCount: 3, treatments: new Map([['s', [treatment]]]), drainMs: new Map()};
+  return {
+    priorityCount: 3, minimumShares: [0, 0, 0], treatments: new Map([['s', [treatment]]]), drainMs: new Map(),
+  };
 };
 
 export const responded = (fields: Partial<Extract<AttemptResult, {kind: 'responded'}>> = {}): AttemptResult => ({
--- a/src/decisions/outbound/events.ts
+++ b/src/decisions/outbound/events.ts
@@ -65,10 +65,11 @@
 export type OutboundEvent =
   /**
    * A client's call, or a sub-call when `parentCallId` names the call that the backend server makes it for.
-   * `boundHost` and `boundIncarnation` name what the call's ticket is bound to.
+   * `boundHost` and `boundIncarnation` name what the call's ticket is bound to;
+   * `boundEndpoint` reaches it when this process does not know the host, as with most hosts of other zones.
    * `rebindable` tells that this process issued the ticket, so that it may take another one after a `not-run` rejection.
    */
-  | {kind: 'call-arrived'; callId: string; call: Call; boundHost?: string; boundIncarnation?: string; parentCallId?: string; rebindable?: boolean}
+  | {kind: 'call-arrived'; callId: string; call: Call; boundHost?: string; boundIncarnation?: string; boundEndpoint?: Endpoint; parentCallId?: string; rebindable?: boolean}
   /** `replayable` tells whether the body can be sent again; `ask` is the number from the attempt action. */
   | {kind: 'attempt-ended'; callId: string; attemptId: string; ask: number; result: AttemptResult; replayable: boolean}
   | {kind: 'caller-gone'; callId: string}
--- a/src/decisions/outbound/outbound.ts
+++ b/src/decisions/outbound/outbound.ts
@@ -19,7 +19,7 @@
 import {
   chooseEndpoint, chooseForTicket, createRouting, endCall, endpointsInUse, findBound, hasOther,
   isFull, noteFraction, offerProbes, replaceEndpoints, startCall, updateEndpoints,
-  type Choice, type EndpointRecord, type Observation, type Routing,
+  type Binding, type Choice, type EndpointRecord, type Observation, type Routing,
 } from './routing.js';
 
 export type * from './events.js';
@@ -29,8 +29,6 @@
 /** Time after its deadline at which a call whose attempt never ended is dropped, in milliseconds. */
 export const OVERDUE_GRACE_MS = 5000;
 
-type Binding = {host: string; incarnation: string | undefined};
-
 type Attempt = {
   attemptId: string;
   ask: number;
@@ -125,8 +123,8 @@
   return [reject(state, {...pending, reason, outcome}, moment)];
 };
 
-const chooseBound = (state: OutboundState, pending: Pending, binding: Binding): Choice | {kind: 'unreachable'} => {
-  const record = findBound(state.routing, pending.call.service, binding);
+const chooseBound = (state: OutboundState, pending: Pending, binding: Binding, now: number): Choice | {kind: 'unreachable'} => {
+  const record = findBound(state.routing, pending.call.service, binding, now);
   if (record === undefined) {
     return {kind: 'unreachable'};
   }
@@ -143,7 +141,7 @@
     return chooseFree(state, pending, moment);
   }
 
-  const bound = chooseBound(state, pending, pending.binding);
+  const bound = chooseBound(state, pending, pending.binding, moment.now);
   if (bound.kind === 'chosen' || pending.clientBound) {
     return bound;
   }
@@ -206,7 +204,7 @@
   }
 };
 
-const refusal = (state: OutboundState, {call}: Arrival): OutboundRejection | undefined => {
+const refusal = (state: OutboundState, {call, boundEndpoint}: Arrival): OutboundRejection | undefined => {
   if (call.remainingMs <= 0) {
     return 'deadline';
   }
@@ -215,16 +213,16 @@
     return 'hop-limit';
   }
 
-  return state.routing.services.has(call.service) ? undefined : 'no-backend-server';
+  return boundEndpoint !== undefined || state.routing.services.has(call.service) ? undefined : 'no-backend-server';
 };
 
 const accept = (state: OutboundState, event: Arrival, fraction: number, now: number): Pending => {
-  const {callId, call, parentCallId, boundHost} = event;
+  const {callId, call, parentCallId, boundHost, boundIncarnation, boundEndpoint} = event;
   const pending: Pending = {
     callId,
     call,
     parentCallId,
-    binding: boundHost === undefined ? undefined : {host: boundHost, incarnation: event.boundIncarnation},
+    binding: boundHost === undefined ? undefined : {host: boundHost, incarnation: boundIncarnation, endpoint: boundEndpoint},
     clientBound: isClientBound(event),
     pool: joinPool(state.budgets, call, parentCallId),
     deadlineAt: now + call.remainingMs,
@@ -260,7 +258,11 @@
     return [reject(state, {...event, reason: 'admission', outcome}, moment)];
   }
 
-  creditCall(state.routing.services.get(call.service)!.bucket, retryRatio(state, call));
+  const service = state.routing.services.get(call.service);
+  if (service !== undefined) {
+    creditCall(service.bucket, retryRatio(state, call));
+  }
+
   return send(state, accept(state, event, admission.fraction, moment.now), moment);
 };
 
--- a/src/decisions/outbound/routing.ts
+++ b/src/decisions/outbound/routing.ts
@@ -225,10 +225,22 @@
   }
 };
 
-/** Finds the endpoint that a ticket is bound to. */
-export const findBound = (routing: Routing, service: string, binding: {host: string; incarnation: string | undefined}): EndpointRecord | undefined => {
+/** What a ticket is bound to. */
+export type Binding = {
+  host: string;
+  incarnation: string | undefined;
+  /** Endpoint by the ticket's own content. */
+  endpoint: Endpoint | undefined;
+};
+
+/** Finds the endpoint that a ticket is bound to. A host that is not known here is reached by the ticket's content, and gets no other calls. */
+export const findBound = (routing: Routing, service: string, binding: Binding, now: number): EndpointRecord | undefined => {
   const record = routing.services.get(service)?.byHost.get(binding.host);
-  return record?.endpoint.incarnation === binding.incarnation ? record : undefined;
+  if (record === undefined) {
+    return binding.endpoint === undefined ? undefined : {...createRecord(binding.endpoint, now, 0), present: false};
+  }
+
+  return record.endpoint.incarnation === binding.incarnation ? record : undefined;
 };
 
 /** Part of the full load that an endpoint gets, by the progress of its slow start. */
--- a/src/shared/constants.ts
+++ b/src/shared/constants.ts
@@ -24,6 +24,9 @@
 /** Header by which a response returns the unused retry budget. */
 export const RETRY_BUDGET_HEADER = 'jujubewell-retry-budget';
 
+/** Header that marks a failure that a lower hop has given up on, so that no higher hop retries it. */
+export const GAVE_UP_HEADER = 'jujubewell-gave-up';
+
 /** Header that states whether the request was run: `run`, `not-run` or `unknown`. */
 export const OUTCOME_HEADER = 'jujubewell-outcome';
 
