--- /dev/null
+++ b/src/decisions/inbound/admission.ts
@@ -0,0 +1,207 @@
+/** Computes which share of the calls of each priority and client group is admitted. */
+import {FRACTION_FLOOR} from '../../shared/constants.js';
+import type {Random} from '../../shared/random.js';
+import {
+  DEMAND_NEGLIGIBLE, DEMAND_SMOOTHING, GROUPS_MAX, HEADROOM_LOWER, HEADROOM_MAX, HEADROOM_MIN, HEADROOM_RAISE,
+  RETRY_AFTER_MIN_MS, RETRY_AFTER_WINDOW_MAX_MS, RETRY_AFTER_WINDOW_MS, UTILISATION_GOAL, WINDOW_MAX_MS,
+} from './constants.js';
+
+/** Demand of one client group within a priority. */
+export type GroupDemand = {
+  weight: number;
+  /** Work that arrived in the current window, in slot-milliseconds. */
+  arrivedMs: number;
+  /** Smoothed demand, in slot-seconds per second. */
+  demand: number;
+  fraction: number;
+  /** Names seen in the current window by an estimate that several client groups share. */
+  names?: Set<string>;
+};
+
+/** State of the admission. */
+export type Admission = {
+  /** Client groups by priority, then by name. */
+  priorities: Array<Map<string, GroupDemand> | undefined>;
+  groupCount: number;
+  /** First priority for which nothing is left. */
+  exhaustedFrom: number;
+  /** Whether the highest priority is thinned; nothing else is admitted then. */
+  isHighestThinned: boolean;
+  /** Ratio of admitted work to capacity. */
+  headroom: number;
+};
+
+/** What an admission decision needs to know of a call. */
+export type Applicant = {priority: number; group: string; admissionHash: number; fraction: number};
+
+/** What happened to the slots and the queue since the last computation. */
+export type Window = {
+  /** Time since the last computation, in milliseconds. */
+  elapsedMs: number;
+  /** Capacity in slots. */
+  capacity: number;
+  /** Share of the capacity that was in use. */
+  utilisation: number;
+  isQueueEmpty: boolean;
+  queueRejections: number;
+};
+
+/** Name of the estimate shared by the client groups beyond the limit; no client group has an empty name. */
+const OTHER_GROUPS = '';
+
+/** Creates an admission that admits everything. */
+export const createAdmission = (): Admission => ({
+  priorities: [],
+  groupCount: 0,
+  exhaustedFrom: Number.POSITIVE_INFINITY,
+  isHighestThinned: false,
+  headroom: HEADROOM_MIN,
+});
+
+const findGroup = (admission: Admission, priority: number, group: string): GroupDemand | undefined => {
+  const groups = admission.priorities[priority];
+  return groups?.get(group) ?? groups?.get(OTHER_GROUPS);
+};
+
+/** Admitted fraction of a priority and client group. */
+export const fractionOf = (admission: Admission, priority: number, group: string): number =>
+  findGroup(admission, priority, group)?.fraction ?? (priority >= admission.exhaustedFrom ? FRACTION_FLOOR : 1);
+
+const addGroup = (admission: Admission, priority: number, group: string, weight: number): GroupDemand => {
+  const groups = admission.priorities[priority] ?? new Map<string, GroupDemand>();
+  admission.priorities[priority] = groups;
+  const name = admission.groupCount < GROUPS_MAX ? group : OTHER_GROUPS;
+  const known = groups.get(name);
+  if (known !== undefined) {
+    return known;
+  }
+
+  const added: GroupDemand = {
+    weight, arrivedMs: 0, demand: 0, fraction: fractionOf(admission, priority, group),
+  };
+  if (name === OTHER_GROUPS) {
+    added.names = new Set();
+  }
+
+  groups.set(name, added);
+  admission.groupCount++;
+  return added;
+};
+
+/** Counts the demand of a call that takes `workMs` slot-milliseconds; it stands for the calls rejected upstream, too. */
+export const observeDemand = (admission: Admission, {priority, group, fraction}: Applicant, weight: number, workMs: number): void => {
+  const demand = findGroup(admission, priority, group) ?? addGroup(admission, priority, group, weight);
+  if (demand.names === undefined) {
+    demand.weight = weight;
+  } else if (demand.names.size < GROUPS_MAX) {
+    demand.names.add(group);
+  }
+
+  demand.arrivedMs += workMs / Math.max(fraction, FRACTION_FLOOR);
+};
+
+/** Tells whether a call is admitted. */
+export const isAdmitted = (admission: Admission, {priority, group, admissionHash}: Applicant): boolean =>
+  !(admission.isHighestThinned && priority > 0) && admissionHash < fractionOf(admission, priority, group);
+
+const smooth = (group: GroupDemand, elapsedMs: number): void => {
+  group.demand += DEMAND_SMOOTHING * ((group.arrivedMs / elapsedMs) - group.demand);
+  group.arrivedMs = 0;
+  if (group.names !== undefined) {
+    // Each of the groups has weight 1 in the shared estimate.
+    group.weight = Math.max(1, group.names.size);
+    group.names.clear();
+  }
+};
+
+const sum = (values: number[]): number => {
+  let total = 0;
+  for (const value of values) {
+    total += value;
+  }
+
+  return total;
+};
+
+/** Shares capacity by weighted max-min fairness and sets the fractions. */
+export const shareCapacity = (groups: GroupDemand[], capacity: number): void => {
+  const ordered = groups.toSorted((a, b) => (a.demand / a.weight) - (b.demand / b.weight));
+  let weightLeft = sum(groups.map(({weight}) => weight));
+  let capacityLeft = capacity;
+  for (const group of ordered) {
+    // No group asks less per weight than this one, so its share is final.
+    const share = Math.min(group.demand, Math.max(capacityLeft, 0) * group.weight / weightLeft);
+    group.fraction = group.demand === 0 ? 1 : Math.max(FRACTION_FLOOR, Math.min(1, share / group.demand));
+    capacityLeft -= share;
+    weightLeft -= group.weight;
+  }
+};
+
+const forgetIdleGroups = (admission: Admission, groups: Map<string, GroupDemand>): void => {
+  for (const [name, {demand}] of groups) {
+    if (demand < DEMAND_NEGLIGIBLE) {
+      groups.delete(name);
+      admission.groupCount--;
+    }
+  }
+};
+
+const computeFractions = (admission: Admission, capacity: number): void => {
+  let capacityLeft = capacity;
+  admission.exhaustedFrom = Number.POSITIVE_INFINITY;
+  for (const [priority, groups] of admission.priorities.entries()) {
+    const members = [...(groups?.values() ?? [])];
+    const demand = sum(members.map(member => member.demand));
+    shareCapacity(members, demand <= capacityLeft ? Number.POSITIVE_INFINITY : capacityLeft);
+    if (demand > capacityLeft && admission.exhaustedFrom === Number.POSITIVE_INFINITY) {
+      admission.exhaustedFrom = priority + 1;
+    }
+
+    capacityLeft = Math.max(0, capacityLeft - demand);
+  }
+
+  admission.isHighestThinned = admission.exhaustedFrom === 1;
+};
+
+const adjustHeadroom = (admission: Admission, window: Window): void => {
+  const isThinned = admission.exhaustedFrom !== Number.POSITIVE_INFINITY;
+  if (!isThinned) {
+    admission.headroom = HEADROOM_MIN;
+  } else if (window.queueRejections > 0) {
+    admission.headroom = Math.max(HEADROOM_MIN, admission.headroom * HEADROOM_LOWER);
+  } else if (window.isQueueEmpty && window.utilisation < UTILISATION_GOAL) {
+    admission.headroom = Math.min(HEADROOM_MAX, admission.headroom * HEADROOM_RAISE);
+  }
+};
+
+/** Computes the fractions at the end of a window. */
+export const updateAdmission = (admission: Admission, window: Window): void => {
+  const members = admission.priorities.flatMap(groups => [...(groups?.values() ?? [])]);
+  if (window.elapsedMs > WINDOW_MAX_MS) {
+    // Calls that arrived during a pause of the process came in at once; their rate says nothing.
+    for (const member of members) {
+      member.arrivedMs = 0;
+    }
+
+    return;
+  }
+
+  for (const member of members) {
+    smooth(member, window.elapsedMs);
+  }
+
+  for (const groups of admission.priorities) {
+    if (groups !== undefined) {
+      forgetIdleGroups(admission, groups);
+    }
+  }
+
+  adjustHeadroom(admission, window);
+  computeFractions(admission, window.capacity * admission.headroom);
+};
+
+/** Time after which a rejected caller may come back, in milliseconds; spread over a window that grows as less is admitted. */
+export const retryAfterMs = (fraction: number, random: Random): number => {
+  const windowMs = Math.min(RETRY_AFTER_WINDOW_MAX_MS, RETRY_AFTER_WINDOW_MS / Math.max(fraction, FRACTION_FLOOR));
+  return RETRY_AFTER_MIN_MS + Math.floor(random() * windowMs);
+};
