test(outbound): close gaps that removed mechanisms showed

Change: the property on retries tracks in its model whether the call may have run and draws on a parent's pool, so that tokens do not hide the rule; the spill test checks the zones of calls and the pace; the second floor, which had no effect, is gone.

--- a/src/decisions/outbound/__tests__/retry-policy.spec.ts
+++ b/src/decisions/outbound/__tests__/retry-policy.spec.ts
@@ -90,9 +90,13 @@
   const driver = createDriver(hosts(3));
   const attempts: Attempt[] = [];
   let maybeRan = false;
-  let last: OutboundAction | undefined = driver.arrive({retryBudget: 20, idempotent}, bound);
+  let sentAgain = false;
+  // The pool of a parent keeps tokens for other sub-calls, so that the rules and not a lack of tokens prevent retries.
+  driver.openParent('p', 200);
+  let last: OutboundAction | undefined = driver.arrive({idempotent}, {...bound, parentCallId: 'p'});
   for (const result of results) {
     if (last?.kind === 'attempt') {
+      sentAgain ||= maybeRan && last.ask === 1;
       attempts.push(last);
       const ledgerAnswers = result.kind === 'rejected' && !idempotent;
       maybeRan = !isRefusal(result) || (maybeRan && !ledgerAnswers);
@@ -103,7 +107,7 @@
   }
 
   return {
-    attempts, maybeRan, claimsNotRun: last !== undefined && 'outcome' in last && last.outcome === 'not-run', last,
+    attempts, maybeRan, sentAgain, claimsNotRun: last !== undefined && 'outcome' in last && last.outcome === 'not-run', last,
   };
 };
 
@@ -113,13 +117,9 @@
   t.notThrows(() => {
     fc.assert(fc.property(fc.array(anyResult, {minLength: 1, maxLength: 12}), fc.boolean(), bindings, (results, idempotent, binding) => {
       const bound = 'boundHost' in binding;
-      const {attempts, maybeRan, claimsNotRun, last} = playCall(results, idempotent && !bound, binding);
-      const doubt = results.findIndex(result => !isRefusal(result));
-      const further = attempts.slice(doubt + 1).filter(({attemptId}) => attemptId !== attempts[doubt]?.attemptId);
+      const {attempts, maybeRan, sentAgain, claimsNotRun, last} = playCall(results, idempotent && !bound, binding);
       const stays = attempts.every(({endpoint: {host}, ticketNeeded}) => host === 'a1' && !ticketNeeded);
-      // After silence the ledger of the same ticket may still refuse truthfully.
-      const once = idempotent || doubt === -1 || results[doubt]!.kind === 'silent' || further.length === 0;
-      return once && !(claimsNotRun && maybeRan) && (!bound || (stays && !(last?.kind === 'reject' && claimsNotRun)));
+      return ((idempotent && !bound) || !sentAgain) && !(claimsNotRun && maybeRan) && (!bound || (stays && !(last?.kind === 'reject' && claimsNotRun)));
     }), {numRuns: 4000, seed: 20_263});
   });
 });
--- a/src/decisions/outbound/__tests__/routing.spec.ts
+++ b/src/decisions/outbound/__tests__/routing.spec.ts
@@ -111,22 +111,23 @@
   t.deepEqual([330, 20].map(connections => inFlightLimit(endpoint('a', {slots: 40, connections}))), [50, 20]);
 });
 
-const spillAfter = (driver: Driver, seconds: number, fractions: (zone: string, index: number) => number): number[] =>
+/** Share and zone of each call over some seconds in which responses carry the given fractions. */
+const spillAfter = (driver: Driver, seconds: number, fractions: (zone: string, index: number) => number) =>
   Array.from({length: seconds * 50}, (_, index) => {
     const attempt = driver.arrive({admissionHash: 0}) as Attempt;
     driver.end(attempt, responded({fraction: fractions(attempt.endpoint.zone, index)}));
     driver.advance(20);
-    return spillShare(driver.state.routing.services.get('s')!.spill, 1, driver.now);
+    return {share: spillShare(driver.state.routing.services.get('s')!.spill, 1, driver.now), zone: attempt.endpoint.zone};
   });
 
 test('calls leave an overloaded zone step by step, return when it recovers, and do not flap', t => {
   const driver = createDriver([...hosts(3), ...hosts(3, {zone: 'b'})]);
   const noise = spillAfter(driver, 20, (_, index) => 0.9 + (0.05 * (index % 2)));
-  t.true(Math.max(...noise) < 0.05, 'equal zones exchange no calls');
-  const shares = spillAfter(driver, 10, zone => (zone === 'a' ? 0.3 : 1));
-  const jumps = shares.slice(1).map((share, index) => Math.abs(share - shares[index]!));
-  t.true(shares.at(-1)! > 0.5 && Math.max(...jumps) < 0.06, `${shares.at(-1)} ${Math.max(...jumps)}`);
-  t.true(spillAfter(driver, 20, () => 1).at(-1)! < 0.05);
+  t.true(noise.every(({share}) => share < 0.05), 'equal zones exchange no calls');
+  const spilled = spillAfter(driver, 10, zone => (zone === 'a' ? 0.3 : 1));
+  t.true(spilled[25]!.share < 0.4 && spilled.at(-1)!.share > 0.5, 'the share grows over seconds');
+  t.true(spilled.slice(-100).filter(({zone}) => zone === 'b').length > 50, 'calls follow the share');
+  t.true(spillAfter(driver, 20, () => 1).at(-1)!.share < 0.05);
 });
 
 test('two choices prefer the faster and the less loaded endpoint', t => {
--- a/src/decisions/outbound/admission-feedback.ts
+++ b/src/decisions/outbound/admission-feedback.ts
@@ -96,7 +96,7 @@
   const current = row === undefined ? 1 : recovered(row, now);
   const fall = 2 / (Math.min(SPAN_MAX, Math.max(1, response.endpoints)) + 1);
   const weight = reported < current ? fall : fall / 2;
-  const fraction = Math.max(FRACTION_FLOOR, (current * (1 - weight)) + (reported * weight));
+  const fraction = (current * (1 - weight)) + (reported * weight);
   if (fraction >= FULL) {
     feedback.rows.delete(id);
     return;
