feat(daemon): perform the complete inbound decisions

Change: the shell performs the decisions of the ticket ledger, admission and queue; failed attempts return the retry budget that is left.

--- a/src/daemon/event-log.ts
+++ b/src/daemon/event-log.ts
@@ -23,7 +23,7 @@
   priority: number;
   group: string;
   reason: string;
-  outcome: 'not-run' | 'unknown';
+  outcome: 'run' | 'not-run' | 'unknown';
   /** Admitted fraction at that moment. */
   fraction: number;
   /** What the caller can do. */
--- a/src/daemon/message.ts
+++ b/src/daemon/message.ts
@@ -36,7 +36,7 @@
 export type Rejection = {
   status: number;
   reason: string;
-  outcome: 'not-run' | 'unknown';
+  outcome: 'run' | 'not-run' | 'unknown';
   explainId: string;
   message: string;
   retryAfterMs: number;
--- a/src/daemon/receiver.ts
+++ b/src/daemon/receiver.ts
@@ -11,9 +11,10 @@
 import type {BackendServer} from '../objects/schema.js';
 import type {Policy} from '../objects/policy.js';
 import {
-  createInboundState, decideInbound, inboundFeedback, type BackendOutcome, type InboundAction, type InboundEvent,
+  createInboundState, decideInbound, inboundLoad, responseFraction, type BackendOutcome, type InboundAction, type InboundEvent,
 } from '../decisions/inbound/inbound.js';
 import type {EventLog} from './event-log.js';
+import {numberHeader} from './headers.js';
 import {
   callerGoneReply, rejectionReply, type Attempt, type Message, type Reply,
 } from './message.js';
@@ -85,16 +86,14 @@
   abort: AbortController;
   onGone: () => void;
   settled: boolean;
-  /** Lowest admitted fraction among the sub-calls. */
-  subCallFraction: number;
-  /** Calls with the same ticket or attempt that wait for this one's reply. */
-  followers: Entry[];
+  /** Retry budget that the call has not used. */
+  retryBudget: number;
 };
 
-type Cause = {reason: RejectionReason; outcome: 'not-run' | 'unknown'; retryAfterMs: number; fraction: number};
+type Cause = {reason: RejectionReason; outcome: 'run' | 'not-run' | 'unknown'; retryAfterMs: number; fraction: number};
 
-const NOT_STORED: Cause = {
-  reason: 'response-not-stored', outcome: 'unknown', retryAfterMs: 0, fraction: 1,
+const NOT_KEPT: Cause = {
+  reason: 'response-not-kept', outcome: 'run', retryAfterMs: 0, fraction: 1,
 };
 
 const TOKEN_BYTES = 12;
@@ -120,23 +119,6 @@
   }
 };
 
-const failureOf = (attempt: Exclude<Attempt, {kind: 'replied'}>): {reason: RejectionReason; outcome: 'not-run' | 'unknown'} => {
-  switch (attempt.kind) {
-    case 'not-connected': {
-      return {reason: 'backend-unreachable', outcome: 'not-run'};
-    }
-
-    case 'timed-out': {
-      return {reason: 'backend-timeout', outcome: 'unknown'};
-    }
-
-    case 'silent':
-    case 'lost': {
-      return {reason: 'backend-lost', outcome: 'unknown'};
-    }
-  }
-};
-
 /** Creates the inbound side of a process. */
 export const createReceiver = (options: ReceiverOptions): Receiver => {
   const {clock, metrics, eventLog} = options;
@@ -173,27 +155,25 @@
       part: 'inbound', requestId: call.requestId, service: call.service, requestKind: call.requestKind, priority: call.priority, group: call.group, reason, outcome, fraction, remedy: message,
     });
     return rejectionReply({
-      status, reason, outcome, explainId, message, retryAfterMs, fraction, retryBudget: call.retryBudget,
-    }, {[LOAD_HEADER]: inboundFeedback(state, call).load.toFixed(3)});
+      status, reason, outcome, explainId, message, retryAfterMs, fraction, retryBudget: entry.retryBudget,
+    }, {[LOAD_HEADER]: inboundLoad(state).toFixed(3)});
   };
 
-  const withFeedback = (entry: Entry, reply: Reply, rest: ParentRest): Reply => {
-    const feedback = inboundFeedback(state, entry.call);
-    return {
-      ...reply,
-      headers: {
-        ...reply.headers,
-        [OUTCOME_HEADER]: reply.headers[OUTCOME_HEADER] ?? 'run',
-        [FRACTION_HEADER]: String(Math.min(feedback.fraction, entry.subCallFraction)),
-        [LOAD_HEADER]: feedback.load.toFixed(3),
-        [RETRY_BUDGET_HEADER]: String(rest.retryBudget),
-        ...(rest.gaveUp && {[GAVE_UP_HEADER]: '1'}),
-      },
-    };
-  };
+  const withFeedback = (entry: Entry, reply: Reply, rest: ParentRest): Reply => ({
+    ...reply,
+    headers: {
+      ...reply.headers,
+      [OUTCOME_HEADER]: reply.headers[OUTCOME_HEADER] ?? 'run',
+      [FRACTION_HEADER]: String(responseFraction(state, entry.callId)),
+      [LOAD_HEADER]: inboundLoad(state).toFixed(3),
+      [RETRY_BUDGET_HEADER]: String(rest.retryBudget),
+      ...(rest.gaveUp && {[GAVE_UP_HEADER]: '1'}),
+    },
+  });
 
+  /** Keeps the reply until the decision says that it is no longer needed; callers that joined get it, too. */
   const storeReply = (entry: Entry, reply: Reply): number | undefined => {
-    if (entry.ticket === undefined || !Buffer.isBuffer(reply.body)) {
+    if (!Buffer.isBuffer(reply.body)) {
       return undefined;
     }
 
@@ -204,17 +184,15 @@
   const finish = (entry: Entry, attempt: Attempt, durationMs: number) => {
     const outcome = outcomeOf(attempt, durationMs);
     const rest = options.closeParent(entry.callId);
+    entry.retryBudget = rest.retryBudget;
     const reply = attempt.kind === 'replied' ? withFeedback(entry, attempt.reply, rest) : undefined;
     const responseBytes = reply === undefined ? undefined : storeReply(entry, reply);
     apply({
       kind: 'backend-ended', callId: entry.callId, outcome, ...(responseBytes !== undefined && {responseBytes}),
     });
-    const failure = attempt.kind === 'replied' ? undefined : failureOf(attempt);
-    const result = reply ?? rejection(entry, {...failure!, retryAfterMs: 0, fraction: inboundFeedback(state, entry.call).fraction});
-    const followers = entry.followers.splice(0);
-    settle(entry, result);
-    for (const follower of followers) {
-      settle(follower, Buffer.isBuffer(result.body) ? result : rejection(follower, NOT_STORED));
+    // Failed attempts are settled by the rejections that the decision returns.
+    if (reply !== undefined) {
+      settle(entry, reply);
     }
   };
 
@@ -242,36 +220,20 @@
       });
     if (attempt.kind === 'replied' && !Buffer.isBuffer(attempt.reply.body)) {
       // The slot stays taken until the last byte has passed; the reply is passed on meanwhile.
-      const reply = withFeedback(entry, attempt.reply, options.closeParent(entry.callId));
-      const {body} = attempt.reply;
+      settle(entry, withFeedback(entry, attempt.reply, options.closeParent(entry.callId)));
+      const {status, body} = attempt.reply;
       body.once('close', () => {
-        apply({kind: 'backend-ended', callId: entry.callId, outcome: {kind: 'responded', status: reply.status, durationMs: clock.now() - sentAt}});
+        apply({kind: 'backend-ended', callId: entry.callId, outcome: {kind: 'responded', status, durationMs: clock.now() - sentAt}});
       });
-      const followers = entry.followers.splice(0);
-      settle(entry, reply);
-      for (const follower of followers) {
-        settle(follower, rejection(follower, NOT_STORED));
-      }
-
       return;
     }
 
     finish(entry, attempt, clock.now() - sentAt);
   };
 
-  const join = (entry: Entry, leaderId: string) => {
-    const leader = entries.get(leaderId);
-    if (leader === undefined) {
-      settle(entry, rejection(entry, NOT_STORED));
-      return;
-    }
-
-    leader.followers.push(entry);
-  };
-
   const replay = (entry: Entry, leaderId: string) => {
     const reply = storedReplies.get(leaderId);
-    settle(entry, reply ?? rejection(entry, NOT_STORED));
+    settle(entry, reply ?? rejection(entry, NOT_KEPT));
   };
 
   const perform = (action: InboundAction) => {
@@ -295,11 +257,7 @@
       }
 
       case 'join': {
-        const entry = entries.get(action.callId);
-        if (entry !== undefined) {
-          join(entry, action.leaderId);
-        }
-
+        // The call waits for the `replay` or `reject` that follows.
         break;
       }
 
@@ -358,12 +316,12 @@
     };
 
     const entry: Entry = {
-      ...request, callId, token: '', arrivedAt: clock.now(), resolve, abort: new AbortController(), onGone, settled: false, subCallFraction: 1, followers: [],
+      ...request, callId, token: '', arrivedAt: clock.now(), resolve, abort: new AbortController(), onGone, settled: false, retryBudget: request.call.retryBudget,
     };
     entries.set(callId, entry);
     request.signal.addEventListener('abort', onGone, {once: true});
     apply({
-      kind: 'call-arrived', callId, call: request.call, ...(request.ticket !== undefined && {ticketExpiresAt: request.ticket.expiresAt, ticketIncarnation: request.ticket.incarnation}),
+      kind: 'call-arrived', callId, call: request.call, epochMs: Date.now(), ...(request.ticket !== undefined && {ticketExpiresAt: request.ticket.expiresAt, ticketIncarnation: request.ticket.incarnation}),
     });
   });
 
@@ -382,7 +340,7 @@
     handle: async request => admit(request),
     cancelTicket(ticket, content) {
       apply({
-        kind: 'ticket-cancel-asked', askId: ticket, ticket, ticketExpiresAt: content.expiresAt,
+        kind: 'ticket-cancel-asked', askId: ticket, ticket, epochMs: Date.now(), ticketExpiresAt: content.expiresAt, ticketIncarnation: content.incarnation,
       });
       return ticketState;
     },
@@ -416,12 +374,7 @@
       apply({kind: 'sub-call-started', callId, service});
     },
     subCallEnded(callId, service, reply) {
-      const fraction = Number(reply.headers[FRACTION_HEADER] ?? 1);
-      const entry = entries.get(callId);
-      if (entry !== undefined && Number.isFinite(fraction)) {
-        entry.subCallFraction = Math.min(entry.subCallFraction, fraction);
-      }
-
+      const fraction = numberHeader(reply.headers, FRACTION_HEADER) ?? 1;
       apply({
         kind: 'sub-call-ended', callId, service, fraction,
       });
@@ -430,8 +383,10 @@
       apply({kind: 'policy-changed', policy});
     },
     tick() {
-      apply({kind: 'tick'});
-      metrics.setGauge('calls_in_flight', state.running.size);
+      apply({kind: 'tick', epochMs: Date.now()});
+      metrics.setGauge('calls_in_flight', state.runningCount);
+      metrics.setGauge('calls_waiting', state.queue.length);
+      metrics.setGauge('tickets', state.ledger.records.size);
     },
     inFlight: () => entries.size,
     async close() {
--- a/src/daemon/remedies.ts
+++ b/src/daemon/remedies.ts
@@ -12,11 +12,7 @@
   | 'ticket-other-service'
   | 'ticket-required'
   | 'unknown-call-token'
-  | 'unauthenticated-peer'
-  | 'backend-lost'
-  | 'backend-unreachable'
-  | 'backend-timeout'
-  | 'response-not-stored';
+  | 'unauthenticated-peer';
 
 /** Reason of a rejection. */
 export type RejectionReason = EntryRejection | InboundRejection | OutboundRejection;
@@ -36,7 +32,8 @@
   'backend-lost': {status: 502, message: 'the connection to the backend server was lost; ask again with the same ticket for the outcome'},
   'backend-unreachable': {status: 503, message: 'the backend server did not accept a connection; try again later'},
   'backend-timeout': {status: 504, message: 'the backend server did not respond before the deadline; ask again with the same ticket for the outcome'},
-  'response-not-stored': {status: 410, message: 'the request ran, but its response was too large to be stored; read its result from the service'},
+  'response-not-kept': {status: 410, message: 'the request ran, but its response was too large to be kept; read its result from the service'},
+  'outcome-unknown': {status: 502, message: 'the request was sent to the backend server and its outcome is unknown; read it from the service before asking for a new ticket'},
   admission: {status: 503, message: 'the service is overloaded and serves more urgent work first; try again after the stated time'},
   'queue-time': {status: 503, message: 'the queue is longer than the request may wait; try again after the stated time'},
   displaced: {status: 503, message: 'more urgent work took the place in the queue; try again after the stated time'},
