test(inbound): check the total size of stored responses

Cause: with the total size limit removed from the ledger, every test passed. Change: a case that ends two responses which fit one by one but not together.

--- a/src/decisions/inbound/__tests__/inbound.spec.ts
+++ b/src/decisions/inbound/__tests__/inbound.spec.ts
@@ -116,3 +116,10 @@
   t.is(responseFraction(driver.state, 'a'), 0.25);
   t.is(inboundLoad(driver.state), 0.25);
 });
+
+test('stored responses exceed their total size', t => {
+  const driver = createDriver(2, [], {ledgerLimits: {totalBytes: 150}});
+  const actions = ['a', 'b'].flatMap(callId => [...driver.arrive(callId, {ticket: callId}), ...driver.end(callId, 200, 90)]);
+  t.deepEqual(brief(actions), ['dispatch a', 'dispatch b', 'forget b']);
+  t.is(driver.state.ledger.storedBytes, 90);
+});
