--- a/src/emulator/platform/emulator.ts
+++ b/src/emulator/platform/emulator.ts
@@ -413,7 +413,14 @@
     }
 
     count(request, target);
+    const outageAtArrival = faults.outage;
     await sleep(latencyMs + faults.slowMs);
+    // A call that arrived during an outage fails although the outage has ended since, so that it never takes effect later.
+    if (outageAtArrival !== 'none' && faults.outage === 'none') {
+      response.destroy();
+      return;
+    }
+
     switch (faults.outage) {
       case 'refuse': {
         response.destroy();
