--- a/src/emulator/platform/emulator.ts
+++ b/src/emulator/platform/emulator.ts
@@ -412,16 +412,11 @@
       return;
     }
 
+    // The outage at arrival decides, so that a call that is counted during an outage never takes effect.
+    const {outage, slowMs} = faults;
     count(request, target);
-    const outageAtArrival = faults.outage;
-    await sleep(latencyMs + faults.slowMs);
-    // A call that arrived during an outage fails although the outage has ended since, so that it never takes effect later.
-    if (outageAtArrival !== 'none' && faults.outage === 'none') {
-      response.destroy();
-      return;
-    }
-
-    switch (faults.outage) {
+    await sleep(latencyMs + slowMs);
+    switch (outage) {
       case 'refuse': {
         response.destroy();
         break;
