feat(measure): run scenarios against jujubewelld and the baseline

The bound of what the slots allow is a fluid model over the same offered requests. A preloaded module lets the connections open into a listener go silent, which needs no change of the measured programs. The load tool uses one abort controller per sending, because signals joined with AbortSignal.any cost too much at some thousand a second.

--- a/src/load/device.ts
+++ b/src/load/device.ts
@@ -8,8 +8,8 @@
   respectsRetryAfter: boolean;
   /** Connections of the present life of the device. */
   agent: () => Agent;
-  /** Signal that aborts when the present life of the device ends. */
-  life: () => AbortSignal;
+  /** Calls back when the device restarts; returns the way to stop that. */
+  onRestart: (callback: () => void) => () => void;
   /** Drops all connections and everything in flight on them, and starts anew. */
   restart: () => void;
   /** Reconnects: later requests use new connections, requests in flight end on the old ones. */
@@ -31,18 +31,25 @@
     connections: options.connections, pipelining: 1, headersTimeout: 0, bodyTimeout: 0,
   });
   let agent = createAgent();
-  let life = new AbortController();
+  const callbacks = new Set<() => void>();
   return {
     index: options.index,
     respectsRetryAfter: options.respectsRetryAfter,
     agent: () => agent,
-    life: () => life.signal,
+    onRestart(callback) {
+      callbacks.add(callback);
+      return () => {
+        callbacks.delete(callback);
+      };
+    },
     restart() {
-      const [oldLife, oldAgent] = [life, agent];
-      life = new AbortController();
+      const old = agent;
       agent = createAgent();
-      oldLife.abort();
-      void oldAgent.destroy();
+      for (const callback of callbacks) {
+        callback();
+      }
+
+      void old.destroy();
     },
     reconnect() {
       const old = agent;
--- a/src/load/sending.ts
+++ b/src/load/sending.ts
@@ -78,8 +78,17 @@
 export const send = async (sending: Sending): Promise<SendingResult> => {
   const {arrival, device, entry} = sending;
   const {kind} = arrival;
-  const life = device.life();
-  const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(sending.timeoutMs)));
+  const abort = new AbortController();
+  let abortedBy: 'restarted' | 'timed-out' | undefined;
+  const abortBy = (cause: 'restarted' | 'timed-out') => {
+    abortedBy ??= cause;
+    abort.abort();
+  };
+
+  const forget = device.onRestart(() => {
+    abortBy('restarted');
+  });
+  const timer = setTimeout(abortBy, Math.max(1, Math.ceil(sending.timeoutMs)), 'timed-out');
   let headArrived = false;
   try {
     const response = await device.agent().request({
@@ -88,20 +97,15 @@
       path: `/${kind.service}${kind.path.replace('*', arrival.id)}`,
       headers: headersOf(sending),
       body: kind.method === 'GET' ? undefined : encodeMessage(arrival.id, kind.service, kind.bodyBytes),
-      signal: AbortSignal.any([life, timeout]),
+      signal: abort.signal,
     });
     headArrived = response.statusCode === 200;
     const body = Buffer.from(await response.body.arrayBuffer());
     return response.statusCode === 200 ? judgeBody(body, arrival) : rejection(response.statusCode, response.headers);
   } catch {
-    if (life.aborted) {
-      return {kind: 'restarted'};
-    }
-
-    if (timeout.aborted) {
-      return {kind: 'timed-out'};
-    }
-
-    return {kind: headArrived ? 'truncated' : 'broken'};
+    return {kind: abortedBy ?? (headArrived ? 'truncated' : 'broken')};
+  } finally {
+    clearTimeout(timer);
+    forget();
   }
 };
--- /dev/null
+++ b/src/measure/figures.ts
@@ -0,0 +1,226 @@
+/**
+Figures of one system in one scenario, computed from the records of clients and of backend servers.
+
+"In the trigger" means scheduled between the beginning and the end of the scenario's trigger. Work
+of a request is the slot time that it needs over all services at normal speed (`workOf`).
+
+- `goodputRatio`: work of the completed requests in the trigger, over the work that the slots
+  allow of them (`boundOf`).
+- `recoverySeconds`: from the end of the trigger to the first of four consecutive windows of 250 ms in
+  which the share of completed requests (by scheduled time) is at least 99 % of that before the
+  trigger and the median latency at most twice that before it. When that never happens, it is the
+  time to the end of the load and `recovered` is false.
+- `ranks`: per priority, `successRatio` is completed over offered requests in the trigger, and
+  `p99Milliseconds` the latency of the completed ones from their scheduled time.
+- `otherWorkRatio`: work of the completed requests in the trigger that do not belong to the flood, over
+  what the slots allow of them when priorities and group weights are kept; null when the slots
+  allow nothing of them.
+- `retriesPerRequestMax`: the largest number of repeated calls of one client request at backend servers that
+  processes made, resends by the client excluded. Per sending of the client and place in the
+  tree of calls, it is the number of calls that arrived, less the runs of the calling place.
+  Attempts that failed before they reached a backend server are not seen.
+- `duplicateRuns`: runs beyond the first of the same non-idempotent request by the id inside its
+  body, over all backend servers.
+- `falseNotRun`: non-idempotent requests that a client received a `not-run` rejection for after a backend
+  server had begun to run it. `notRunAnswers` is the number of such rejections; a system that never
+  states an outcome has none of either.
+- `truncatedAnswers`: responses with status 200 that were not whole or belonged to another request.
+- `cutRequests`: sendings whose connection broke before a response, the client's own restarts and
+  timeouts excluded.
+- `wastedWorkRatio`: share of the slot time of backend servers that was not spent on the first completed run of a
+  call that belongs to a completed request.
+*/
+import {countDuplicateRuns, type Run} from '../emulator/backend-server/runs.js';
+import {latencyHistogram, type RequestRecord} from '../load/results.js';
+import {
+  boundOf, STEP_MS, workOf, type Cohort, type Conditions, type ServedCohort,
+} from './bound.js';
+import type {MeasuredDeployment} from './deployments.js';
+import type {Scenario} from './scenario.js';
+
+/** Service that one priority received. */
+export type RankFigures = {priority: number; offered: number; successRatio: number; p99Milliseconds: number};
+
+/** Figures of a system in a scenario; the module comment defines each. */
+export type Figures = {
+  goodputRatio: number;
+  recoverySeconds: number;
+  recovered: boolean;
+  ranks: RankFigures[];
+  otherWorkRatio: number | null;
+  retriesPerRequestMax: number;
+  duplicateRuns: number;
+  falseNotRun: number;
+  notRunAnswers: number;
+  truncatedAnswers: number;
+  cutRequests: number;
+  wastedWorkRatio: number;
+};
+
+/** Everything recorded in a run. */
+export type Recorded = {
+  deployment: MeasuredDeployment;
+  scenario: Scenario;
+  conditions: Conditions;
+  /** Start of the schedule, in milliseconds since the Unix epoch. */
+  startedAt: number;
+  requests: readonly RequestRecord[];
+  runs: readonly Run[];
+};
+
+const WINDOW_MS = 250;
+const STEADY_WINDOWS = 4;
+const RECOVERED_SUCCESS = 0.99;
+const RECOVERED_LATENCY = 2;
+
+const scheduledBetween = (requests: readonly RequestRecord[], fromMs: number, toMs: number): RequestRecord[] =>
+  requests.filter(({scheduledMs}) => scheduledMs >= fromMs && scheduledMs < toMs);
+
+const successRatio = (requests: readonly RequestRecord[]): number =>
+  requests.length === 0 ? 1 : requests.filter(({completed}) => completed).length / requests.length;
+
+const latencyAt = (requests: readonly RequestRecord[], percentile: number): number =>
+  requests.some(({completed}) => completed) ? latencyHistogram(requests).getValueAtPercentile(percentile) / 1000 : 0;
+
+const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
+
+const cohortsOf = (requests: readonly RequestRecord[]): Cohort[] => {
+  const cohorts = new Map<string, Cohort>();
+  for (const {kind, group, scheduledMs} of requests) {
+    const step = Math.floor(scheduledMs / STEP_MS);
+    const key = `${kind}/${group}/${step}`;
+    const cohort = cohorts.get(key) ?? {
+      kind, group, step, offered: 0,
+    };
+    cohort.offered++;
+    cohorts.set(key, cohort);
+  }
+
+  return [...cohorts.values()];
+};
+
+type Belongs = (work: {kind: string; group: string}) => boolean;
+
+const floodOf = ({deployment, scenario}: Recorded): Belongs => {
+  const lowest = Math.max(...deployment.offered.map(({priority}) => priority));
+  const kinds = scenario.flood === undefined
+    ? deployment.offered.filter(({priority}) => priority === lowest).map(({kind}) => kind)
+    : scenario.flood.kinds;
+  const groups = scenario.flood?.groups;
+  return work => (kinds?.includes(work.kind) ?? true) && (groups?.includes(work.group) ?? true);
+};
+
+/** Completed work over the work that the slots allow; null when they allow none. */
+const workRatio = (recorded: Recorded, bound: readonly ServedCohort[], belongs: Belongs): number | null => {
+  const {deployment, scenario: {trigger}} = recorded;
+  const work = new Map(deployment.offered.map(offered => [offered.kind, workOf(deployment, offered)]));
+  const completed = scheduledBetween(recorded.requests, trigger.fromMs, trigger.toMs).filter(request => request.completed && belongs(request));
+  const allowed = bound.filter(cohort => cohort.step * STEP_MS >= trigger.fromMs && cohort.step * STEP_MS < trigger.toMs && belongs(cohort));
+  const allowedWork = sum(allowed.map(({kind, served}) => served * work.get(kind)!));
+  return allowedWork === 0 ? null : sum(completed.map(({kind}) => work.get(kind)!)) / allowedWork;
+};
+
+const recoveryOf = ({requests, scenario}: Recorded): Pick<Figures, 'recoverySeconds' | 'recovered'> => {
+  const {trigger, durationMs} = scenario;
+  const before = scheduledBetween(requests, 0, trigger.fromMs);
+  const neededSuccess = successRatio(before) * RECOVERED_SUCCESS;
+  const allowedLatency = latencyAt(before, 50) * RECOVERED_LATENCY;
+  const count = Math.floor((durationMs - trigger.toMs) / WINDOW_MS);
+  const good = Array.from({length: count}, (_, index) => {
+    const fromMs = trigger.toMs + (index * WINDOW_MS);
+    const window = scheduledBetween(requests, fromMs, fromMs + WINDOW_MS);
+    return successRatio(window) >= neededSuccess && latencyAt(window, 50) <= allowedLatency;
+  });
+  const first = good.findIndex((_, index) => index + STEADY_WINDOWS <= good.length && good.slice(index, index + STEADY_WINDOWS).every(Boolean));
+  return first === -1
+    ? {recoverySeconds: (durationMs - trigger.toMs) / 1000, recovered: false}
+    : {recoverySeconds: first * WINDOW_MS / 1000, recovered: true};
+};
+
+const ranksOf = ({requests, scenario: {trigger}, deployment}: Recorded): RankFigures[] =>
+  [...new Set(deployment.offered.map(({priority}) => priority))].sort((a, b) => a - b).map(priority => {
+    const own = scheduledBetween(requests, trigger.fromMs, trigger.toMs).filter(request => request.priority === priority);
+    return {
+      priority, offered: own.length, successRatio: successRatio(own), p99Milliseconds: latencyAt(own, 99),
+    };
+  });
+
+const groupBy = <Item>(items: readonly Item[], keyOf: (item: Item) => string): Map<string, Item[]> => {
+  const groups = new Map<string, Item[]>();
+  for (const item of items) {
+    const key = keyOf(item);
+    const group = groups.get(key);
+    if (group === undefined) {
+      groups.set(key, [item]);
+    } else {
+      group.push(item);
+    }
+  }
+
+  return groups;
+};
+
+const parentPath = (callPath: string): string => callPath.includes('/') ? callPath.slice(0, callPath.lastIndexOf('/')) : '';
+
+/** Repeated calls of one sending, over its whole tree. */
+const retriesOfSending = (calls: readonly Run[]): number => {
+  const places = groupBy(calls, ({callPath}) => callPath);
+  return sum([...places].map(([callPath, arrived]) => {
+    const expected = callPath === '' ? 1 : (places.get(parentPath(callPath)) ?? []).filter(({startedAt}) => startedAt !== undefined).length;
+    // A caller that was lost with its record still made one call.
+    return Math.max(0, arrived.length - Math.max(1, expected));
+  }));
+};
+
+/** Largest number of repeated calls that processes made for one request. */
+export const retriesPerRequestMax = (runs: readonly Run[]): number => {
+  const requests = groupBy(runs, ({requestId}) => requestId);
+  const retries = [...requests.values()].map(calls => sum([...groupBy(calls, ({sending}) => String(sending)).values()].map(sending => retriesOfSending(sending))));
+  return retries.sort((a, b) => a - b).at(-1) ?? 0;
+};
+
+/** Non-idempotent requests that were rejected as not run after they had begun to run. */
+export const countFalseNotRun = ({requests, runs, startedAt}: Pick<Recorded, 'requests' | 'runs' | 'startedAt'>): number => {
+  const firstRun = new Map<string, number>();
+  for (const run of runs) {
+    if (run.callPath === '' && !run.idempotent && run.startedAt !== undefined) {
+      firstRun.set(run.bodyId, Math.min(firstRun.get(run.bodyId) ?? Infinity, run.startedAt));
+    }
+  }
+
+  return requests.filter(request => !request.idempotent
+    && request.notRunAtMs.some(atMs => startedAt + atMs > (firstRun.get(request.id) ?? Infinity))).length;
+};
+
+/** Share of slot time that did not serve a completed request. */
+export const wastedWorkRatio = (requests: readonly RequestRecord[], runs: readonly Run[]): number => {
+  const completed = new Set(requests.filter(request => request.completed).map(({id}) => id));
+  const useful = new Map<string, number>();
+  for (const run of runs.filter(({requestId, end}) => end === 'completed' && completed.has(requestId))) {
+    const key = `${run.requestId} ${run.callPath} ${run.service}`;
+    useful.set(key, useful.get(key) ?? run.slotMs);
+  }
+
+  const total = sum(runs.map(({slotMs}) => slotMs));
+  return total === 0 ? 0 : 1 - (sum([...useful.values()]) / total);
+};
+
+/** Computes the figures of a run. */
+export const computeFigures = (recorded: Recorded): Figures => {
+  const {deployment, conditions, requests, runs} = recorded;
+  const bound = boundOf(deployment, cohortsOf(requests), conditions);
+  const inFlood = floodOf(recorded);
+  return {
+    goodputRatio: workRatio(recorded, bound, () => true) ?? 1,
+    ...recoveryOf(recorded),
+    ranks: ranksOf(recorded),
+    otherWorkRatio: workRatio(recorded, bound, work => !inFlood(work)),
+    retriesPerRequestMax: retriesPerRequestMax(runs),
+    duplicateRuns: countDuplicateRuns(runs),
+    falseNotRun: countFalseNotRun(recorded),
+    notRunAnswers: sum(requests.filter(({idempotent}) => !idempotent).map(({notRunAtMs}) => notRunAtMs.length)),
+    truncatedAnswers: sum(requests.map(({truncated, swapped}) => truncated + swapped)),
+    cutRequests: sum(requests.map(({cut}) => cut)),
+    wastedWorkRatio: wastedWorkRatio(requests, runs),
+  };
+};
--- /dev/null
+++ b/src/measure/ports.ts
@@ -0,0 +1,34 @@
+/** Free loopback ports for child processes. */
+import {createServer} from 'node:net';
+import process from 'node:process';
+
+/** Outgoing connections take local ports from 32768 up on Linux; listeners stay below, so that none is taken meanwhile. */
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 20_000;
+
+const isFree = async (port: number): Promise<boolean> => new Promise(resolve => {
+  const server = createServer();
+  server.once('error', () => {
+    resolve(false);
+  });
+  server.listen(port, '127.0.0.1', () => {
+    server.close(() => {
+      resolve(true);
+    });
+  });
+});
+
+/** Hands out free loopback addresses, `ip:port`, each only once. */
+export type Ports = {next: () => Promise<string>};
+
+/** Creates a source of addresses; several measuring processes begin at different ports. */
+export const createPorts = (): Ports => {
+  let offset = (process.pid * 211) % PORT_COUNT;
+  const next = async (): Promise<string> => {
+    offset = (offset + 1) % PORT_COUNT;
+    const port = FIRST_PORT + offset;
+    return await isFree(port) ? `127.0.0.1:${port}` : next();
+  };
+
+  return {next};
+};
--- /dev/null
+++ b/src/measure/system.ts
@@ -0,0 +1,233 @@
+/** Starts a deployment with one of the two systems as real processes on loopback. */
+import {
+  mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {request} from 'undici';
+import type {CounterReport} from '../emulator/backend-server/counters.js';
+import type {Run} from '../emulator/backend-server/runs.js';
+import type {BackendServerSettingsInput, Control} from '../emulator/backend-server/settings.js';
+import type {NaiveSettingsInput} from '../naive/settings.js';
+import {CONFIGURATION_KIND, CONFIGURATION_NAME, hashObjects} from '../objects/configuration.js';
+import {declaredObjectSchema, type DeclaredObject} from '../objects/schema.js';
+import type {Child, Children} from './children.js';
+import type {DeployedService, MeasuredDeployment} from './deployments.js';
+import type {Ports} from './ports.js';
+
+/** Which system runs. */
+export type SystemKind = 'jujubewell' | 'naive';
+
+/** Addresses of one host. */
+export type HostAddresses = {
+  name: string;
+  zone: string;
+  service: DeployedService;
+  entry: string;
+  peer: string;
+  local: string;
+  admin: string;
+  backend: string;
+  backendAdmin: string;
+};
+
+/** Host with its two processes. */
+export type MeasuredHost = HostAddresses & {process: Child; backendServer: Child};
+
+/** Running system. */
+export type System = {
+  kind: SystemKind;
+  hosts: MeasuredHost[];
+  control: (host: MeasuredHost, change: Control) => Promise<void>;
+  /** Collects the records of runs of all backend servers. */
+  runs: () => Promise<Run[]>;
+  counters: () => Promise<CounterReport[]>;
+  stop: () => Promise<void>;
+};
+
+/** Options of a system. */
+export type SystemOptions = {
+  kind: SystemKind;
+  deployment: MeasuredDeployment;
+  seed: number;
+  children: Children;
+  ports: Ports;
+};
+
+/** Secret of the measured fleet; it only ever runs on loopback. */
+export const FLEET_KEY = 'measurement-fleet-key';
+
+const READY_TIMEOUT_MS = 30_000;
+const READY_POLL_MS = 100;
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+/** Work that a backend server queues before it sheds, per slot. */
+const QUEUE_PER_SLOT = 4;
+const PLAYGROUND = fileURLToPath(new URL('../../playground', import.meta.url));
+
+const addressesOf = async ({deployment, ports}: SystemOptions): Promise<HostAddresses[]> => {
+  const places = deployment.services.flatMap(service => Array.from({length: service.backendServers}, (_, index) => ({service, index})));
+  const hosts: HostAddresses[] = [];
+  for (const [count, {service, index}] of places.entries()) {
+    /* eslint-disable no-await-in-loop */
+    hosts.push({
+      name: `${service.name}-${index}`,
+      zone: ZONES[count % ZONES.length]!,
+      service,
+      entry: await ports.next(),
+      peer: await ports.next(),
+      local: await ports.next(),
+      admin: await ports.next(),
+      backend: await ports.next(),
+      backendAdmin: await ports.next(),
+    });
+    /* eslint-enable no-await-in-loop */
+  }
+
+  return hosts;
+};
+
+const portsOf = (addresses: readonly string[]): string => addresses.map(address => address.split(':')[1]).join(',');
+
+const startBackendServer = (host: HostAddresses, index: number, {children, seed}: SystemOptions): Child => {
+  const {service} = host;
+  const settings: BackendServerSettingsInput = {
+    name: host.name,
+    service: service.name,
+    address: host.backend,
+    admin: host.backendAdmin,
+    local: host.local,
+    slots: service.slots,
+    connections: service.connections,
+    overflow: {kind: 'queue', length: service.slots * QUEUE_PER_SLOT},
+    requestKinds: service.requestKinds,
+    seed: (seed * 1000) + index,
+  };
+  return children.start({name: `backend server ${host.name}`, program: 'emulator/backend-server/main.js', argument: JSON.stringify(settings)});
+};
+
+const startNaive = (host: HostAddresses, hosts: readonly HostAddresses[], {children, deployment}: SystemOptions): Child => {
+  const settings: NaiveSettingsInput = {
+    entry: host.entry,
+    local: host.local,
+    services: deployment.services.map(({name}) => ({name, backendServers: hosts.filter(({service}) => service.name === name).map(({backend}) => backend)})),
+    connectionsPerBackendServer: Math.floor(Math.min(...deployment.services.map(({connections}) => connections)) / hosts.length),
+  };
+  return children.start({
+    name: `naive proxy ${host.name}`, program: 'naive/main.js', argument: JSON.stringify(settings), preload: 'measure/silent-connections.js', environment: {SILENT_PORTS: portsOf([host.entry])},
+  });
+};
+
+const startDaemon = (host: HostAddresses, hosts: readonly HostAddresses[], platform: string, context: {directory: string; children: Children}): Child => {
+  const file = path.join(context.directory, `${host.name}.json`);
+  writeFileSync(file, JSON.stringify({
+    host: host.name,
+    zone: host.zone,
+    entry: host.entry,
+    peer: host.peer,
+    local: host.local,
+    admin: host.admin,
+    platform: `http://${platform}`,
+    contacts: hosts.map(({peer}) => peer),
+    fleetKey: FLEET_KEY,
+    log: {level: 'error', format: 'json'},
+  }));
+  return context.children.start({
+    name: `jujubewelld ${host.name}`, program: 'daemon/main.js', argument: file, preload: 'measure/silent-connections.js', environment: {SILENT_PORTS: portsOf([host.entry, host.peer])},
+  });
+};
+
+const readObjects = (deployment: MeasuredDeployment): DeclaredObject[] => {
+  const directory = path.join(PLAYGROUND, deployment.name);
+  return readdirSync(directory).filter(file => file.endsWith('.json')).sort()
+    .flatMap(file => declaredObjectSchema.array().parse(JSON.parse(readFileSync(path.join(directory, file), 'utf8'))));
+};
+
+const startPlatform = async ({children, deployment, ports}: SystemOptions): Promise<string> => {
+  const address = await ports.next();
+  const child = children.start({name: 'platform', program: 'emulator/platform/main.js', argument: JSON.stringify({port: Number(address.split(':')[1])})});
+  await child.firstLine();
+  const objects = readObjects(deployment);
+  const response = await request(`http://${address}/objects/${CONFIGURATION_KIND}/${CONFIGURATION_NAME}`, {
+    method: 'PUT',
+    headers: {'content-type': 'application/json', 'if-none-match': '*'},
+    body: JSON.stringify({
+      sequence: 1, hash: hashObjects(objects), acceptedAt: Date.now(), author: 'measure', writeId: 'measure-1', objects,
+    }),
+  });
+  if (response.statusCode !== 200) {
+    throw new Error(`the platform did not take the configuration: ${await response.body.text()}`);
+  }
+
+  await response.body.dump();
+  return address;
+};
+
+const getJson = async <Value>(url: string): Promise<Value | undefined> => {
+  try {
+    const response = await request(url, {signal: AbortSignal.timeout(5000)});
+    return await response.body.json() as Value;
+  } catch {
+    return undefined;
+  }
+};
+
+type NodeStatus = {fleet: {backendServers: number; sequence: number}};
+
+const waitForFleet = async (hosts: readonly MeasuredHost[]): Promise<void> => {
+  const end = Date.now() + READY_TIMEOUT_MS;
+  let seen: Array<NodeStatus | undefined> = [];
+  while (Date.now() < end) {
+    /* eslint-disable no-await-in-loop */
+    seen = await Promise.all(hosts.map(async host => getJson<NodeStatus>(`http://${host.admin}/status`)));
+    if (seen.every(status => status?.fleet.backendServers === hosts.length && status.fleet.sequence === 1)) {
+      return;
+    }
+
+    const ended = hosts.find(host => host.process.ended());
+    if (ended !== undefined) {
+      await ended.process.output();
+    }
+
+    await delay(READY_POLL_MS);
+    /* eslint-enable no-await-in-loop */
+  }
+
+  throw new Error(`the fleet was not complete after ${READY_TIMEOUT_MS} ms; seen: ${JSON.stringify(seen.map(status => status?.fleet))}`);
+};
+
+/** Starts the processes of a system and waits until all backend servers are known to all processes. */
+export const startSystem = async (options: SystemOptions): Promise<System> => {
+  const {kind, children} = options;
+  const directory = mkdtempSync(path.join(tmpdir(), 'jujubewell-measure-'));
+  const addresses = await addressesOf(options);
+  const platform = kind === 'jujubewell' ? await startPlatform(options) : '';
+  const hosts = addresses.map((host, index) => ({
+    ...host,
+    process: kind === 'jujubewell' ? startDaemon(host, addresses, platform, {directory, children}) : startNaive(host, addresses, options),
+    backendServer: startBackendServer(host, index, options),
+  }));
+  await Promise.all(hosts.map(async host => host.backendServer.firstLine()));
+  await (kind === 'jujubewell' ? waitForFleet(hosts) : Promise.all(hosts.map(async host => host.process.firstLine())));
+  return {
+    kind,
+    hosts,
+    async control(host, change) {
+      const response = await request(`http://${host.backendAdmin}/control`, {method: 'POST', body: JSON.stringify(change)});
+      await response.body.dump();
+    },
+    async runs() {
+      const records = await Promise.all(hosts.map(async host => getJson<Run[]>(`http://${host.backendAdmin}/runs`)));
+      return records.flatMap(record => record ?? []);
+    },
+    async counters() {
+      const reports = await Promise.all(hosts.map(async host => getJson<CounterReport>(`http://${host.backendAdmin}/counters`)));
+      return reports.filter(report => report !== undefined);
+    },
+    async stop() {
+      await children.stopAll();
+      rmSync(directory, {recursive: true});
+    },
+  };
+};
