--- /dev/null
+++ b/src/measure/latency.ts
@@ -0,0 +1,158 @@
+#!/usr/bin/env node
+/**
+Program: `npm run measure:latency -- [--json FILE] [--seconds N]`.
+
+Added latency of a call through two processes (entry, peer) against the same call direct to the backend
+server, in one run. At each stated rate, open-loop calls alternate between the direct path and the
+path through the processes, so that both see the same state of the machine. Latency counts from the
+scheduled start. CPU per call is the processor time of the two processes over the calls that went
+through them, less what they use when idle for the same time.
+*/
+import {writeFileSync} from 'node:fs';
+import {cpus} from 'node:os';
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {parseArgs} from 'node:util';
+import {build, type Histogram} from 'hdr-histogram-js';
+import {Agent} from 'undici';
+import {createChildren} from './children.js';
+import type {MeasuredDeployment} from './deployments.js';
+import {createPorts} from './ports.js';
+import {startSystem, type System} from './system.js';
+
+/** Latencies of one path, in milliseconds. */
+type PathFigures = {calls: number; failed: number; p50Milliseconds: number; p99Milliseconds: number};
+
+/** Figures at one rate. */
+type RateFigures = {
+  callsPerSecond: number;
+  direct: PathFigures;
+  throughProcesses: PathFigures;
+  addedP50Milliseconds: number;
+  addedP99Milliseconds: number;
+  processorMicrosecondsPerCall: number;
+};
+
+type Path = {origin: string; path: string; histogram: Histogram; calls: number; failed: number};
+
+const RATES = [100, 400, 800];
+const TICK_MS = 1;
+const SERVICE_MS = 2;
+const CONNECTIONS = 64;
+const WARM_UP_SECONDS = 2;
+
+/** One host that is called, and another whose process is the entry. */
+const deployment: MeasuredDeployment = {
+  name: 'rogge-nord',
+  services: ['statusrog', 'registro'].map(name => ({
+    name,
+    backendServers: 1,
+    slots: 64,
+    connections: 400,
+    requestKinds: [{
+      name: 'read', methods: ['GET'], path: '/channels', idempotent: true, serviceTime: {meanMs: SERVICE_MS, sigma: 0},
+    }],
+  })),
+  offered: [],
+  groups: [{name: 'clerks', share: 1, weight: 1}],
+};
+
+const {values} = parseArgs({options: {json: {type: 'string'}, seconds: {type: 'string', default: '5'}}});
+const seconds = Number(values.seconds);
+if (!(seconds > 0)) {
+  console.error('--seconds needs a number above 0');
+  process.exit(2);
+}
+
+const agent = new Agent({connections: CONNECTIONS, pipelining: 1});
+
+const createPath = (origin: string, path: string): Path => ({
+  origin, path, histogram: build({lowestDiscernibleValue: 1, highestTrackableValue: 60_000_000, numberOfSignificantValueDigits: 3}), calls: 0, failed: 0,
+});
+
+const callOnce = async (target: Path, scheduledAt: number) => {
+  target.calls++;
+  try {
+    const response = await agent.request({origin: `http://${target.origin}`, path: target.path, method: 'GET'});
+    await response.body.dump();
+    if (response.statusCode !== 200) {
+      target.failed++;
+      return;
+    }
+
+    target.histogram.recordValue(Math.max(1, Math.round((performance.now() - scheduledAt) * 1000)));
+  } catch {
+    target.failed++;
+  }
+};
+
+/** Calls both paths in turn at a rate each, without waiting for responses. */
+const callAtRate = async (paths: readonly Path[], callsPerSecond: number, forSeconds: number) => {
+  const startedAt = performance.now();
+  const count = Math.floor(callsPerSecond * forSeconds) * paths.length;
+  const gapMs = 1000 / (callsPerSecond * paths.length);
+  const running: Array<Promise<void>> = [];
+  while (running.length < count) {
+    while (running.length < count && startedAt + (running.length * gapMs) <= performance.now()) {
+      running.push(callOnce(paths[running.length % paths.length]!, startedAt + (running.length * gapMs)));
+    }
+
+    await delay(TICK_MS); // eslint-disable-line no-await-in-loop
+  }
+
+  await Promise.all(running);
+};
+
+const figuresOf = ({histogram, calls, failed}: Path): PathFigures => ({
+  calls, failed, p50Milliseconds: histogram.getValueAtPercentile(50) / 1000, p99Milliseconds: histogram.getValueAtPercentile(99) / 1000,
+});
+
+const processorMs = (system: System): number => system.hosts.map(host => host.process.cpuMs()).reduce((sum, each) => sum + each, 0);
+
+const measureRate = async (system: System, callsPerSecond: number): Promise<RateFigures> => {
+  const [target, other] = system.hosts as [System['hosts'][number], System['hosts'][number]];
+  const createPaths = () => [createPath(target.backend, '/channels'), createPath(other.entry, '/statusrog/channels')] as const;
+  await callAtRate(createPaths(), callsPerSecond, WARM_UP_SECONDS);
+  const idleBefore = processorMs(system);
+  await delay(seconds * 1000);
+  const idleMs = processorMs(system) - idleBefore;
+  const [direct, through] = createPaths();
+  const busyBefore = processorMs(system);
+  await callAtRate([direct, through], callsPerSecond, seconds);
+  const busyMs = processorMs(system) - busyBefore;
+  const [directFigures, throughFigures] = [figuresOf(direct), figuresOf(through)];
+  return {
+    callsPerSecond,
+    direct: directFigures,
+    throughProcesses: throughFigures,
+    addedP50Milliseconds: throughFigures.p50Milliseconds - directFigures.p50Milliseconds,
+    addedP99Milliseconds: throughFigures.p99Milliseconds - directFigures.p99Milliseconds,
+    processorMicrosecondsPerCall: Math.max(0, busyMs - idleMs) * 1000 / through.calls,
+  };
+};
+
+const children = createChildren();
+const results: RateFigures[] = [];
+try {
+  const system = await startSystem({
+    kind: 'jujubewell', deployment, seed: 1, children, ports: createPorts(),
+  });
+  try {
+    for (const rate of RATES) {
+      const figures = await measureRate(system, rate); // eslint-disable-line no-await-in-loop
+      results.push(figures);
+      console.log(JSON.stringify(figures));
+    }
+  } finally {
+    await system.stop();
+  }
+} finally {
+  await children.stopAll();
+  await agent.destroy();
+}
+
+if (values.json !== undefined) {
+  writeFileSync(values.json, `${JSON.stringify({
+    command: `npm run measure:latency -- ${process.argv.slice(2).join(' ')}`, node: process.version, processors: cpus().length, rates: results,
+  }, undefined, 2)}\n`);
+}
--- a/src/measure/run-scenario.ts
+++ b/src/measure/run-scenario.ts
@@ -1,7 +1,7 @@
 /** Runs one scenario against one system and computes its figures. */
 import {setTimeout as delay} from 'node:timers/promises';
 import {groupMac} from '../daemon/entry.js';
-import type {LoadResult, LoadSummary} from '../load/results.js';
+import {buildResult, type LoadResult, type LoadSummary} from '../load/results.js';
 import type {LoadSettingsInput} from '../load/settings.js';
 import type {Conditions} from './bound.js';
 import {createChildren, type Child, type Children} from './children.js';
@@ -164,8 +164,6 @@
 const goneOnPurpose = (scenario: Scenario): Set<string> => new Set(scenario.events.flatMap(event =>
   event.kind === 'lost-host' || event.kind === 'stopped-host' ? [`${event.service}-${event.index}`] : []));
 
-const mergeSummaries = (results: readonly LoadResult[]): LoadSummary[] => results.flatMap(({kinds}) => kinds);
-
 const secondsOf = (children: readonly Child[]): number =>
   children.filter(child => !child.ended()).map(child => child.cpuMs() / 1000).reduce((sum, seconds) => sum + seconds, 0);
 
@@ -194,7 +192,7 @@
         ...computeFigures({
           deployment, scenario, conditions: conditionsOf(deployment, scenario), startedAt, requests, runs: await system.runs(),
         }),
-        kinds: mergeSummaries(loads),
+        kinds: buildResult(startedAt, requests).kinds,
         offered: requests.length,
         processorSeconds,
         maxStartLateMs: Math.max(...loads.map(load => load.maxStartLateMs)),
