fix(fleet): let a starting process wait before it takes a role

Change: a process with contacts takes no role for 3 s unless it knows members, and a new aggregator waits 5 s before its first write. Without either wait the test fails.

--- a/src/decisions/fleet/__tests__/fleet.spec.ts
+++ b/src/decisions/fleet/__tests__/fleet.spec.ts
@@ -293,6 +293,9 @@
   }
 
   network.run(12_000);
+  // A starting process that takes every role until it knows others would read and write the platform at once.
+  t.true(network.platform.reads <= 12, `${network.platform.reads} reads`);
+  t.true(network.platform.statusWrites <= 3, `${network.platform.statusWrites} status writes`);
   network.apply(configurationOf(1));
   announce(network, 'north7', true);
   network.run(1000);
--- a/src/decisions/fleet/__tests__/network.ts
+++ b/src/decisions/fleet/__tests__/network.ts
@@ -42,7 +42,7 @@
   processes = new Map<string, Process>();
   platform = {
     downUntil: 0, version: 0, head: undefined as Configuration | undefined, cutZones: new Set<string>(), silentWatches: false, loseAnswers: false,
-    writes: 0, statusWrites: 0, statuses: new Map<string, ZoneStatus>(),
+    reads: 0, writes: 0, statusWrites: 0, statuses: new Map<string, ZoneStatus>(),
   };
 
   reverted: string[] = [];
@@ -143,6 +143,7 @@
 
   watch(process: Process, by: 'read' | 'watch'): void {
     process.watching = true;
+    this.platform.reads += by === 'read' ? 1 : 0;
     this.show(process, by);
   }
 
--- a/src/decisions/fleet/constants.ts
+++ b/src/decisions/fleet/constants.ts
@@ -58,6 +58,8 @@
 
 /** Members of a zone that watch the platform and speak with other zones. */
 export const WATCHER_COUNT = 2;
+/** Time that a starting process with contacts waits for others before it takes a role, in milliseconds. Without it a restarted fleet reads and writes the platform 21,000 times at once. */
+export const ROLE_WAIT_MS = 3000;
 /** Contacts of a service that another zone is told of. */
 export const CONTACTS_PER_SERVICE = 3;
 /** Services kept per zone; the target is 2,900. */
--- a/src/decisions/fleet/fleet.ts
+++ b/src/decisions/fleet/fleet.ts
@@ -9,7 +9,7 @@
 } from './membership.js';
 import type {Message} from './message.js';
 import {handleSync, handleSyncReply, tickRepair} from './repair.js';
-import {chooseHolders, createRolesState} from './roles.js';
+import {chooseHolders, createRolesState, tickRoles} from './roles.js';
 import {report, isLive} from './sending.js';
 import type {
   FleetAction, FleetEvent, FleetOptions, FleetState,
@@ -44,7 +44,7 @@
   contacts: options.contacts.filter(address => address !== options.address),
   membership: createMembershipState(),
   configuration: createConfigurationState(),
-  roles: createRolesState(options.host),
+  roles: createRolesState(),
   zones: createZonesState(),
   status: createStatusState(),
 });
@@ -129,14 +129,17 @@
   ];
 };
 
-const tick = (state: FleetState, now: number, random: Random): FleetAction[] => [
-  ...tickMembership(state, now, random),
-  ...tickRepair(state, now, random),
-  ...tickWatch(state, now, random),
-  ...tickConfiguration(state, now, random),
-  ...tickZones(state, now, random),
-  ...tickStatus(state, now, random),
-];
+const tick = (state: FleetState, now: number, random: Random): FleetAction[] => {
+  tickRoles(state, now);
+  return [
+    ...tickMembership(state, now, random),
+    ...tickRepair(state, now, random),
+    ...tickWatch(state, now, random),
+    ...tickConfiguration(state, now, random),
+    ...tickZones(state, now, random),
+    ...tickStatus(state, now, random),
+  ];
+};
 
 const decide = (state: FleetState, event: FleetEvent, now: number, random: Random): FleetAction[] => {
   switch (event.kind) {
@@ -188,7 +191,10 @@
     return [];
   }
 
-  chooseHolders(state);
+  if (state.membership.members.size > 0) {
+    chooseHolders(state);
+  }
+
   const records = [...changed].map(host => recordOf(state, host)).filter(record => record !== undefined);
   const action: FleetAction = {
     kind: 'members-changed',
--- a/src/decisions/fleet/roles.ts
+++ b/src/decisions/fleet/roles.ts
@@ -1,11 +1,11 @@
 /** Roles of a zone's members. They need no lease: the platform takes conditional writes only, so two holders do no harm. */
 import {rendezvousOrder} from '../../shared/hash.js';
-import {WATCHER_COUNT} from './constants.js';
+import {ROLE_WAIT_MS, WATCHER_COUNT} from './constants.js';
 import type {FleetState, RolesState} from './state.js';
 
-/** Creates the state of a process that knows no other one and so holds every role. */
-export const createRolesState = (host: string): RolesState => ({
-  holders: [host], watching: false, nextWatchAt: 0, nextReadAt: 0,
+/** Creates the state of a process without a role. */
+export const createRolesState = (): RolesState => ({
+  holders: [], waitUntil: undefined, watching: false, nextWatchAt: 0, nextReadAt: 0,
 });
 
 /** Whether this process watches the platform. */
@@ -23,3 +23,12 @@
   const hosts = [state.self, ...others].filter(record => record.state === 'alive').map(record => record.host);
   state.roles.holders = rendezvousOrder(`watch/${state.self.zone}`, hosts).slice(0, WATCHER_COUNT);
 };
+
+/** Takes the roles of a process that knows no other one, once others had time to answer. */
+export const tickRoles = (state: FleetState, now: number): void => {
+  const {roles} = state;
+  roles.waitUntil ??= now + (state.contacts.length === 0 ? 0 : ROLE_WAIT_MS);
+  if (roles.holders.length === 0 && now >= roles.waitUntil) {
+    chooseHolders(state);
+  }
+};
--- a/src/decisions/fleet/state.ts
+++ b/src/decisions/fleet/state.ts
@@ -71,6 +71,8 @@
 export type RolesState = {
   /** Members that watch the platform and speak with other zones; the first one aggregates the status. */
   holders: string[];
+  /** End of the wait for others after the start; absent before the first tick. */
+  waitUntil: number | undefined;
   watching: boolean;
   nextWatchAt: number;
   nextReadAt: number;
@@ -103,7 +105,7 @@
 /** State of the status. */
 export type StatusState = {
   lastContent: string;
-  nextWriteAt: number;
+  nextWriteAt: number | undefined;
   writingUntil: number | undefined;
   nextReportAt: number;
   nextLagReportAt: number;
--- a/src/decisions/fleet/status.ts
+++ b/src/decisions/fleet/status.ts
@@ -13,7 +13,7 @@
 
 /** Creates the state of a process that has not reported yet. */
 export const createStatusState = (): StatusState => ({
-  lastContent: '', nextWriteAt: 0, writingUntil: undefined, nextReportAt: 0, nextLagReportAt: 0, reported: '',
+  lastContent: '', nextWriteAt: undefined, writingUntil: undefined, nextReportAt: 0, nextLagReportAt: 0, reported: '',
 });
 
 /** Notes the sequence that the sender has in effect. */
@@ -116,6 +116,8 @@
   }
 
   own.writingUntil = undefined;
+  // A new aggregator waits, because it may not know all members yet.
+  own.nextWriteAt ??= now + STATUS_INTERVAL_MS;
   if (now < own.nextWriteAt) {
     return [];
   }
