--- a/src/measure/children.ts
+++ b/src/measure/children.ts
@@ -39,10 +39,11 @@
 /** Child processes of a measurement. */
 export type Children = {
   start: (options: ChildOptions) => Child;
-  /** Ends all that still run. */
+  /** Ends all that still run; nothing can be started afterwards. */
   stopAll: () => Promise<void>;
 };
 
+const END_SIGNALS = ['SIGINT', 'SIGTERM', 'SIGHUP'] as const;
 const STOP_TIMEOUT_MS = 8000;
 /** Unit of processor times in `/proc`, fixed at 100 per second for programs on Linux. */
 const CLOCK_TICK_MS = 10;
@@ -131,13 +132,22 @@
     }
   };
 
-  process.once('exit', killAll);
-  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
-    process.once(signal, () => {
-      killAll();
-      process.exitCode = 1;
-      process.kill(process.pid, signal);
-    });
+  const onSignal = (signal: NodeJS.Signals) => {
+    killAll();
+    forget();
+    process.kill(process.pid, signal);
+  };
+
+  const forget = () => {
+    process.off('exit', killAll);
+    for (const signal of END_SIGNALS) {
+      process.off(signal, onSignal);
+    }
+  };
+
+  process.on('exit', killAll);
+  for (const signal of END_SIGNALS) {
+    process.on(signal, onSignal);
   }
 
   return {
@@ -149,6 +159,7 @@
     async stopAll() {
       await Promise.all(children.map(async child => child.stop()));
       children.length = 0;
+      forget();
     },
   };
 };
