--- a/src/daemon/__tests__/call-path.spec.ts
+++ b/src/daemon/__tests__/call-path.spec.ts
@@ -71,11 +71,27 @@
   t.is(first.statusCode, 428);
   await first.body.dump();
   t.is(closures, 0);
-  const reply = await request(url(0, '/chiuse/closures'), {method: 'POST', body: 'gate 1', headers: {'jujubewell-ticket': String(first.headers['jujubewell-ticket'])}});
+  const headers = {'jujubewell-ticket': String(first.headers['jujubewell-ticket'])};
+  const reply = await request(url(0, '/chiuse/closures'), {method: 'POST', body: 'gate 1', headers});
   t.is(await reply.body.text(), 'recorded gate 1');
   t.is(records, 1);
 });
 
+test.serial('a booking runs once along its chain, however often it is resent and through whichever entry', async t => {
+  const before = {closures, records};
+  const first = await request(url(1, '/chiuse/closures'), {method: 'POST', body: 'gate 7'});
+  t.is(first.statusCode, 428);
+  await first.body.dump();
+  const ticket = String(first.headers['jujubewell-ticket']);
+  const resends = await Promise.all([0, 1, 0, 1].map(async host => {
+    const reply = await request(url(host, '/chiuse/closures'), {method: 'POST', body: 'gate 7', headers: {'jujubewell-ticket': ticket}});
+    return {status: reply.statusCode, text: await reply.body.text()};
+  }));
+  t.deepEqual(resends, Array.from({length: 4}, () => ({status: 200, text: 'recorded gate 7'})));
+  t.is(closures, before.closures + 1);
+  t.is(records, before.records + 1);
+});
+
 test.serial('an upload larger than the replay bound arrives whole', async t => {
   const bytes = 3 * 1024 * 1024;
   const reply = await request(url(1, '/chiuse/photos/1'), {method: 'PUT', body: Buffer.alloc(bytes, 1)});
@@ -92,7 +108,12 @@
     title: 'an unknown request kind', method: 'GET', path: '/chiuse/closures', status: 404, error: 'unknown-request-kind',
   },
   {
-    title: 'a forged ticket', method: 'POST', path: '/chiuse/closures', headers: {'jujubewell-ticket': 'chiuse.h0.i.n.1.aaaaaaaaaaaaaaaaaaaaaa'}, status: 400, error: 'forged-ticket',
+    title: 'a forged ticket',
+    method: 'POST',
+    path: '/chiuse/closures',
+    headers: {'jujubewell-ticket': 'chiuse.h0.i.127%2E0%2E0%2E1%3A1.n.1.aaaaaaaaaaaaaaaaaaaaaa'},
+    status: 400,
+    error: 'forged-ticket',
   },
   {
     title: 'a malformed ticket', method: 'POST', path: '/chiuse/closures', headers: {'jujubewell-ticket': 'x'}, status: 400, error: 'malformed-ticket',
