fix(fleet): read packed configurations, keep last changes out of peer messages

Cause: configurations above 256 Ki characters are stored packed, and the last changes of up to 500 objects would add about 60 KB to each change that processes push to each other. Change: the platform link decodes and encodes stored configurations; describeChange leaves the last changes out.

--- a/src/daemon/fleet/platform-link.ts
+++ b/src/daemon/fleet/platform-link.ts
@@ -1,6 +1,6 @@
 /** Performs the fleet's reads, watches and writes on the platform. */
 import {
-  CONFIGURATION_KIND, CONFIGURATION_NAME, configurationSchema, type Configuration,
+  CONFIGURATION_KIND, CONFIGURATION_NAME, decodeConfiguration, encodeConfiguration, type Configuration,
 } from '../../objects/configuration.js';
 import type {FleetEvent, PlatformView, ZoneStatus} from '../../decisions/fleet/fleet.js';
 import type {
@@ -34,10 +34,10 @@
     return {kind: 'configuration-read', view: {by, configuration: undefined, version: undefined}};
   }
 
-  const parsed = configurationSchema.safeParse(object.value);
-  return parsed.success
-    ? {kind: 'configuration-read', view: {by, configuration: parsed.data, version: object.version}}
-    : failureOf(`the configuration on the platform is not valid: ${parsed.error.issues[0]?.message}; apply it again with this release`);
+  const decoded = decodeConfiguration(object.value);
+  return decoded.kind === 'ok'
+    ? {kind: 'configuration-read', view: {by, configuration: decoded.value, version: object.version}}
+    : failureOf(decoded.error.message);
 };
 
 const viewOfFault = (by: PlatformView['by'], fault: PlatformFault): FleetEvent => {
@@ -145,7 +145,7 @@
     },
     async writeConfiguration(configuration, expectedVersion) {
       const result = await platform.write({
-        kind: CONFIGURATION_KIND, name: CONFIGURATION_NAME, value: configuration, expectedVersion,
+        kind: CONFIGURATION_KIND, name: CONFIGURATION_NAME, value: encodeConfiguration(configuration), expectedVersion,
       });
       onEvent(result.kind === 'ok' ? viewOf('write', result.value) : viewOfFault('write', result.error));
     },
--- a/src/decisions/fleet/configuration-change.ts
+++ b/src/decisions/fleet/configuration-change.ts
@@ -30,7 +30,8 @@
     }
   }
 
-  const {objects: _, ...head} = next;
+  // Only the command line uses the last changes, which it reads from the platform; they would add up to 60 KB to each change.
+  const {objects: _, changes: __, ...head} = next;
   return {
     baseSequence: base.sequence, baseHash: base.hash, head, pieces,
   };
