fix(cli): count zone members from the status that processes report

Cause: the status command looked for the members where an earlier process reported them and showed none. Change: it counts fleet.zone.members.

--- a/src/cli/__tests__/cli.spec.ts
+++ b/src/cli/__tests__/cli.spec.ts
@@ -198,7 +198,7 @@
   const server = createServer((request, response) => {
     const found = ['/status', '/events?after=4', '/drain', '/explain/h-1'].includes(request.url ?? '');
     response.writeHead(found ? 200 : 404).end(JSON.stringify({
-      host: 'h', inFlight: 0, fleet: {sequence}, events: [{
+      host: 'h', inFlight: 0, fleet: {sequence, zone: {members: [{}, {}]}}, events: [{
         id: 5, at: 0, kind: 'ejected', cause: 'three failures',
       }],
     }));
@@ -224,7 +224,7 @@
 test('commands for processes show what the admin listener answers', async t => {
   const admin = await startAdmin(t, 3);
   const env = {JUJUBEWELL_ADMIN: admin};
-  t.regex((await run(['status'], env)).out, /SEQUENCE\n127.* h +.*3\n$/u); // eslint-disable-line unicorn/no-await-expression-member
+  t.regex((await run(['status'], env)).out, /SEQUENCE\n127.* h +.* 0 +2 +3\n$/u); // eslint-disable-line unicorn/no-await-expression-member
   t.regex((await run(['events', '--after', '4'], env)).out, /5 .*ejected +three failures/u); // eslint-disable-line unicorn/no-await-expression-member
   t.like(await run(['drain', '--wait'], env), {code: 0});
   t.like(await run(['explain', 'h-1'], env), {code: 0});
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -17,6 +17,12 @@
   return typeof value === 'string' ? value : JSON.stringify(value);
 };
 
+/** Counts the members of the zone that the process knows. */
+const memberCount = (status: unknown): unknown => {
+  const members = memberOf(memberOf(memberOf(status, 'fleet'), 'zone'), 'members');
+  return Array.isArray(members) ? members.length : undefined;
+};
+
 const rowOf = ({address, status, fault}: Answer): string[] => fault === undefined
   ? [
     address,
@@ -25,7 +31,7 @@
     textOf(memberOf(status, 'state')),
     textOf(memberOf(memberOf(status, 'backendServer'), 'service')),
     textOf(memberOf(status, 'inFlight')),
-    textOf(memberOf(memberOf(status, 'fleet'), 'members')),
+    textOf(memberCount(status)),
     textOf(inForceSequence(status)),
   ]
   : [address, '-', '-', fault];
