fix(daemon): do not replace all connections to a slow process

Cause: under load a process sent its signs of life late; each caller took every connection to it for silent and opened new ones, whose cost slowed it further. Change: a connection counts as silent when the other end was heard on another one meanwhile, else one exchange a second tries a new connection; a late timer proves nothing; idle connections are replaced at most once a second; the time is 750 ms instead of 500.

--- a/src/daemon/peer-transports.ts
+++ b/src/daemon/peer-transports.ts
@@ -9,7 +9,7 @@
 import {createTransport, type Transport} from './transport.js';
 
 /** Time without a sign of life after which a connection to a process counts as silent, in milliseconds. */
-export const SILENCE_MS = 500;
+export const SILENCE_MS = 750;
 
 /** Proof that a process belongs to the fleet; it is bound to its host and incarnation. */
 export const peerProof = (host: string, incarnation: string, fleetKey: string): string => {
--- a/src/daemon/transport.ts
+++ b/src/daemon/transport.ts
@@ -37,6 +37,13 @@
 /** Idle connections are closed before the other end closes them, which avoids sending on a closing connection. In milliseconds. */
 const KEEP_ALIVE_MS = 4000;
 
+/** A timer that fires this late shows that this process itself is slow; silence proves nothing then. In milliseconds. */
+const LATE_TIMER_MS = 50;
+/** Time between new connections that are tried to an end that was not heard at all, in milliseconds. */
+const TRY_INTERVAL_MS = 1000;
+/** Time in which idle connections are not replaced a second time, in milliseconds. */
+const RENEW_INTERVAL_MS = 1000;
+
 const NOT_CONNECTED_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EHOSTDOWN', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT',
 ]);
@@ -47,16 +54,33 @@
 type EndCause = 'running' | 'timed-out' | 'silent' | 'gone';
 
 /** Watches an exchange: one timer for the deadline and one for silence. */
-const createWatchdog = (exchange: Exchange) => {
+const createWatchdog = (exchange: Exchange, signs: SignsOfLife) => {
   const controller = new AbortController();
   let cause: EndCause = 'running';
+  let heardAt = performance.now();
+  let silence: NodeJS.Timeout | undefined;
   const end = (reason: EndCause) => {
     cause = reason;
     controller.abort();
   };
 
   const deadline = setTimeout(end, Math.max(1, exchange.timeoutMs), 'timed-out' satisfies EndCause);
-  let silence = exchange.silenceMs === undefined ? undefined : setTimeout(end, exchange.silenceMs, 'silent' satisfies EndCause);
+  const watchSilence = (silenceMs: number) => {
+    const dueAt = performance.now() + silenceMs;
+    silence = setTimeout(() => {
+      const lateMs = performance.now() - dueAt;
+      if (lateMs < LATE_TIMER_MS && signs.isSilent(heardAt)) {
+        end('silent');
+      } else {
+        watchSilence(silenceMs);
+      }
+    }, silenceMs);
+  };
+
+  if (exchange.silenceMs !== undefined) {
+    watchSilence(exchange.silenceMs);
+  }
+
   const onGone = () => {
     end('gone');
   };
@@ -70,11 +94,12 @@
     signal: controller.signal,
     cause: () => cause,
     onSignOfLife() {
-      silence?.refresh();
+      heardAt = performance.now();
+      signs.note(heardAt);
     },
     onHead() {
+      signs.note(performance.now());
       clearTimeout(silence);
-      silence = undefined;
     },
     stop() {
       clearTimeout(deadline);
@@ -84,6 +109,43 @@
   };
 };
 
+/** What the other end was heard to do, over all connections to it. */
+type SignsOfLife = {
+  note: (at: number) => void;
+  /** Whether an exchange that last heard something at a time is on a silent connection. */
+  isSilent: (heardAt: number) => boolean;
+};
+
+/**
+Creates the signs of life of one other end.
+
+A connection is silent when the other end was heard on another one meanwhile. When nothing was heard at all, the
+other end may be slow or gone as well, so only one exchange a second tries a new connection; if that is heard, the
+others follow. Without this an overloaded process had all its connections replaced at once, which added to its load.
+*/
+const createSignsOfLife = (): SignsOfLife => {
+  let lastAt = Number.NEGATIVE_INFINITY;
+  let triedAt = Number.NEGATIVE_INFINITY;
+  return {
+    note(at) {
+      lastAt = at;
+    },
+    isSilent(heardAt) {
+      const now = performance.now();
+      if (lastAt > heardAt) {
+        return true;
+      }
+
+      if (now - triedAt < TRY_INTERVAL_MS) {
+        return false;
+      }
+
+      triedAt = now;
+      return true;
+    },
+  };
+};
+
 const declaredLength = (headers: Headers): number | undefined => {
   const text = headers['content-length'];
   return typeof text === 'string' ? Number(text) : undefined;
@@ -117,10 +179,17 @@
     headersTimeout: 0,
     bodyTimeout: 0,
   });
+  const signs = createSignsOfLife();
   let pool = createPool();
+  let renewedAt = Number.NEGATIVE_INFINITY;
 
   /** Leaves all open connections to their running exchanges and starts with new ones. */
   const renew = () => {
+    if (performance.now() - renewedAt < RENEW_INTERVAL_MS) {
+      return;
+    }
+
+    renewedAt = performance.now();
     const old = pool;
     pool = createPool();
     void closeQuietly(old);
@@ -156,7 +225,7 @@
         renew();
       }
 
-      const watchdog = createWatchdog(exchange);
+      const watchdog = createWatchdog(exchange, signs);
       try {
         return await exchangeOnce(exchange, watchdog);
       } catch (error) {
