fix(inbound): make a not-run rejection of a ticket final

Cause: a refusal before the queue, a rejection from the queue and a `not-sent` end left the ticket usable. A client that was told `not-run` could take a new ticket while a delayed copy under the first one still ran, so the request ran twice and the earlier `not-run` was false.

Change: before this process says `not-run` for a call under a ticket, the ledger records the ticket as cancelled; when the ledger is full, the outcome is `unknown` and the ticket of a queued call stays usable, that of a `not-sent` call does not. A call that leaves the queue because its caller has gone frees its ticket, since nobody was told anything and the caller may ask again. The `returned` state, `formerLeaders` and `TICKET_RETURNS_MAX` are gone. Cancelled tickets are 53-bit hashes in one Set per expiry second; a collision rejects a ticket that has not run and never will, so it stays truthful.

The case "an unsent call blocks its ticket" stated the old rule and is replaced by one that states finality.

--- a/src/decisions/inbound/__tests__/at-most-once.spec.ts
+++ b/src/decisions/inbound/__tests__/at-most-once.spec.ts
@@ -62,7 +62,8 @@
 const createObserver = () => {
   const running = new Set<string>();
   const ranTickets = new Set<number>();
-  const cancelledTickets = new Set<number>();
+  /** Tickets of which somebody was told that they did not run. */
+  const finalTickets = new Set<number>();
   const forgotten = new Set<string>();
   /** Calls that may be answered, and those of them that must be. */
   const open = new Set<string>();
@@ -86,7 +87,7 @@
     const asked = Number(action.askId);
     check((action.state !== 'cancelled' && action.state !== 'unseen') || isUntouched(asked), 'false ticket state', action);
     if (action.state === 'cancelled') {
-      cancelledTickets.add(asked);
+      finalTickets.add(asked);
     }
   };
 
@@ -96,7 +97,7 @@
       case 'dispatch': {
         check(!running.has(action.callId), 'call runs twice at a time', action);
         check(index === undefined || isUntouched(index), 'ticket runs twice', action);
-        check(index === undefined || !cancelledTickets.has(index), 'cancelled ticket runs', action);
+        check(index === undefined || !finalTickets.has(index), 'ticket runs after a "not run"', action);
         running.add(action.callId);
         break;
       }
@@ -105,6 +106,10 @@
         const isNotRun = index === undefined ? !running.has(action.callId) : isUntouched(index);
         check(action.outcome !== 'not-run' || isNotRun, 'false not-run', action);
         check(action.outcome !== 'run' || index === undefined || ranTickets.has(index), 'false run', action);
+        if (action.outcome === 'not-run' && index !== undefined) {
+          finalTickets.add(index);
+        }
+
         answer(action);
         break;
       }
@@ -141,9 +146,7 @@
       return;
     }
 
-    if (result.kind === 'not-sent') {
-      settled.add(id);
-    } else if (index !== undefined) {
+    if (result.kind !== 'not-sent' && index !== undefined) {
       ranTickets.add(index);
     }
 
@@ -156,7 +159,7 @@
   const foresee = (event: InboundEvent): void => {
     if (event.kind === 'call-arrived') {
       open.add(event.callId);
-      // A call that came back unsent has its answer, and one whose caller has gone needs none; a repeated event of it may be ignored.
+      // A call whose caller has gone needs no answer; a repeated event of it may be ignored.
       if (!settled.has(event.callId)) {
         pending.add(event.callId);
       }
@@ -177,7 +180,11 @@
   t.log(`seed ${SEED}`);
   const run = (steps: Step[]): boolean => {
     const observer = createObserver();
-    const driver = createDriver(1, [], {ledgerLimits: {records: 4, responseBytes: 100, totalBytes: 150}});
+    const driver = createDriver(1, [], {
+      ledgerLimits: {
+        records: 4, cancelled: 3, responseBytes: 100, totalBytes: 150,
+      },
+    });
     const {state} = driver;
     const follow = ({event, waitMs}: Step): void => {
       driver.now += waitMs;
@@ -186,7 +193,7 @@
         observer.observe(action);
       }
 
-      if (state.runningCount > SLOTS_MAX || state.ledger.storedBytes > 150 || state.ledger.records.size > 4) {
+      if (state.runningCount > SLOTS_MAX || state.ledger.storedBytes > 150 || state.ledger.records.size > 4 || state.ledger.cancelledCount > 3) {
         throw new Error('a bound is exceeded');
       }
     };
--- a/src/decisions/inbound/__tests__/inbound.spec.ts
+++ b/src/decisions/inbound/__tests__/inbound.spec.ts
@@ -19,9 +19,9 @@
   ['a lost call is said not to have run', 1, d => [
     ...d.arrive('a', ticket), ...d.send({kind: 'backend-ended', callId: 'a', outcome: {kind: 'lost'}}), ...d.arrive('b', ticket),
   ], ['dispatch a', 'reject a backend-lost unknown', 'reject b outcome-unknown unknown']],
-  ['an unsent call blocks its ticket', 1, d => [
+  ['a ticket runs after its call was said not to have run', 1, d => [
     ...d.arrive('a', ticket), ...d.send({kind: 'backend-ended', callId: 'a', outcome: {kind: 'not-sent'}}), ...d.arrive('a', ticket), ...d.arrive('b', ticket),
-  ], ['dispatch a', 'reject a backend-unreachable not-run', 'dispatch b']],
+  ], ['dispatch a', 'reject a backend-unreachable not-run', 'reject a ticket-cancelled not-run', 'reject b ticket-cancelled not-run']],
   ['the caller of a running ticket goes and the run is aborted', 1, d => [
     ...d.arrive('a', ticket), ...d.send({kind: 'caller-gone', callId: 'a'}), ...d.wait(200), ...d.arrive('b', ticket),
   ], ['dispatch a', 'join b a']],
@@ -55,6 +55,9 @@
   ['a queued call of a caller that has gone is dispatched', 1, d => [
     ...d.arrive('a'), ...d.arrive('b'), ...d.send({kind: 'caller-gone', callId: 'b'}), ...d.end('a'),
   ], ['dispatch a', 'forget a']],
+  ['a resend is told that its ticket is cancelled, although nobody was told "not run"', 1, d => [
+    ...d.arrive('a'), ...d.arrive('b', ticket), ...d.send({kind: 'caller-gone', callId: 'b'}), ...d.arrive('c', ticket), ...d.end('a'),
+  ], ['dispatch a', 'forget a', 'dispatch c']],
   ['events of unknown calls have an effect', 1, d => [
     ...d.end('x'),
     ...d.send({kind: 'caller-gone', callId: 'x'}),
@@ -83,7 +86,7 @@
 
 test('a record is evicted early, or kept for ever', t => {
   const driverCall = callOf({idempotent: false});
-  const driver = createDriver(3, [], {ledgerLimits: {records: 1}});
+  const driver = createDriver(3, [], {ledgerLimits: {records: 1, cancelled: 1}});
   const send = (callId: string, name: string, epochMs: number): string[] => brief(driver.send({
     kind: 'call-arrived', callId, call: {...driverCall, ticket: name}, epochMs, ticketExpiresAt: 2000, ticketIncarnation: INCARNATION,
   }));
@@ -91,11 +94,13 @@
   t.deepEqual(send('b', 't2', 1000), ['reject b ledger-full not-run']);
   driver.end('a');
   t.deepEqual(brief(driver.send({kind: 'tick', epochMs: 1999})), []);
+  t.deepEqual(send('b', 't2', 1999), ['reject b ticket-cancelled not-run']);
+  t.deepEqual(send('b', 't3', 1999), ['reject b ledger-full unknown']);
   t.deepEqual(send('c', 't1', 1999), ['replay c a']);
   t.deepEqual(brief(driver.send({kind: 'tick', epochMs: 2000})), ['forget a']);
   // The clock of the host goes back; the ticket must stay expired.
   t.deepEqual(send('d', 't1', 1000), ['reject d ticket-expired unknown']);
-  t.is(driver.state.ledger.records.size, 0);
+  t.is(driver.state.ledger.records.size + driver.state.ledger.cancelledCount + driver.state.ledger.cancelled.size, 0);
   t.deepEqual(brief(driver.send({
     kind: 'call-arrived', callId: 'e', call: {...driverCall, ticket: 't3'}, epochMs: 2000, ticketExpiresAt: 9000, ticketIncarnation: 'i0',
   })), ['reject e ticket-other-incarnation unknown']);
--- a/src/decisions/inbound/arrival.ts
+++ b/src/decisions/inbound/arrival.ts
@@ -3,7 +3,7 @@
 import type {Call} from '../../shared/call.js';
 import {isAdmitted, observeDemand} from './admission.js';
 import {
-  dispatchNext, endWaiting, join, reject, treatmentOf,
+  dispatchNext, endWaiting, join, reject, treatmentOf, unrunOutcome,
 } from './calls.js';
 import {allowedCalls} from './concurrency-limit.js';
 import {QUEUE_LENGTH_MAX, SERVICE_TIME_DEFAULT_MS} from './constants.js';
@@ -46,10 +46,6 @@
 const refuseTicket = (decision: Decision, event: EventOf<'call-arrived'>, answer: Exclude<TicketAnswer, {kind: 'new'}>): void => {
   const {callId, call} = event;
   switch (answer.kind) {
-    case 'duplicate': {
-      return;
-    }
-
     case 'join': {
       join(decision, callId, answer.leaderId);
       return;
@@ -93,19 +89,17 @@
   }
 };
 
+const refusalOfLedger = ({ledger}: InboundState, ticket: TicketReference | undefined, callId: string): InboundRejection | undefined =>
+  ticket === undefined || claimTicket(ledger, ticket, callId) ? undefined : 'ledger-full';
+
 const attemptKeyOf = ({requestId, attemptId, requestKind}: Call): string => `${requestKind} ${requestId} ${attemptId}`;
 
 const startCall = (decision: Decision, event: EventOf<'call-arrived'>, ticket: TicketReference | undefined): void => {
   const {state, now} = decision;
   const {callId, call} = event;
-  const refusal = refusalOfNew(state, call) ?? refusalUnderLoad(state, call);
+  const refusal = refusalOfNew(state, call) ?? refusalUnderLoad(state, call) ?? refusalOfLedger(state, ticket, callId);
   if (refusal !== undefined) {
-    reject(decision, callId, call, {reason: refusal, outcome: 'not-run'});
-    return;
-  }
-
-  if (ticket !== undefined && !claimTicket(state.ledger, ticket, callId)) {
-    reject(decision, callId, call, {reason: 'ledger-full', outcome: 'not-run'});
+    reject(decision, callId, call, {reason: refusal, outcome: unrunOutcome(decision, ticket)});
     return;
   }
 
@@ -144,7 +138,7 @@
   }
 
   const ticket = {ticket: call.ticket, expiresAt: event.ticketExpiresAt, incarnation: event.ticketIncarnation};
-  const answer = askTicket(state.ledger, ticket, callId);
+  const answer = askTicket(state.ledger, ticket);
   if (answer.kind === 'new') {
     startCall(decision, event, ticket);
   } else {
--- a/src/decisions/inbound/calls.ts
+++ b/src/decisions/inbound/calls.ts
@@ -8,7 +8,9 @@
 import {takeNext, type QueuedCall, type QueueVerdict} from './queue.js';
 import {neededServiceMs} from './service-times.js';
 import type {ActiveCall, Decision, InboundState} from './state.js';
-import {releaseTicket, startTicket} from './ticket-ledger.js';
+import {
+  cancelForGood, releaseTicket, startTicket, type TicketReference,
+} from './ticket-ledger.js';
 
 type Verdict = {reason: InboundRejection; outcome: RejectionOutcome};
 
@@ -40,13 +42,19 @@
   }
 };
 
-/** Ends a call that was never dispatched and is no longer in the queue. */
+/** What may be said of a call that has not run: `not-run` only once its ticket can never run, and `unknown` when the ledger is too full to record that. */
+export const unrunOutcome = ({state}: Decision, ticket: TicketReference | undefined): 'not-run' | 'unknown' =>
+  ticket === undefined || cancelForGood(state.ledger, ticket) ? 'not-run' : 'unknown';
+
+/** Ends a call that was never dispatched and is no longer in the queue; a cancellation has already been recorded. */
 export const endWaiting = (decision: Decision, active: ActiveCall, reason: InboundRejection): void => {
-  rejectCallers(decision, active, {reason, outcome: 'not-run'});
+  const {ticket, callers} = active;
+  // Without a caller nothing is said, and the caller may be about to ask again on a new connection.
+  const outcome = reason === 'ticket-cancelled' || callers.size === 0 ? 'not-run' : unrunOutcome(decision, ticket);
+  rejectCallers(decision, active, {reason, outcome});
   forgetCall(decision, active);
-  // A ticket that was cancelled while its call waited keeps its record.
-  if (active.ticket !== undefined && reason !== 'ticket-cancelled') {
-    releaseTicket(decision.state.ledger, active.ticket);
+  if (ticket !== undefined) {
+    releaseTicket(decision.state.ledger, ticket);
   }
 };
 
--- a/src/decisions/inbound/constants.ts
+++ b/src/decisions/inbound/constants.ts
@@ -98,14 +98,14 @@
 /** Time for which a running call without a caller waits for a repeated ask before it is cancelled, in milliseconds. */
 export const ABANDONED_MS = 100;
 
-/** Ticket records; at about 600 bytes each they stay below 30 MiB. */
+/** Ticket records; at 640 bytes each with the longest ticket they and the cancelled tickets stay below 40 MB. */
 export const LEDGER_RECORDS_MAX = 50_000;
 
+/** Cancelled tickets, at 38 bytes each; 56 just after a set has grown. */
+export const CANCELLED_TICKETS_MAX = 120_000;
+
 /** Size of one stored response, in bytes. */
 export const RESPONSE_BYTES_MAX = 65_536;
 
 /** Size of all stored responses, in bytes. */
 export const RESPONSES_BYTES_MAX = 33_554_432;
-
-/** Times that a ticket may return unsent from the backend server. Each one is remembered, so their number is bounded. */
-export const TICKET_RETURNS_MAX = 4;
--- a/src/decisions/inbound/ending.ts
+++ b/src/decisions/inbound/ending.ts
@@ -1,6 +1,6 @@
 /** Decides on calls that end at the backend server or whose callers go. */
 import {
-  cancelRunning, countRunning, dispatchNext, endWaiting, forgetCall, reject, rejectCallers,
+  cancelRunning, countRunning, dispatchNext, endWaiting, forgetCall, reject, rejectCallers, unrunOutcome,
 } from './calls.js';
 import {addLoadSample} from './concurrency-limit.js';
 import {ABANDONED_MS, TIMEOUT_RATIO} from './constants.js';
@@ -9,7 +9,7 @@
 import {removeQueued} from './queue.js';
 import {addServiceTime, usualServiceMs} from './service-times.js';
 import type {ActiveCall, Decision} from './state.js';
-import {endTicket, returnTicket} from './ticket-ledger.js';
+import {endTicket} from './ticket-ledger.js';
 
 /** Notes that the caller of a call has gone. */
 export const leave = (decision: Decision, {callId}: EventOf<'caller-gone'>): void => {
@@ -93,9 +93,10 @@
     }
 
     case 'not-sent': {
-      rejectCallers(decision, active, {reason: 'backend-unreachable', outcome: 'not-run'});
-      if (ticket !== undefined) {
-        returnTicket(state.ledger, ticket.ticket);
+      const outcome = unrunOutcome(decision, ticket);
+      rejectCallers(decision, active, {reason: 'backend-unreachable', outcome});
+      if (ticket !== undefined && outcome === 'unknown') {
+        endTicket(state.ledger, ticket.ticket, 'unknown');
       }
 
       return;
--- a/src/decisions/inbound/ticket-ledger.ts
+++ b/src/decisions/inbound/ticket-ledger.ts
@@ -1,26 +1,27 @@
 /** Keeps one record per ticket, so that a non-idempotent call is dispatched at most once. */
+import {hash32} from '../../shared/hash.js';
 import {
-  LEDGER_RECORDS_MAX, RESPONSE_BYTES_MAX, RESPONSES_BYTES_MAX, TICKET_RETURNS_MAX,
+  CANCELLED_TICKETS_MAX, LEDGER_RECORDS_MAX, RESPONSE_BYTES_MAX, RESPONSES_BYTES_MAX,
 } from './constants.js';
 
 /** Bounds of a ledger. */
 export type LedgerLimits = {
-  /** Ticket records. @default 50000 */
+  /** Records of tickets that wait, run or have run. @default 50000 */
   records: number;
+  /** Cancelled tickets. @default 120000 */
+  cancelled: number;
   /** Bytes of one stored response. @default 65536 */
   responseBytes: number;
   /** Bytes of all stored responses. @default 33554432 */
   totalBytes: number;
 };
 
-/** What became of a ticket. `returned`: dispatched, but the shell could send nothing to the backend server. */
-export type TicketOutcome = 'waiting' | 'running' | 'completed' | 'cancelled' | 'unknown' | 'returned';
+/** What became of a ticket that was not cancelled. */
+export type TicketOutcome = 'waiting' | 'running' | 'completed' | 'unknown';
 
 type TicketRecord = {
   outcome: TicketOutcome;
   leaderId: string;
-  /** Calls whose dispatch returned unsent. Repeated events of theirs must not start or end a later run. */
-  formerLeaders: string[];
   /** Size of the stored response, or undefined when none is stored. */
   storedBytes: number | undefined;
 };
@@ -34,6 +35,9 @@
   records: Map<string, TicketRecord>;
   /** Tickets by the second of their expiry. */
   expiries: Map<number, string[]>;
+  /** Fingerprints of cancelled tickets by the second of their expiry. */
+  cancelled: Map<number, Set<number>>;
+  cancelledCount: number;
   sweptSecond: number;
   storedBytes: number;
   /** Leader of each call in progress without a ticket, by attempt. */
@@ -51,7 +55,6 @@
 /** What a call under a ticket has to do. */
 export type TicketAnswer =
   | {kind: 'new'}
-  | {kind: 'duplicate'}
   | {kind: 'join'; leaderId: string}
   | {kind: 'replay'; leaderId: string}
   | {
@@ -67,11 +70,13 @@
 export const createTicketLedger = (incarnation: string, limits: Partial<LedgerLimits> = {}): TicketLedger => ({
   incarnation,
   limits: {
-    records: LEDGER_RECORDS_MAX, responseBytes: RESPONSE_BYTES_MAX, totalBytes: RESPONSES_BYTES_MAX, ...limits,
+    records: LEDGER_RECORDS_MAX, cancelled: CANCELLED_TICKETS_MAX, responseBytes: RESPONSE_BYTES_MAX, totalBytes: RESPONSES_BYTES_MAX, ...limits,
   },
   epochMs: 0,
   records: new Map(),
   expiries: new Map(),
+  cancelled: new Map(),
+  cancelledCount: 0,
   sweptSecond: 0,
   storedBytes: 0,
   attempts: new Map(),
@@ -92,7 +97,15 @@
 
 const isInProgress = ({outcome}: TicketRecord): boolean => outcome === 'waiting' || outcome === 'running';
 
-const answerFrom = (record: TicketRecord, callId: string): TicketAnswer => {
+const expirySecond = ({expiresAt}: TicketReference): number => Math.ceil(expiresAt! / 1000);
+
+/** 53-bit hash of a ticket, at a quarter of the memory. A collision rejects a ticket that has not run and from then on never will, so the rejection stays true. */
+const fingerprintOf = (ticket: string): number => (hash32(ticket) * (2 ** 21)) + (hash32(`.${ticket}`) >>> 11); // eslint-disable-line no-bitwise
+
+const isCancelled = (ledger: TicketLedger, reference: TicketReference): boolean =>
+  ledger.cancelled.get(expirySecond(reference))?.has(fingerprintOf(reference.ticket)) ?? false;
+
+const answerFrom = (record: TicketRecord): TicketAnswer => {
   switch (record.outcome) {
     case 'waiting':
     case 'running': {
@@ -105,22 +118,14 @@
         : {kind: 'replay', leaderId: record.leaderId};
     }
 
-    case 'cancelled': {
-      return {kind: 'refused', reason: 'ticket-cancelled', outcome: 'not-run'};
-    }
-
     case 'unknown': {
       return {kind: 'refused', reason: 'outcome-unknown', outcome: 'unknown'};
     }
-
-    case 'returned': {
-      return record.formerLeaders.includes(callId) ? {kind: 'duplicate'} : {kind: 'new'};
-    }
   }
 };
 
 /** Tells what a call under a ticket has to do; changes nothing. */
-export const askTicket = (ledger: TicketLedger, reference: TicketReference, callId: string): TicketAnswer => {
+export const askTicket = (ledger: TicketLedger, reference: TicketReference): TicketAnswer => {
   if (isForeign(ledger, reference)) {
     return {kind: 'refused', reason: 'ticket-other-incarnation', outcome: 'unknown'};
   }
@@ -131,67 +136,71 @@
   }
 
   const record = ledger.records.get(reference.ticket);
-  return record === undefined ? {kind: 'new'} : answerFrom(record, callId);
+  if (record !== undefined) {
+    return answerFrom(record);
+  }
+
+  return isCancelled(ledger, reference) ? {kind: 'refused', reason: 'ticket-cancelled', outcome: 'not-run'} : {kind: 'new'};
 };
 
-const addRecord = (ledger: TicketLedger, {ticket, expiresAt}: TicketReference, record: TicketRecord): boolean => {
+/** Makes a call the leader of a ticket that `askTicket` called new; false when the ledger is full. */
+export const claimTicket = (ledger: TicketLedger, reference: TicketReference, callId: string): boolean => {
   if (ledger.records.size >= ledger.limits.records) {
     return false;
   }
 
-  ledger.records.set(ticket, record);
-  const second = Math.ceil(expiresAt! / 1000);
+  ledger.records.set(reference.ticket, {outcome: 'waiting', leaderId: callId, storedBytes: undefined});
+  const second = expirySecond(reference);
   const sameSecond = ledger.expiries.get(second);
   if (sameSecond === undefined) {
-    ledger.expiries.set(second, [ticket]);
+    ledger.expiries.set(second, [reference.ticket]);
   } else {
-    sameSecond.push(ticket);
+    sameSecond.push(reference.ticket);
   }
 
   return true;
 };
 
-/** Makes a call the leader of a ticket that `askTicket` called new; false when the ledger is full. */
-export const claimTicket = (ledger: TicketLedger, reference: TicketReference, callId: string): boolean => {
-  const known = ledger.records.get(reference.ticket);
-  if (known === undefined) {
-    return addRecord(ledger, reference, {
-      outcome: 'waiting', leaderId: callId, formerLeaders: [], storedBytes: undefined,
-    });
-  }
-
-  known.outcome = 'waiting';
-  known.leaderId = callId;
-  return true;
-};
-
 /** Notes that the leader of a ticket is dispatched. */
 export const startTicket = (ledger: TicketLedger, ticket: string): void => {
   ledger.records.get(ticket)!.outcome = 'running';
 };
 
-/** Frees a ticket whose leader leaves the queue without a dispatch. */
+/** Frees a ticket whose leader ended without a run, and of which nobody was told anything. */
 export const releaseTicket = (ledger: TicketLedger, reference: TicketReference): void => {
-  const record = ledger.records.get(reference.ticket)!;
-  if (record.formerLeaders.length > 0) {
-    record.outcome = 'returned';
+  if (!ledger.records.delete(reference.ticket)) {
     return;
   }
 
-  ledger.records.delete(reference.ticket);
-  const second = Math.ceil(reference.expiresAt! / 1000);
-  const sameSecond = ledger.expiries.get(second) ?? [];
+  const sameSecond = ledger.expiries.get(expirySecond(reference)) ?? [];
   const index = sameSecond.lastIndexOf(reference.ticket);
   if (index !== -1) {
     sameSecond.splice(index, 1);
   }
 };
 
-/** Notes that nothing of the leader's call was sent, so that the ticket has not run. */
-export const returnTicket = (ledger: TicketLedger, ticket: string): void => {
-  const record = ledger.records.get(ticket)!;
-  record.formerLeaders.push(record.leaderId);
-  record.outcome = record.formerLeaders.length > TICKET_RETURNS_MAX ? 'cancelled' : 'returned';
+/**
+Records that a ticket, neither foreign nor run, never will run, which has to happen before anybody is told `not-run`: a caller that was told
+so may take a new ticket, while a delayed copy of its call is still on the way. False when the ledger is full; then nothing changes.
+*/
+export const cancelForGood = (ledger: TicketLedger, reference: TicketReference): boolean => {
+  if (isExpired(ledger, reference)) {
+    releaseTicket(ledger, reference);
+    return true;
+  }
+
+  if (ledger.cancelledCount >= ledger.limits.cancelled) {
+    return false;
+  }
+
+  releaseTicket(ledger, reference);
+  const second = expirySecond(reference);
+  const sameSecond = ledger.cancelled.get(second) ?? new Set<number>();
+  ledger.cancelled.set(second, sameSecond);
+  ledger.cancelledCount -= sameSecond.size;
+  sameSecond.add(fingerprintOf(reference.ticket));
+  ledger.cancelledCount += sameSecond.size;
+  return true;
 };
 
 /** Notes how a running ticket ended; `storedBytes` is the size of its response if the shell has it. Tells whether the response is kept. */
@@ -219,7 +228,11 @@
   const record = ledger.records.get(reference.ticket);
   switch (record?.outcome) {
     case undefined: {
-      return {state: isExpired(ledger, reference) ? 'unknown' : 'unseen'};
+      if (isExpired(ledger, reference)) {
+        return {state: 'unknown'};
+      }
+
+      return {state: isCancelled(ledger, reference) ? 'cancelled' : 'unseen'};
     }
 
     case 'waiting':
@@ -231,45 +244,22 @@
       return record.storedBytes === undefined ? {state: 'completed'} : {state: 'completed', leaderId: record.leaderId};
     }
 
-    case 'returned': {
-      return {state: 'unseen'};
-    }
-
-    case 'cancelled':
     case 'unknown': {
-      return {state: record.outcome};
+      return {state: 'unknown'};
     }
   }
 };
 
-/** Cancels a ticket that is not running. The state `unseen` means that the ledger is full and the ticket is not cancelled; `waitingId` names a waiting call that must no longer run. */
+/** Cancels a ticket that is not running. The states `unseen` and, for a waiting call, `running` mean that the ledger is full and the ticket is not cancelled; `waitingId` names a waiting call that must no longer run. */
 export const cancelTicket = (ledger: TicketLedger, reference: TicketReference): TicketState & {waitingId?: string} => {
+  const known = queryTicket(ledger, reference);
   const record = ledger.records.get(reference.ticket);
-  if (isForeign(ledger, reference)) {
-    return {state: 'unknown'};
-  }
-
-  if (record !== undefined) {
-    if (record.outcome === 'waiting') {
-      record.outcome = 'cancelled';
-      return {state: 'cancelled', waitingId: record.leaderId};
-    }
-
-    if (record.outcome === 'returned') {
-      record.outcome = 'cancelled';
-    }
-
-    return queryTicket(ledger, reference);
-  }
-
-  if (isExpired(ledger, reference)) {
-    return {state: 'unknown'};
+  const isCancellable = known.state === 'unseen' || (known.state === 'running' && record?.outcome === 'waiting');
+  if (!isCancellable || !cancelForGood(ledger, reference)) {
+    return known;
   }
 
-  const isAdded = addRecord(ledger, reference, {
-    outcome: 'cancelled', leaderId: '', formerLeaders: [], storedBytes: undefined,
-  });
-  return {state: isAdded ? 'cancelled' : 'unseen'};
+  return record === undefined ? {state: 'cancelled'} : {state: 'cancelled', waitingId: record.leaderId};
 };
 
 const dropTicket = (ledger: TicketLedger, ticket: string): string[] => {
@@ -291,6 +281,13 @@
   }
 
   ledger.sweptSecond = second;
+  for (const [expiry, tickets] of ledger.cancelled) {
+    if (expiry <= second) {
+      ledger.cancelled.delete(expiry);
+      ledger.cancelledCount -= tickets.size;
+    }
+  }
+
   const due = [...ledger.expiries.keys()].filter(expiry => expiry <= second);
   return due.flatMap(expiry => {
     const tickets = ledger.expiries.get(expiry)!;
