fix(outbound): take a new ticket after a not-run rejection

Cause: the bound process now cancels a ticket before it says `not-run`. The sender kept the ticket it had issued per endpoint and sent it again on a retry to the same backend server, and a call under a client's ticket was retried at its bound host; both would only meet `ticket-cancelled`, which hides the first reason and its retry-after.

Change: the sender drops its ticket after a `not-run` rejection, and a rejection of a client's ticket is passed on without a retry.

The sender's change has no test of its own; the tests of the daemon pass with it.

--- a/src/daemon/sender.ts
+++ b/src/daemon/sender.ts
@@ -108,6 +108,9 @@
     };
 };
 
+/** Process incarnation that a ticket is bound to. */
+const ticketKey = ({host, incarnation}: Endpoint): string => `${host}/${incarnation}`;
+
 /** Endpoint by a ticket's content alone; its slots and connections are not known here. */
 const endpointOfTicket = (ticket: Ticket): Endpoint => ({
   host: ticket.host,
@@ -160,7 +163,7 @@
   };
 
   const ownTicket = (exchange: Exchange, endpoint: Endpoint): string => {
-    const key = `${endpoint.host}/${endpoint.incarnation}`;
+    const key = ticketKey(endpoint);
     const ticket = exchange.ownTickets.get(key) ?? ticketFor(endpoint);
     exchange.ownTickets.set(key, ticket);
     return ticket;
@@ -200,8 +203,14 @@
       return;
     }
 
+    const result = resultOf(ended, call, clock.now() - startedAt);
+    if (result.kind === 'rejected' && result.outcome === 'not-run') {
+      // The process that it is bound to has cancelled the ticket; a retry there needs another one.
+      exchange.ownTickets.delete(ticketKey(endpoint));
+    }
+
     apply({
-      kind: 'attempt-ended', callId: exchange.callId, attemptId, ask: action.ask, result: resultOf(ended, call, clock.now() - startedAt), replayable: exchange.message.body.replayable(),
+      kind: 'attempt-ended', callId: exchange.callId, attemptId, ask: action.ask, result, replayable: exchange.message.body.replayable(),
     });
   };
 
--- a/src/decisions/outbound/__tests__/retry-policy.spec.ts
+++ b/src/decisions/outbound/__tests__/retry-policy.spec.ts
@@ -130,6 +130,12 @@
   t.not(attempts[1]!.endpoint.host, 'a1');
 });
 
+test('a ticket of a client is sent again after the rejection that cancelled it', t => {
+  const {attempts, last} = playCall([rejected(), responded()], false, {boundHost: 'a1', boundIncarnation: '1'});
+  t.is(attempts.length, 1);
+  t.like(last, {kind: 'forward', outcome: 'not-run'});
+});
+
 test('a draining host still gets the resends of its tickets, because only it knows their outcome', t => {
   const driver = createDriver([endpoint('a1', {draining: true})]);
   t.like(driver.arrive({idempotent: false}, {boundHost: 'a1', boundIncarnation: '1'}), {kind: 'attempt'});
--- a/src/decisions/outbound/outbound.ts
+++ b/src/decisions/outbound/outbound.ts
@@ -364,8 +364,9 @@
 
 const isHopeless = (state: OutboundState, pending: Pending, result: AttemptResult, now: number): boolean =>
   result.kind === 'rejected' && (
-    (result.reason === 'admission' && pending.call.admissionHash >= learntFraction(state.feedback, pending.call, now))
-    || (pending.clientBound && (result.reason === 'draining' || result.reason === 'no-backend-server')));
+    // The bound process has cancelled the ticket that it rejected.
+    pending.clientBound
+    || (result.reason === 'admission' && pending.call.admissionHash >= learntFraction(state.feedback, pending.call, now)));
 
 const planRetry = (state: OutboundState, pending: Pending, ended: Ended & {retry: RetryReason}, moment: Moment): OutboundAction[] => {
   const {service, requestKind, priority} = pending.call;
