feat(inbound): keep the minimum shares of priorities

Cause: `Policy.minimumShares` was declared and validated, but admission gave all capacity in strict order, so a flood took everything that lower work was promised.

Change: the highest priority takes what it needs; of the rest each lower priority keeps its demand up to its minimum, and what is left goes on in strict order. A group that is seen first is admitted while its priority has a minimum. The headroom goes to the lowest priority that is thinned to its minimum: the queue serves by priority, so calls admitted beyond the capacity push out the lowest ones.

Tests: table cases, a comparison with a model that hands out a tenth of a slot at a time (1000 cases), and one case through the whole decision, which fails when the policy does not reach admission.

--- a/src/decisions/inbound/__tests__/admission.spec.ts
+++ b/src/decisions/inbound/__tests__/admission.spec.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import {createRandom} from '../../../shared/random.js';
 import {
-  createAdmission, fractionOf, isAdmitted, observeDemand, retryAfterMs, shareCapacity, updateAdmission, type Admission, type GroupDemand,
+  allotCapacity, createAdmission, fractionOf, isAdmitted, observeDemand, retryAfterMs, shareCapacity, updateAdmission, type Admission, type GroupDemand,
 } from '../admission.js';
 import {SEED} from './harness.js';
 
@@ -11,9 +11,10 @@
   weight, demand, arrivedMs: 0, fraction: 1,
 });
 const BUSY = {
-  elapsedMs: 100, utilisation: 1, isQueueEmpty: false, queueRejections: 1,
+  elapsedMs: 100, utilisation: 1, isQueueEmpty: false, queueRejections: 1, minimumShares: [] as number[],
 };
-const load = (admission: Admission, demands: Array<[priority: number, group: string, slots: number, fraction?: number]>, capacity: number, windows = 40): void => {
+type Demands = Array<[priority: number, group: string, slots: number, fraction?: number]>;
+const load = (admission: Admission, demands: Demands, capacity: number, {windows = 40, minimumShares = []}: {windows?: number; minimumShares?: number[]} = {}): void => {
   for (let window = 0; window < windows; window++) {
     for (const [priority, group, slots, fraction] of demands) {
       // A call that was thinned upstream stands for more; the demand is the same.
@@ -22,7 +23,7 @@
       }, 1, slots * 100 * (fraction ?? 1));
     }
 
-    updateAdmission(admission, {...BUSY, capacity: capacity / admission.headroom});
+    updateAdmission(admission, {...BUSY, capacity: capacity / admission.headroom, minimumShares});
   }
 };
 
@@ -54,7 +55,35 @@
   t.pass();
 });
 
-const cases: Array<[failure: string, demands: Array<[number, string, number, number?]>, capacity: number, expected: Array<[number, string, number]>]> = [
+/** Naive model: hands out a tenth of a slot at a time, first to priorities below their minimum, then in strict order. */
+const naiveAllotment = (demands: number[], capacity: number, tenths: number[]): number[] => {
+  const given = demands.map((_, priority) => priority === 0 ? Math.min(demands[0]!, capacity) * 10 : 0);
+  const rest = Math.max(0, capacity - demands[0]!);
+  for (let unit = 0; unit < rest * 10; unit++) {
+    const lacks = (limitOf: (priority: number) => number): number => given.findIndex((units, priority) => units < Math.min(demands[priority]! * 10, limitOf(priority)));
+    const belowMinimum = lacks(priority => rest * (priority === 0 ? 0 : tenths[priority]!));
+    const next = belowMinimum === -1 ? lacks(() => Number.POSITIVE_INFINITY) : belowMinimum;
+    if (next !== -1) {
+      given[next]!++;
+    }
+  }
+
+  return given.map(units => units / 10);
+};
+
+test('priorities get another share than their minimum and the strict order allow', t => {
+  t.log(`seed ${SEED}`);
+  const priority = fc.tuple(fc.nat(30), fc.nat(3));
+  fc.assert(fc.property(fc.array(priority, {minLength: 1, maxLength: 4}), fc.nat(60), (priorities, capacity) => {
+    const [demands, tenths] = [priorities.map(([demand]) => demand), priorities.map(([, share]) => share)];
+    const expected = naiveAllotment(demands, capacity, tenths);
+    const {allotted} = allotCapacity(demands, capacity, tenths.map(share => share / 10));
+    return allotted.every((slots, index) => Math.abs(slots - expected[index]!) < 1e-9);
+  }), {seed: SEED, numRuns: 1000});
+  t.pass();
+});
+
+const cases: Array<[failure: string, demands: Demands, capacity: number, expected: Array<[number, string, number]>, minimumShares?: number[]]> = [
   ['work that fits is thinned', [[0, 'a', 4], [1, 'a', 5]], 10, [[0, 'a', 1], [1, 'a', 1]]],
   ['urgent work is thinned for other work', [[0, 'a', 8], [1, 'a', 8]], 10, [[0, 'a', 1], [1, 'a', 0.25]]],
   ['a flooding group takes the share of a small one', [[0, 'a', 1], [1, 'flood', 90], [1, 'small', 3]], 10, [[1, 'flood', 6 / 90], [1, 'small', 1]]],
@@ -62,13 +91,18 @@
   ['the fraction falls below the floor', [[0, 'a', 5000]], 10, [[0, 'a', 0.01]]],
   ['demand is underestimated when entry processes reject early', [[0, 'a', 40, 0.25]], 10, [[0, 'a', 0.25]]],
   ['zero capacity divides by zero', [[0, 'a', 5], [1, 'a', 5]], 0, [[0, 'a', 0.01], [1, 'a', 0.01]]],
+  // Of 10.5 slots 0.5 are headroom, which a priority that is thinned to its minimum gets.
+  ['a flood takes the minimum of lower work', [[0, 'a', 2], [1, 'flood', 80], [2, 'a', 10]], 10.5, [[0, 'a', 1], [1, 'flood', 6 / 80], [2, 'a', 0.25]], [0, 0, 0.25]],
+  ['a minimum reduces the highest priority', [[0, 'a', 9], [1, 'a', 5], [2, 'a', 5]], 10.5, [[0, 'a', 1], [1, 'a', 0.1], [2, 'a', 0.2]], [0.9, 0, 0.5]],
+  ['a minimum that is not used stays free', [[1, 'a', 20], [2, 'a', 1]], 10, [[1, 'a', 9 / 20], [2, 'a', 1], [3, 'a', 0.01]], [0, 0, 0.5]],
+  ['a group seen first gets nothing of a minimum that is free', [[1, 'a', 20]], 10, [[1, 'a', 0.5], [2, 'unseen', 1], [3, 'unseen', 0.01]], [0, 0, 0.5]],
   ['unknown service time (no work measured) thins calls', [[0, 'a', 0]], 0, [[0, 'a', 1]]],
 ];
 
-for (const [failure, demands, capacity, expected] of cases) {
+for (const [failure, demands, capacity, expected, minimumShares] of cases) {
   test(failure, t => {
     const admission = createAdmission();
-    load(admission, demands, capacity);
+    load(admission, demands, capacity, {minimumShares});
     for (const [priority, group, fraction] of expected) {
       t.true(Math.abs(fractionOf(admission, priority, group) - fraction) < 1e-3, `${group}: ${fractionOf(admission, priority, group)}`);
     }
@@ -94,7 +128,7 @@
   const admission = createAdmission();
   load(admission, [[0, 'a', 100]], 10);
   t.true(fractionOf(admission, 0, 'a') < 0.11);
-  load(admission, [[0, 'a', 5]], 10, 10);
+  load(admission, [[0, 'a', 5]], 10, {windows: 10});
   t.is(fractionOf(admission, 0, 'a'), 1);
 });
 
@@ -111,14 +145,14 @@
   load(admission, [[0, 'a', 40]], 10);
   const before = admission.headroom;
   updateAdmission(admission, {
-    elapsedMs: 100, capacity: 10, utilisation: 0.5, isQueueEmpty: true, queueRejections: 0,
+    elapsedMs: 100, capacity: 10, utilisation: 0.5, isQueueEmpty: true, queueRejections: 0, minimumShares: [],
   });
   t.true(admission.headroom > before);
 });
 
 test('ten thousand groups exceed the memory bound or the capacity, or stay for ever', t => {
   const admission = createAdmission();
-  load(admission, Array.from({length: 10_000}, (_, index) => [index % 3, `g${index}`, 0.01]), 10, 10);
+  load(admission, Array.from({length: 10_000}, (_, index) => [index % 3, `g${index}`, 0.01]), 10, {windows: 10});
   t.true(admission.groupCount <= 4096 + 3);
   const admitted = admission.priorities.map(groups => {
     let total = 0;
@@ -129,7 +163,7 @@
     return total;
   });
   t.true(Math.abs(admitted[0]! - 10) < 0.01, `${admitted[0]}`);
-  load(admission, [], 10, 40);
+  load(admission, [], 10);
   t.is(admission.groupCount, 0);
 });
 
--- a/src/decisions/inbound/__tests__/inbound.spec.ts
+++ b/src/decisions/inbound/__tests__/inbound.spec.ts
@@ -1,5 +1,6 @@
 /** Guards against wrong answers of the whole inbound decision: each case names the failure. */
 import test from 'ava';
+import {fractionOf} from '../admission.js';
 import {type InboundAction, inboundLoad, responseFraction} from '../inbound.js';
 import {
   brief, callOf, createDriver, INCARNATION, NEVER_MS, treatmentOf, type Driver,
@@ -112,6 +113,19 @@
   t.deepEqual(brief(actions), ['dispatch a', 'dispatch c', 'forget a', 'dispatch b']);
 });
 
+test('the minimum share of the policy in effect is not kept', t => {
+  const driver = createDriver(10);
+  driver.send({kind: 'policy-changed', policy: {...driver.state.policy, minimumShares: [0, 0, 0.25]}});
+  driver.state.serviceTimes.meanMs = 100;
+  for (let index = 0; index < 800; index++) {
+    driver.arrive(`c${index}`, {priority: 1 + (index % 2), admissionHash: 0.999});
+    driver.wait(index % 80 === 79 ? 100 : 0);
+  }
+
+  // Each priority asks for 40 of 10 slots.
+  t.true(fractionOf(driver.state.admission, 2, 'crew') >= 2.5 / 40);
+});
+
 test('a response carries a higher fraction than its sub-calls, or no load', t => {
   const driver = createDriver(4);
   driver.arrive('a');
--- a/src/decisions/inbound/admission.ts
+++ b/src/decisions/inbound/admission.ts
@@ -23,8 +23,10 @@
   /** Client groups by priority, then by name. */
   priorities: Array<Map<string, GroupDemand> | undefined>;
   groupCount: number;
-  /** First priority for which nothing is left. */
+  /** First priority for which nothing but its minimum is left. */
   exhaustedFrom: number;
+  /** Capacity that each priority may take before more urgent ones take more than their minimum, in slots. */
+  minimums: number[];
   /** Whether the highest priority is thinned; nothing else is admitted then. */
   isHighestThinned: boolean;
   /** Ratio of admitted work to capacity. */
@@ -44,6 +46,8 @@
   utilisation: number;
   isQueueEmpty: boolean;
   queueRejections: number;
+  /** Minimum share of each priority of the capacity that the highest one leaves; that of the highest has no effect. */
+  minimumShares: readonly number[];
 };
 
 /** Name of the estimate shared by the client groups beyond the limit; no client group has an empty name. */
@@ -54,6 +58,7 @@
   priorities: [],
   groupCount: 0,
   exhaustedFrom: Number.POSITIVE_INFINITY,
+  minimums: [],
   isHighestThinned: false,
   headroom: HEADROOM_MIN,
 });
@@ -63,9 +68,12 @@
   return groups?.get(group) ?? groups?.get(OTHER_GROUPS);
 };
 
+const isExhausted = ({exhaustedFrom, minimums}: Admission, priority: number): boolean =>
+  priority >= exhaustedFrom && !(minimums[priority]! > 0);
+
 /** Admitted fraction of a priority and client group. */
 export const fractionOf = (admission: Admission, priority: number, group: string): number =>
-  findGroup(admission, priority, group)?.fraction ?? (priority >= admission.exhaustedFrom ? FRACTION_FLOOR : 1);
+  findGroup(admission, priority, group)?.fraction ?? (isExhausted(admission, priority) ? FRACTION_FLOOR : 1);
 
 const addGroup = (admission: Admission, priority: number, group: string, weight: number): GroupDemand => {
   const groups = admission.priorities[priority] ?? new Map<string, GroupDemand>();
@@ -146,21 +154,51 @@
   }
 };
 
-const computeFractions = (admission: Admission, capacity: number): void => {
-  let capacityLeft = capacity;
-  admission.exhaustedFrom = Number.POSITIVE_INFINITY;
-  for (const [priority, groups] of admission.priorities.entries()) {
-    const members = [...(groups?.values() ?? [])];
-    const demand = sum(members.map(member => member.demand));
-    shareCapacity(members, demand <= capacityLeft ? Number.POSITIVE_INFINITY : capacityLeft);
-    if (demand > capacityLeft && admission.exhaustedFrom === Number.POSITIVE_INFINITY) {
-      admission.exhaustedFrom = priority + 1;
-    }
+/**
+Shares capacity between priorities, in slots. The highest one takes what it needs; of the rest each lower one keeps its demand up to its
+minimum, and what is left goes on in strict order.
+*/
+export const allotCapacity = ([highest = 0, ...lower]: number[], capacity: number, minimumShares: readonly number[]): {allotted: number[]; minimums: number[]} => {
+  const rest = Math.max(0, capacity - highest);
+  const minimums = lower.map((_, index) => rest * (minimumShares[index + 1] ?? 0));
+  const kept = lower.map((demand, index) => Math.min(demand, minimums[index]!));
+  let left = Math.max(0, rest - sum(kept));
+  const allotted = lower.map((demand, index) => {
+    const missing = demand - kept[index]!;
+    const extra = Math.min(missing, left);
+    left -= extra;
+    return extra === missing ? demand : kept[index]! + extra;
+  });
+  return {allotted: [Math.min(highest, capacity), ...allotted], minimums: [0, ...minimums]};
+};
+
+/**
+Adds the headroom. The queue serves by priority, so what is admitted beyond the capacity pushes out the lowest calls: a priority that is thinned
+to its minimum gets the whole excess, or it would lose that part of its minimum.
+*/
+const allotWithHeadroom = (demands: number[], {capacity, minimumShares}: Window, headroom: number): ReturnType<typeof allotCapacity> => {
+  const {allotted, minimums} = allotCapacity(demands, capacity, minimumShares);
+  const lowest = demands.findLastIndex((demand, priority) => minimums[priority]! > 0 && demand > allotted[priority]!);
+  if (lowest === -1) {
+    return allotCapacity(demands, capacity * headroom, minimumShares);
+  }
+
+  allotted[lowest] = Math.min(demands[lowest]!, allotted[lowest]! + (capacity * (headroom - 1)));
+  return {allotted, minimums};
+};
 
-    capacityLeft = Math.max(0, capacityLeft - demand);
+const computeFractions = (admission: Admission, window: Window): void => {
+  const priorities = Array.from({length: Math.max(admission.priorities.length, window.minimumShares.length)}, (_, priority) => [...(admission.priorities[priority]?.values() ?? [])]);
+  const demands = priorities.map(members => sum(members.map(({demand}) => demand)));
+  const {allotted, minimums} = allotWithHeadroom(demands, window, admission.headroom);
+  for (const [priority, members] of priorities.entries()) {
+    shareCapacity(members, demands[priority]! <= allotted[priority]! ? Number.POSITIVE_INFINITY : allotted[priority]!);
   }
 
-  admission.isHighestThinned = admission.exhaustedFrom === 1;
+  const thinned = demands.findIndex((demand, priority) => demand > allotted[priority]!);
+  admission.exhaustedFrom = thinned === -1 ? Number.POSITIVE_INFINITY : thinned + 1;
+  admission.minimums = minimums;
+  admission.isHighestThinned = thinned === 0;
 };
 
 const adjustHeadroom = (admission: Admission, window: Window): void => {
@@ -197,7 +235,7 @@
   }
 
   adjustHeadroom(admission, window);
-  computeFractions(admission, window.capacity * admission.headroom);
+  computeFractions(admission, window);
 };
 
 /** Time after which a rejected caller may come back, in milliseconds; spread over a window that grows as less is admitted. */
--- a/src/decisions/inbound/inbound.ts
+++ b/src/decisions/inbound/inbound.ts
@@ -96,6 +96,7 @@
     utilisation: busyMs / Math.max(1, capacity * elapsedMs),
     isQueueEmpty: queue.length === 0,
     queueRejections: window.queueRejections,
+    minimumShares: state.policy.minimumShares,
   });
   updateLimit(limit, now);
   state.window = {
@@ -103,7 +104,7 @@
   };
   if (admission.exhaustedFrom !== wasThinned) {
     const cause = Number.isFinite(admission.exhaustedFrom)
-      ? `demand exceeds ${capacity} slots; priority ${admission.exhaustedFrom - 1} is thinned and lower ones are shed`
+      ? `demand exceeds ${capacity} slots; priority ${admission.exhaustedFrom - 1} is thinned and lower ones keep no more than their minimum shares`
       : 'demand fits again; every call is admitted';
     actions.push({kind: 'report', cause});
   }
