perf(inbound): serve the nearest deadline first, with a margin

Cause: newest-first was chosen for the surge, where deadline-first starts calls that end just after their deadline and waste their slots.

Tried: (a) deadline-first; (b) newest-first; (c) hybrid, newest-first when the oldest call has waited for more than a part of its queue time, and deadline-first or oldest-first otherwise; (d) deadline-first that rejects a call that has waited once its remaining time is below 1.25 or 1.5 times its usual service time.

Change: (d) with 1.5. The test now states goals for 4 and 20 slots: newest-first fails the first, deadline-first without the margin the second. In one table case the displaced call of two equal ones is now the later one.

--- a/src/decisions/inbound/__tests__/inbound.spec.ts
+++ b/src/decisions/inbound/__tests__/inbound.spec.ts
@@ -46,7 +46,7 @@
   ['urgent work waits behind other work', 1, d => [...d.arrive('a'), ...d.arrive('b', {priority: 1}), ...d.arrive('c'), ...d.end('a')], ['dispatch a', 'forget a', 'dispatch c']],
   ['a full queue rejects urgent work instead of displacing other work', 1, d => [
     ...d.arrive('a'), ...d.arrive('b', {priority: 1}), ...d.arrive('c', {priority: 1}), ...d.arrive('d'),
-  ], ['dispatch a', 'reject b displaced not-run']],
+  ], ['dispatch a', 'reject c displaced not-run']],
   ['a call waits beyond its queue time', 1, d => [...d.arrive('a'), ...d.arrive('b'), ...d.wait(199), ...d.wait(1)], ['dispatch a', 'reject b queue-time not-run']],
   ['a paused process dispatches calls that are overdue', 1, d => {
     const before = [...d.arrive('a'), ...d.arrive('b')];
--- a/src/decisions/inbound/__tests__/queue.spec.ts
+++ b/src/decisions/inbound/__tests__/queue.spec.ts
@@ -1,22 +1,20 @@
-/** Guards against a queue that serves the wrong call, and against the worse order within a priority. */
+/** Guards against a queue that serves the wrong call, and against slots that are wasted under overload. */
 import test from 'ava';
 import fc from 'fast-check';
 import {createRandom} from '../../../shared/random.js';
 import {
-  createQueue, displaceLast, enqueue, removeOverdue, removeQueued, takeNext, type QueuedCall, type QueueOrder,
+  createQueue, displaceLast, enqueue, removeOverdue, removeQueued, takeNext, type QueuedCall,
 } from '../queue.js';
 import type {InboundAction} from '../inbound.js';
 import {createDriver, SEED} from './harness.js';
 
-const SLOTS = 20;
 const SERVICE_MS = 50;
 const END_MS = 5000;
 
 /** Share of the slots that ends in calls answered in time, with `overload` times the calls that fit; runs the whole decision. */
-const simulate = (order: QueueOrder, overload: number, seed: number): number => {
+const simulate = (slots: number, overload: number, seed: number): number => {
   const random = createRandom(seed);
-  const driver = createDriver(SLOTS);
-  driver.state.queue = createQueue(order);
+  const driver = createDriver(slots);
   let running: Array<{callId: string; endsAt: number}> = [];
   let good = 0;
   const start = (actions: InboundAction[]): void => {
@@ -39,7 +37,7 @@
 
     // Eight callers at each millisecond come close to a Poisson process.
     for (let caller = 0; caller < 8; caller++) {
-      if (random() < overload * SLOTS / SERVICE_MS / 8) {
+      if (random() < overload * slots / SERVICE_MS / 8) {
         const remainingMs = random() < 0.5 ? 150 : 1000;
         start(driver.arrive(`${caller}-${driver.now}`, {admissionHash: random(), remainingMs}));
       }
@@ -50,28 +48,26 @@
     }
   }
 
-  return good * SERVICE_MS / (SLOTS * (END_MS - 1000));
+  return good * SERVICE_MS / (slots * (END_MS - 1000));
 };
 
-test('the order in use answers fewer calls in time than the other one under overload', t => {
-  const seeds = [SEED, SEED + 1, SEED + 2];
-  const mean = (order: QueueOrder, overload: number): number => {
-    let total = 0;
-    for (const seed of seeds) {
-      total += simulate(order, overload, seed);
-    }
-
-    return total / seeds.length;
-  };
+// With newest-first, 4 slots reach 0.925 at a load of 1.2; without the margin on service times, 20 slots reach 0.977 at 10.
+const goals: Array<[slots: number, goal: number]> = [[4, 0.95], [20, 0.985]];
+for (const [slots, goal] of goals) {
+  test(`fewer calls than the ${slots} slots allow are answered in time under overload`, t => {
+    const seeds = [SEED, SEED + 1, SEED + 2];
+    for (const overload of [1.2, 3, 10]) {
+      let total = 0;
+      for (const seed of seeds) {
+        total += simulate(slots, overload, seed);
+      }
 
-  const gains = [1.2, 3, 10].map(overload => {
-    const [deadlineFirst, newestFirst] = [mean('deadline-first', overload), mean('newest-first', overload)];
-    t.log(`seeds ${seeds.join(', ')}, load ${overload}: deadline-first ${deadlineFirst.toFixed(4)}, newest-first ${newestFirst.toFixed(4)} of the slots`);
-    return newestFirst - deadlineFirst;
+      const share = total / seeds.length;
+      t.log(`seeds ${seeds.join(', ')}, load ${overload}: ${share.toFixed(4)} of the slots`);
+      t.true(share > goal);
+    }
   });
-  // Deadline-first is slightly better at a load of 1.2; the surge that the system is built for is far above that.
-  t.is(createDriver(1).state.queue.order, gains[1]! + gains[2]! > 0 ? 'newest-first' : 'deadline-first');
-});
+}
 
 test('the queue differs from a sorted list', t => {
   t.log(`seed ${SEED}`);
@@ -80,12 +76,12 @@
     priority: fc.integer({min: 0, max: 2}),
     time: fc.integer({min: 0, max: 20}),
   });
-  fc.assert(fc.property(fc.constantFrom<QueueOrder>('deadline-first', 'newest-first'), fc.array(step, {maxLength: 60}), (order, steps) => {
-    const queue = createQueue(order);
+  fc.assert(fc.property(fc.array(step, {maxLength: 60}), steps => {
+    const queue = createQueue();
     let model: QueuedCall[] = [];
     return steps.every(({kind, priority, time}, now) => {
       // Sorting is stable: of equal deadlines the earlier arrival is first.
-      const sorted = model.toSorted((a, b) => a.priority - b.priority || (order === 'deadline-first' ? a.deadlineAt - b.deadlineAt : b.arrivedAt - a.arrivedAt));
+      const sorted = model.toSorted((a, b) => a.priority - b.priority || a.deadlineAt - b.deadlineAt);
       const drop = (call: QueuedCall | undefined): void => {
         model = model.filter(other => other !== call);
       };
--- a/src/decisions/inbound/calls.ts
+++ b/src/decisions/inbound/calls.ts
@@ -3,6 +3,7 @@
 import type {Call} from '../../shared/call.js';
 import {fractionOf, retryAfterMs} from './admission.js';
 import {allowedCalls} from './concurrency-limit.js';
+import {SERVICE_TIME_MARGIN} from './constants.js';
 import {isHeldBack, openSubCalls} from './dependency-share.js';
 import type {InboundRejection, RejectionOutcome} from './events.js';
 import {takeNext, type QueuedCall, type QueueVerdict} from './queue.js';
@@ -91,13 +92,14 @@
 
 /** Reason for which a call at the head of the queue is rejected, or undefined when it may run. */
 const refusalAtDequeue = ({state, now}: Decision, queued: QueuedCall, {call}: ActiveCall): InboundRejection | undefined => {
-  const neededMs = neededServiceMs(state.serviceTimes, call.requestKind, now);
+  const hasWaited = now > queued.arrivedAt;
+  const neededMs = neededServiceMs(state.serviceTimes, call.requestKind, now) * (hasWaited ? SERVICE_TIME_MARGIN : 1);
   const remainingMs = queued.deadlineAt - now;
   if (remainingMs <= 0 || remainingMs < neededMs) {
     return 'deadline';
   }
 
-  if (now > queued.arrivedAt && now >= queued.queueUntil) {
+  if (hasWaited && now >= queued.queueUntil) {
     return 'queue-time';
   }
 
--- a/src/decisions/inbound/constants.ts
+++ b/src/decisions/inbound/constants.ts
@@ -42,6 +42,9 @@
 /** Weight of a new sample in a recent mean. */
 export const RECENT_SMOOTHING = 0.1;
 
+/** Ratio of a waiting call's remaining time to its usual service time below which it is rejected: service times vary, and a call that ends too late wastes its slot. */
+export const SERVICE_TIME_MARGIN = 1.5;
+
 /** Silence between two events that shows a pause of the process, in milliseconds; ticks come every 20 ms. Durations across a pause are not measured. */
 export const PAUSE_MS = 500;
 
--- a/src/decisions/inbound/queue.ts
+++ b/src/decisions/inbound/queue.ts
@@ -1,8 +1,5 @@
 /** Holds calls that wait for a slot, by priority. */
 
-/** Order within a priority: by nearest deadline, or by latest arrival. */
-export type QueueOrder = 'deadline-first' | 'newest-first';
-
 /** A call in the queue. Times are in milliseconds of the decision's clock. */
 export type QueuedCall = {
   callId: string;
@@ -13,9 +10,8 @@
   queueUntil: number;
 };
 
-/** State of a queue. Each priority is sorted so that the next call to serve is last. */
+/** State of a queue. Each priority is sorted by deadline, the nearest and of equal ones the earliest arrival last, which is served next. */
 export type Queue = {
-  order: QueueOrder;
   priorities: Array<QueuedCall[] | undefined>;
   length: number;
 };
@@ -24,19 +20,7 @@
 export type QueueVerdict = 'take' | 'pass' | 'drop';
 
 /** Creates an empty queue. */
-export const createQueue = (order: QueueOrder): Queue => ({order, priorities: [], length: 0});
-
-const isServedAfter = (order: QueueOrder, left: QueuedCall, right: QueuedCall): boolean => {
-  switch (order) {
-    case 'deadline-first': {
-      return left.deadlineAt > right.deadlineAt;
-    }
-
-    case 'newest-first': {
-      return left.arrivedAt <= right.arrivedAt;
-    }
-  }
-};
+export const createQueue = (): Queue => ({priorities: [], length: 0});
 
 const positionOf = (calls: QueuedCall[], isBefore: (call: QueuedCall) => boolean): number => {
   let low = 0;
@@ -57,7 +41,7 @@
 export const enqueue = (queue: Queue, call: QueuedCall): void => {
   const calls = queue.priorities[call.priority] ?? [];
   queue.priorities[call.priority] = calls;
-  calls.splice(positionOf(calls, other => isServedAfter(queue.order, other, call)), 0, call);
+  calls.splice(positionOf(calls, ({deadlineAt}) => deadlineAt > call.deadlineAt), 0, call);
   queue.length++;
 };
 
--- a/src/decisions/inbound/state.ts
+++ b/src/decisions/inbound/state.ts
@@ -80,8 +80,7 @@
   abandoned: new Set(),
   admission: createAdmission(),
   limit: createConcurrencyLimit(),
-  // A call near its deadline often ends too late when its service time varies, which wastes its slot under overload.
-  queue: createQueue('newest-first'),
+  queue: createQueue(),
   dependencies: createDependencyShare(),
   serviceTimes: createServiceTimes(),
   ledger: createTicketLedger(options.incarnation, options.ledgerLimits),
