perf(inbound): keep waiting calls by request kind

Cause: dequeue looked at every call that its request kind's bound held back, up to 4096, at each arrival and each end.

Change: each priority has one lane per request kind, and a kind at its bound is passed over as a whole. Ties of deadline between kinds go to the earlier arrival, as before.

--- a/src/decisions/inbound/__tests__/queue.spec.ts
+++ b/src/decisions/inbound/__tests__/queue.spec.ts
@@ -74,12 +74,13 @@
   const step = fc.record({
     kind: fc.constantFrom('add', 'add', 'add', 'take', 'displace', 'remove', 'overdue'),
     priority: fc.integer({min: 0, max: 2}),
+    requestKind: fc.constantFrom('a', 'b', 'c'),
     time: fc.integer({min: 0, max: 20}),
   });
   fc.assert(fc.property(fc.array(step, {maxLength: 60}), steps => {
     const queue = createQueue();
     let model: QueuedCall[] = [];
-    return steps.every(({kind, priority, time}, now) => {
+    return steps.every(({kind, priority, requestKind, time}, now) => {
       // Sorting is stable: of equal deadlines the earlier arrival is first.
       const sorted = model.toSorted((a, b) => a.priority - b.priority || a.deadlineAt - b.deadlineAt);
       const drop = (call: QueuedCall | undefined): void => {
@@ -89,7 +90,7 @@
       switch (kind) {
         case 'add': {
           const call = {
-            callId: `c${now}`, priority, arrivedAt: now, deadlineAt: now + time, queueUntil: now + 10,
+            callId: `c${now}`, priority, requestKind, arrivedAt: now, deadlineAt: now + time, queueUntil: now + 10,
           };
           model.push(call);
           enqueue(queue, call);
@@ -97,9 +98,10 @@
         }
 
         case 'take': {
-          const {taken, dropped} = takeNext(queue, ({deadlineAt}) => deadlineAt < now ? 'drop' : 'take');
-          const expected = sorted.find(({deadlineAt}) => deadlineAt >= now);
-          const expectedDrops = expected === undefined ? sorted : sorted.slice(0, sorted.indexOf(expected));
+          const {taken, dropped} = takeNext(queue, {isKindBlocked: other => other === requestKind, judge: ({deadlineAt}) => deadlineAt < now ? 'drop' : 'take'});
+          const open = sorted.filter(call => call.requestKind !== requestKind);
+          const expected = open.find(({deadlineAt}) => deadlineAt >= now);
+          const expectedDrops = expected === undefined ? open : open.slice(0, open.indexOf(expected));
           drop(expected);
           for (const call of expectedDrops) {
             drop(call);
@@ -123,7 +125,7 @@
 
         case 'remove': {
           drop(sorted[time]);
-          if (sorted[time] !== undefined && !removeQueued(queue, sorted[time].priority, sorted[time].callId)) {
+          if (sorted[time] !== undefined && !removeQueued(queue, sorted[time], sorted[time].callId)) {
             return false;
           }
 
@@ -146,3 +148,23 @@
   }), {seed: SEED, numRuns: 1000});
   t.pass();
 });
+
+test('each call of a request kind at its bound is looked at before another kind is served', t => {
+  const queue = createQueue();
+  for (let index = 0; index < 1000; index++) {
+    enqueue(queue, {
+      callId: `c${index}`, priority: 0, requestKind: index === 999 ? 'free' : 'bound', arrivedAt: index, deadlineAt: index, queueUntil: 1000,
+    });
+  }
+
+  let looks = 0;
+  const {taken} = takeNext(queue, {
+    isKindBlocked(requestKind) {
+      looks++;
+      return requestKind === 'bound';
+    },
+    judge: () => 'take',
+  });
+  t.is(taken?.callId, 'c999');
+  t.true(looks <= 2, `${looks}`);
+});
--- a/src/decisions/inbound/arrival.ts
+++ b/src/decisions/inbound/arrival.ts
@@ -79,7 +79,7 @@
   }
 
   enqueue(state.queue, {
-    callId, priority: call.priority, arrivedAt: now, deadlineAt, queueUntil: now + queueMs,
+    callId, priority: call.priority, requestKind: call.requestKind, arrivedAt: now, deadlineAt, queueUntil: now + queueMs,
   });
   dispatchNext(decision);
   if (state.queue.length > queueLengthMax(state, queueMs)) {
--- a/src/decisions/inbound/calls.ts
+++ b/src/decisions/inbound/calls.ts
@@ -118,11 +118,13 @@
       return 'drop';
     }
 
-    return isKindAtBound(state, active.call.requestKind) ? 'pass' : 'take';
+    return 'take';
   };
 
+  const isKindBlocked = (requestKind: string): boolean => isKindAtBound(state, requestKind);
+
   while (state.backend !== undefined && state.queue.length > 0 && state.runningCount < allowedCalls(state.limit)) {
-    const {taken} = takeNext(state.queue, judge);
+    const {taken} = takeNext(state.queue, {isKindBlocked, judge});
     if (taken === undefined) {
       return;
     }
--- a/src/decisions/inbound/ending.ts
+++ b/src/decisions/inbound/ending.ts
@@ -21,7 +21,7 @@
   }
 
   if (active.run === undefined) {
-    removeQueued(state.queue, active.call.priority, active.callId);
+    removeQueued(state.queue, active.call, active.callId);
     endWaiting(decision, active, 'deadline');
   } else if (active.ticket === undefined) {
     // Under a ticket the call goes on: cancelled, its outcome would stay unknown to the resend.
--- a/src/decisions/inbound/inbound.ts
+++ b/src/decisions/inbound/inbound.ts
@@ -54,7 +54,7 @@
   actions.push({kind: 'ticket-state', askId, ...answer});
   if (waitingId !== undefined) {
     const waiting = state.calls.get(waitingId)!;
-    removeQueued(state.queue, waiting.call.priority, waitingId);
+    removeQueued(state.queue, waiting.call, waitingId);
     endWaiting(decision, waiting, 'ticket-cancelled');
   }
 };
