--- a/src/decisions/inbound/__tests__/inbound.spec.ts
+++ b/src/decisions/inbound/__tests__/inbound.spec.ts
@@ -1,5 +1,6 @@
 /** Guards against wrong answers of the whole inbound decision: each case names the failure. */
 import test from 'ava';
+import {fractionOf} from '../admission.js';
 import {type InboundAction, inboundLoad, responseFraction} from '../inbound.js';
 import {
   brief, callOf, createDriver, INCARNATION, NEVER_MS, treatmentOf, type Driver,
@@ -19,9 +20,9 @@
   ['a lost call is said not to have run', 1, d => [
     ...d.arrive('a', ticket), ...d.send({kind: 'backend-ended', callId: 'a', outcome: {kind: 'lost'}}), ...d.arrive('b', ticket),
   ], ['dispatch a', 'reject a backend-lost unknown', 'reject b outcome-unknown unknown']],
-  ['an unsent call blocks its ticket', 1, d => [
+  ['a ticket runs after its call was said not to have run', 1, d => [
     ...d.arrive('a', ticket), ...d.send({kind: 'backend-ended', callId: 'a', outcome: {kind: 'not-sent'}}), ...d.arrive('a', ticket), ...d.arrive('b', ticket),
-  ], ['dispatch a', 'reject a backend-unreachable not-run', 'dispatch b']],
+  ], ['dispatch a', 'reject a backend-unreachable not-run', 'reject a ticket-cancelled not-run', 'reject b ticket-cancelled not-run']],
   ['the caller of a running ticket goes and the run is aborted', 1, d => [
     ...d.arrive('a', ticket), ...d.send({kind: 'caller-gone', callId: 'a'}), ...d.wait(200), ...d.arrive('b', ticket),
   ], ['dispatch a', 'join b a']],
@@ -45,8 +46,13 @@
   ['urgent work waits behind other work', 1, d => [...d.arrive('a'), ...d.arrive('b', {priority: 1}), ...d.arrive('c'), ...d.end('a')], ['dispatch a', 'forget a', 'dispatch c']],
   ['a full queue rejects urgent work instead of displacing other work', 1, d => [
     ...d.arrive('a'), ...d.arrive('b', {priority: 1}), ...d.arrive('c', {priority: 1}), ...d.arrive('d'),
-  ], ['dispatch a', 'reject b displaced not-run']],
+  ], ['dispatch a', 'reject c displaced not-run']],
   ['a call waits beyond its queue time', 1, d => [...d.arrive('a'), ...d.arrive('b'), ...d.wait(199), ...d.wait(1)], ['dispatch a', 'reject b queue-time not-run']],
+  ['an idle backend server rejects a call whose time is just enough', 1, d => {
+    const before = d.arrive('a');
+    d.now += 100;
+    return [...before, ...d.end('a'), ...d.arrive('b', {remainingMs: 120})];
+  }, ['dispatch a', 'forget a', 'dispatch b']],
   ['a paused process dispatches calls that are overdue', 1, d => {
     const before = [...d.arrive('a'), ...d.arrive('b')];
     d.now += 60_000;
@@ -55,6 +61,9 @@
   ['a queued call of a caller that has gone is dispatched', 1, d => [
     ...d.arrive('a'), ...d.arrive('b'), ...d.send({kind: 'caller-gone', callId: 'b'}), ...d.end('a'),
   ], ['dispatch a', 'forget a']],
+  ['a resend is told that its ticket is cancelled, although nobody was told "not run"', 1, d => [
+    ...d.arrive('a'), ...d.arrive('b', ticket), ...d.send({kind: 'caller-gone', callId: 'b'}), ...d.arrive('c', ticket), ...d.end('a'),
+  ], ['dispatch a', 'forget a', 'dispatch c']],
   ['events of unknown calls have an effect', 1, d => [
     ...d.end('x'),
     ...d.send({kind: 'caller-gone', callId: 'x'}),
@@ -83,7 +92,7 @@
 
 test('a record is evicted early, or kept for ever', t => {
   const driverCall = callOf({idempotent: false});
-  const driver = createDriver(3, [], {ledgerLimits: {records: 1}});
+  const driver = createDriver(3, [], {ledgerLimits: {records: 1, cancelled: 1}});
   const send = (callId: string, name: string, epochMs: number): string[] => brief(driver.send({
     kind: 'call-arrived', callId, call: {...driverCall, ticket: name}, epochMs, ticketExpiresAt: 2000, ticketIncarnation: INCARNATION,
   }));
@@ -91,22 +100,47 @@
   t.deepEqual(send('b', 't2', 1000), ['reject b ledger-full not-run']);
   driver.end('a');
   t.deepEqual(brief(driver.send({kind: 'tick', epochMs: 1999})), []);
+  t.deepEqual(send('b', 't2', 1999), ['reject b ticket-cancelled not-run']);
+  t.deepEqual(send('b', 't3', 1999), ['reject b ledger-full unknown']);
   t.deepEqual(send('c', 't1', 1999), ['replay c a']);
   t.deepEqual(brief(driver.send({kind: 'tick', epochMs: 2000})), ['forget a']);
   // The clock of the host goes back; the ticket must stay expired.
   t.deepEqual(send('d', 't1', 1000), ['reject d ticket-expired unknown']);
-  t.is(driver.state.ledger.records.size, 0);
+  t.is(driver.state.ledger.records.size + driver.state.ledger.cancelledCount + driver.state.ledger.cancelled.size, 0);
   t.deepEqual(brief(driver.send({
     kind: 'call-arrived', callId: 'e', call: {...driverCall, ticket: 't3'}, epochMs: 2000, ticketExpiresAt: 9000, ticketIncarnation: 'i0',
   })), ['reject e ticket-other-incarnation unknown']);
 });
 
+test('a full ledger promises "not run", or blocks a ticket that may still run', t => {
+  const driver = createDriver(1, [], {ledgerLimits: {cancelled: 0}});
+  t.deepEqual(brief([
+    ...driver.arrive('a', ticket), ...driver.send({kind: 'backend-ended', callId: 'a', outcome: {kind: 'not-sent'}}), ...driver.arrive('b', ticket),
+  ]), ['dispatch a', 'reject a backend-unreachable unknown', 'reject b outcome-unknown unknown']);
+  t.deepEqual(brief([
+    ...driver.arrive('c'), ...driver.arrive('d', {ticket: 't2'}), ...driver.wait(200), ...driver.end('c'), ...driver.arrive('e', {ticket: 't2'}),
+  ]), ['dispatch c', 'reject d queue-time unknown', 'forget c', 'dispatch e']);
+});
+
 test('a concurrency rule of a request kind is exceeded, or holds back other kinds', t => {
   const driver = createDriver(3, [treatmentOf({requestKind: 'book', concurrency: 1}), treatmentOf({requestKind: 'list'})]);
   const actions = [...driver.arrive('a'), ...driver.arrive('b'), ...driver.arrive('c', {requestKind: 'list'}), ...driver.end('a')];
   t.deepEqual(brief(actions), ['dispatch a', 'dispatch c', 'forget a', 'dispatch b']);
 });
 
+test('the minimum share of the policy in effect is not kept', t => {
+  const driver = createDriver(10);
+  driver.send({kind: 'policy-changed', policy: {...driver.state.policy, minimumShares: [0, 0, 0.25]}});
+  driver.state.serviceTimes.meanMs = 100;
+  for (let index = 0; index < 800; index++) {
+    driver.arrive(`c${index}`, {priority: 1 + (index % 2), admissionHash: 0.999});
+    driver.wait(index % 80 === 79 ? 100 : 0);
+  }
+
+  // Each priority asks for 40 of 10 slots.
+  t.true(fractionOf(driver.state.admission, 2, 'crew') >= 2.5 / 40);
+});
+
 test('a response carries a higher fraction than its sub-calls, or no load', t => {
   const driver = createDriver(4);
   driver.arrive('a');
--- a/src/decisions/inbound/calls.ts
+++ b/src/decisions/inbound/calls.ts
@@ -3,12 +3,15 @@
 import type {Call} from '../../shared/call.js';
 import {fractionOf, retryAfterMs} from './admission.js';
 import {allowedCalls} from './concurrency-limit.js';
+import {SERVICE_TIME_MARGIN} from './constants.js';
 import {isHeldBack, openSubCalls} from './dependency-share.js';
 import type {InboundRejection, RejectionOutcome} from './events.js';
 import {takeNext, type QueuedCall, type QueueVerdict} from './queue.js';
 import {neededServiceMs} from './service-times.js';
 import type {ActiveCall, Decision, InboundState} from './state.js';
-import {releaseTicket, startTicket} from './ticket-ledger.js';
+import {
+  cancelForGood, releaseTicket, startTicket, type TicketReference,
+} from './ticket-ledger.js';
 
 type Verdict = {reason: InboundRejection; outcome: RejectionOutcome};
 
@@ -40,13 +43,19 @@
   }
 };
 
-/** Ends a call that was never dispatched and is no longer in the queue. */
+/** What may be said of a call that has not run: `not-run` only once its ticket can never run, and `unknown` when the ledger is too full to record that. */
+export const unrunOutcome = ({state}: Decision, ticket: TicketReference | undefined): 'not-run' | 'unknown' =>
+  ticket === undefined || cancelForGood(state.ledger, ticket) ? 'not-run' : 'unknown';
+
+/** Ends a call that was never dispatched and is no longer in the queue; a cancellation has already been recorded. */
 export const endWaiting = (decision: Decision, active: ActiveCall, reason: InboundRejection): void => {
-  rejectCallers(decision, active, {reason, outcome: 'not-run'});
+  const {ticket, callers} = active;
+  // Without a caller nothing is said, and the caller may be about to ask again on a new connection.
+  const outcome = reason === 'ticket-cancelled' || callers.size === 0 ? 'not-run' : unrunOutcome(decision, ticket);
+  rejectCallers(decision, active, {reason, outcome});
   forgetCall(decision, active);
-  // A ticket that was cancelled while its call waited keeps its record.
-  if (active.ticket !== undefined && reason !== 'ticket-cancelled') {
-    releaseTicket(decision.state.ledger, active.ticket);
+  if (ticket !== undefined) {
+    releaseTicket(decision.state.ledger, ticket);
   }
 };
 
@@ -83,13 +92,14 @@
 
 /** Reason for which a call at the head of the queue is rejected, or undefined when it may run. */
 const refusalAtDequeue = ({state, now}: Decision, queued: QueuedCall, {call}: ActiveCall): InboundRejection | undefined => {
-  const neededMs = neededServiceMs(state.serviceTimes, call.requestKind, now);
+  const hasWaited = now > queued.arrivedAt;
+  const neededMs = neededServiceMs(state.serviceTimes, call.requestKind, now) * (hasWaited ? SERVICE_TIME_MARGIN : 1);
   const remainingMs = queued.deadlineAt - now;
   if (remainingMs <= 0 || remainingMs < neededMs) {
     return 'deadline';
   }
 
-  if (now > queued.arrivedAt && now >= queued.queueUntil) {
+  if (hasWaited && now >= queued.queueUntil) {
     return 'queue-time';
   }
 
@@ -108,11 +118,13 @@
       return 'drop';
     }
 
-    return isKindAtBound(state, active.call.requestKind) ? 'pass' : 'take';
+    return 'take';
   };
 
+  const isKindBlocked = (requestKind: string): boolean => isKindAtBound(state, requestKind);
+
   while (state.backend !== undefined && state.queue.length > 0 && state.runningCount < allowedCalls(state.limit)) {
-    const {taken} = takeNext(state.queue, judge);
+    const {taken} = takeNext(state.queue, {isKindBlocked, judge});
     if (taken === undefined) {
       return;
     }
--- a/src/decisions/inbound/constants.ts
+++ b/src/decisions/inbound/constants.ts
@@ -42,6 +42,9 @@
 /** Weight of a new sample in a recent mean. */
 export const RECENT_SMOOTHING = 0.1;
 
+/** Ratio of a waiting call's remaining time to its usual service time below which it is rejected: service times vary, and a call that ends too late wastes its slot. */
+export const SERVICE_TIME_MARGIN = 1.5;
+
 /** Silence between two events that shows a pause of the process, in milliseconds; ticks come every 20 ms. Durations across a pause are not measured. */
 export const PAUSE_MS = 500;
 
@@ -98,14 +101,14 @@
 /** Time for which a running call without a caller waits for a repeated ask before it is cancelled, in milliseconds. */
 export const ABANDONED_MS = 100;
 
-/** Ticket records; at about 600 bytes each they stay below 30 MiB. */
+/** Ticket records; at 640 bytes each with the longest ticket they and the cancelled tickets stay below 40 MB. */
 export const LEDGER_RECORDS_MAX = 50_000;
 
+/** Cancelled tickets, at 38 bytes each; 56 just after a set has grown. */
+export const CANCELLED_TICKETS_MAX = 120_000;
+
 /** Size of one stored response, in bytes. */
 export const RESPONSE_BYTES_MAX = 65_536;
 
 /** Size of all stored responses, in bytes. */
 export const RESPONSES_BYTES_MAX = 33_554_432;
-
-/** Times that a ticket may return unsent from the backend server. Each one is remembered, so their number is bounded. */
-export const TICKET_RETURNS_MAX = 4;
