perf(objects): compile policies by service and rule type once

Each service looked through all request kinds and each request kind through all rules of every type, so a policy of 2,900 services took 0.64 s of processor time at every configuration change. Request kinds are now grouped by service and rules by type before.

What is left is the comparison of each request kind with each rule, which still grows with both.

--- /dev/null
+++ b/src/measure/slopes/generators.ts
@@ -0,0 +1,146 @@
+/** Made-up deployments of a stated size. */
+import type {Endpoint} from '../../decisions/outbound/outbound.js';
+import type {Announcement, MemberRecord, SummaryEntry} from '../../decisions/fleet/fleet.js';
+import {
+  addChanges, emptyConfiguration, hashObjects, sortObjects, type Configuration,
+} from '../../objects/configuration.js';
+import {declaredObjectSchema, type DeclaredObject} from '../../objects/schema.js';
+import type {Call} from '../../shared/call.js';
+import type {Random} from '../../shared/random.js';
+
+/** Request kinds declared per service; the two deployments of today have 7 for 4 services. */
+export const REQUEST_KINDS_PER_SERVICE = 2;
+/** Services per rule. Rules select by label, so there are fewer of them than services. */
+const SERVICES_PER_RULE = 20;
+const DEFAULT_PRIORITIES = 4;
+const SLOTS_MIN = 20;
+const SLOTS_SPREAD = 60;
+
+const range = (count: number): number[] => Array.from({length: count}, (_, index) => index);
+
+/** Name of a made-up service. */
+export const serviceName = (index: number): string => `service-${index}`;
+
+const serviceOf = (index: number, random: Random): unknown => ({
+  kind: 'Service',
+  name: serviceName(index),
+  labels: {team: `team-${Math.floor(random() * 300)}`, tier: `tier-${Math.floor(random() * 5)}`},
+  spec: {description: `Made-up service ${index}`},
+});
+
+const requestKindsOf = (index: number): unknown[] => range(REQUEST_KINDS_PER_SERVICE).map(kind => ({
+  kind: 'RequestKind',
+  name: `service-${index}-kind-${kind}`,
+  labels: {work: `work-${(index + kind) % DEFAULT_PRIORITIES}`},
+  spec: {
+    service: serviceName(index), methods: kind === 0 ? ['GET', 'HEAD'] : ['POST'], path: `/items-${kind}*`, idempotent: kind === 0,
+  },
+}));
+
+const priorityRule = (priorities: number): unknown => ({
+  kind: 'Rule',
+  name: 'priorities',
+  spec: {
+    type: 'priority',
+    priorities: range(priorities).map(index => ({name: `priority-${index}`, select: {requestKinds: {labels: {work: `work-${index}`}}}})),
+  },
+});
+
+const ruleOf = (index: number): unknown => {
+  const select = {services: {labels: {team: `team-${index}`}}};
+  const specs = [
+    {type: 'deadline', select, milliseconds: 2000},
+    {type: 'retry', select, retryBudget: 3},
+    {type: 'limit', select, queueMs: 300},
+    {type: 'drain', select: {services: {labels: {team: `team-${index}`}}}, milliseconds: 20_000},
+  ];
+  return {kind: 'Rule', name: `rule-${index}`, spec: specs[index % specs.length]};
+};
+
+/** Declared objects of a deployment: services, their request kinds and rules. */
+export const createObjects = (services: number, random: Random): DeclaredObject[] => {
+  const objects = [
+    ...range(services).flatMap(index => [serviceOf(index, random), ...requestKindsOf(index)]),
+    priorityRule(DEFAULT_PRIORITIES),
+    ...range(Math.floor(services / SERVICES_PER_RULE)).map(index => ruleOf(index)),
+  ];
+  return sortObjects(objects.map(object => declaredObjectSchema.parse(object)));
+};
+
+/** Configuration with a log of the last changes of a stated length. */
+export const createConfiguration = (objects: readonly DeclaredObject[], sequence: number, changes = 0): Configuration => {
+  const keys = range(changes).map(index => `RequestKind/service-${index}-kind-0`);
+  return {
+    ...emptyConfiguration,
+    sequence,
+    objects: [...objects],
+    hash: hashObjects(objects),
+    acceptedAt: 1_700_000_000_000 + sequence,
+    author: 'operator@example.org',
+    writeId: `write-${sequence}`,
+    changes: addChanges(emptyConfiguration, keys, {sequence, author: 'operator@example.org', at: 1_700_000_000_000}),
+  };
+};
+
+/** Objects with the labels of one service changed. */
+export const changeOneObject = (objects: readonly DeclaredObject[], revision: number): DeclaredObject[] =>
+  objects.map((object, index) => (index === objects.length - 1 ? {...object, labels: {...object.labels, revision: `r${revision}`}} : object));
+
+/** Endpoints spread evenly over services, all in one zone. */
+export const createEndpoints = (count: number, services: number, random: Random): Endpoint[] => range(count).map(index => ({
+  host: `host-${index}`,
+  zone: 'zone-0',
+  incarnation: `incarnation-${index}`,
+  service: serviceName(index % services),
+  address: `10.${index >> 16}.${(index >> 8) % 256}.${index % 256}:7101`, // eslint-disable-line no-bitwise
+  slots: SLOTS_MIN + Math.floor(random() * SLOTS_SPREAD),
+  connections: 500,
+  draining: false,
+  coldStartMs: 0,
+}));
+
+/** Call to a made-up service. */
+export const createCall = (index: number, fields: Partial<Call>, random: Random): Call => ({
+  requestId: `request-${index}`,
+  attemptId: `attempt-${index}`,
+  service: serviceName(0),
+  requestKind: 'service-0-kind-0',
+  rootKind: 'service-0/service-0-kind-0',
+  priority: 1,
+  group: 'group-0',
+  admissionHash: random(),
+  fraction: 1,
+  retryBudget: 3,
+  remainingMs: 2000,
+  hops: 1,
+  idempotent: true,
+  ...fields,
+});
+
+const announcementOf = (index: number): Announcement => ({
+  service: serviceName(index), slots: 40, connections: 500, coldStartMs: 5000, draining: false, labels: {tier: `tier-${index % 5}`, release: 'r1'},
+});
+
+/** Records of the members of one zone, each with a backend server of a service of its own. */
+export const createMembers = (count: number, zone: string): MemberRecord[] => range(count).map(index => ({
+  host: `host-${zone}-${index}`,
+  zone,
+  address: `10.1.${Math.floor(index / 256)}.${index % 256}:7101`,
+  incarnation: `incarnation-${zone}-${index}`,
+  generation: 1_700_000_000_000,
+  version: 2,
+  state: 'alive',
+  backend: announcementOf(index),
+}));
+
+/** Entries of the summary of a zone that has one backend server per service. */
+export const createSummary = (services: number, zone: string): SummaryEntry[] => range(services).map(index => ({
+  kind: 'service',
+  service: serviceName(index),
+  version: index + 1,
+  count: 1,
+  slots: 40,
+  contacts: [{
+    host: `host-${zone}-${index}`, address: `10.2.${Math.floor(index / 256)}.${index % 256}:7101`, incarnation: `incarnation-${zone}-${index}`, slots: 40, connections: 500, coldStartMs: 5000,
+  }],
+}));
--- /dev/null
+++ b/src/measure/slopes/outbound.ts
@@ -0,0 +1,140 @@
+/** Slopes of the outbound decision. */
+import {
+  createOutboundState, decideOutbound, type OutboundAction, type OutboundState,
+} from '../../decisions/outbound/outbound.js';
+import {learnFraction} from '../../decisions/outbound/admission-feedback.js';
+import {createRetryBudgets} from '../../decisions/outbound/retry-budget.js';
+import {endpointsOf, createFleetState} from '../../decisions/fleet/fleet.js';
+import {compilePolicy} from '../../objects/policy.js';
+import type {Random} from '../../shared/random.js';
+import {
+  createCall, createEndpoints, createMembers, createObjects, createSummary, serviceName,
+} from './generators.js';
+import {
+  measureBytes, measureCall, measureSizes, measureSizesLater,
+} from './meter.js';
+import type {Series} from './series.js';
+
+const ENDPOINT_SIZES = [10, 1000, 21_000];
+const SERVICE_SIZES = [10, 100, 1000, 2900];
+const ENDPOINTS = 21_000;
+const CALLS = 20_000;
+
+const createOutbound = (endpoints: number, services: number, random: Random): OutboundState => {
+  const state = createOutboundState({host: 'host-0', zone: 'zone-0', policy: compilePolicy(createObjects(Math.min(services, 200), random))});
+  decideOutbound(state, {kind: 'endpoints-changed', endpoints: createEndpoints(endpoints, services, random)}, 0, random);
+  return state;
+};
+
+const isAttempt = (action: OutboundAction): action is Extract<OutboundAction, {kind: 'attempt'}> => action.kind === 'attempt';
+
+/** Cost of one call, arrival and end, in nanoseconds. */
+const measureOutboundCall = (endpoints: number, services: number, random: Random): number => {
+  const state = createOutbound(endpoints, services, random);
+  return measureCall(CALLS, index => {
+    const callId = `call-${index}`;
+    const now = 1000 + (index / 10);
+    const call = createCall(index, {service: serviceName(index % services), requestId: callId}, random);
+    const attempt = decideOutbound(state, {kind: 'call-arrived', callId, call}, now, random).find(action => isAttempt(action));
+    if (attempt === undefined) {
+      throw new Error('the measured call was rejected; measure with more endpoints');
+    }
+
+    decideOutbound(state, {
+      kind: 'attempt-ended',
+      callId,
+      attemptId: attempt.attemptId,
+      ask: attempt.ask,
+      result: {
+        kind: 'responded', status: 200, durationMs: 5, fraction: 1, load: 0.5, retryBudget: attempt.retryBudget, gaveUp: false,
+      },
+      replayable: true,
+    }, now, random);
+  });
+};
+
+const measureUpdate = (endpoints: number, random: Random): number => {
+  const state = createOutbound(endpoints, Math.min(endpoints, 2900), random);
+  const changed = createEndpoints(endpoints, Math.min(endpoints, 2900), random);
+  return measureCall(5000, index => {
+    decideOutbound(state, {kind: 'endpoints-updated', changed: [{...changed[index % endpoints]!, slots: 10 + (index % 50)}], removed: []}, 1000 + index, random);
+  });
+};
+
+const measureReplacement = (endpoints: number, random: Random): number => {
+  const state = createOutbound(endpoints, Math.min(endpoints, 2900), random);
+  const list = createEndpoints(endpoints, Math.min(endpoints, 2900), random);
+  return measureCall(Math.max(5, Math.ceil(20_000 / endpoints)), index => {
+    decideOutbound(state, {kind: 'endpoints-changed', endpoints: list}, 1000 + index, random);
+  });
+};
+
+/** Fleet state that knows a zone of its own and other zones, without messages. */
+export const createKnownFleet = (members: number, zones: number) => {
+  const state = createFleetState({
+    host: 'self', zone: 'zone-0', address: '10.0.0.1:7101', incarnation: 'self-1', startedAt: 1_700_000_000_000, contacts: [],
+  });
+  for (const record of createMembers(members, 'zone-0')) {
+    state.membership.members.set(record.host, {
+      record, since: 0, sequence: 0, sequenceAt: 0, reason: '',
+    });
+  }
+
+  for (let index = 1; index < zones; index++) {
+    const zone = `zone-${index}`;
+    const entries = createSummary(members, zone).map(entry => [
+      entry.kind === 'service' ? entry.service : '', {epoch: 1, publisher: zone, entry},
+    ] as const);
+    state.zones.feeds.set(zone, {
+      stamp: {
+        zone, epoch: 1, publisher: zone, version: members,
+      }, entries: new Map(entries),
+    });
+  }
+
+  return state;
+};
+
+/** Cost of the list of all endpoints out of a fleet state, in nanoseconds. */
+const measureList = (endpoints: number): number => {
+  const state = createKnownFleet(Math.round(endpoints / 22), 22);
+  return measureCall(Math.max(5, Math.ceil(20_000 / endpoints)), () => {
+    endpointsOf(state);
+  });
+};
+
+const learnRows = (rows: number, random: Random): OutboundState => {
+  const state = createOutboundState({host: 'host-0', zone: 'zone-0', policy: compilePolicy([])});
+  for (let index = 0; index < rows; index++) {
+    const call = createCall(index, {service: serviceName(index % 2900), group: `group-${index}`}, random);
+    learnFraction(state.feedback, call, {fraction: 0.5, endpoints: 7}, 1000);
+  }
+
+  return state;
+};
+
+const poolRequests = (requests: number) => {
+  const budgets = createRetryBudgets();
+  for (let index = 0; index < requests; index++) {
+    budgets.requests.set(`request-${index}-0123456789abcdef`, {
+      left: 1, total: 3, open: 0, peak: 1, expected: 1, expiresAt: index, gaveUp: false, parentKind: undefined,
+    });
+  }
+
+  return budgets;
+};
+
+/** Measures the outbound decision. */
+export const measureOutbound = async (random: Random): Promise<Series[]> => [
+  measureSizes('outbound-call-by-endpoints', 'ns', 'endpoint', ENDPOINT_SIZES, size => measureOutboundCall(size, 10, random)),
+  measureSizes('outbound-call-by-services', 'ns', 'service', SERVICE_SIZES, size => measureOutboundCall(ENDPOINTS, size, random)),
+  measureSizes('endpoint-update', 'ns', 'endpoint', ENDPOINT_SIZES, size => measureUpdate(size, random)),
+  measureSizes('endpoint-replacement', 'ns', 'endpoint', ENDPOINT_SIZES, size => measureReplacement(size, random)),
+  measureSizes('endpoint-list', 'ns', 'endpoint', [220, 2200, 21_000], size => measureList(size)),
+  await measureSizesLater({name: 'heap-endpoints', unit: 'B', per: 'endpoint'}, ENDPOINT_SIZES, async size =>
+    measureBytes(() => createOutbound(size, Math.min(size, 2900), random))),
+  await measureSizesLater({name: 'heap-learnt-fractions', unit: 'B', per: 'row'}, [100, 1000, 10_000, 16_000], async size =>
+    measureBytes(() => learnRows(size, random))),
+  await measureSizesLater({name: 'heap-retry-pools', unit: 'B', per: 'remembered request'}, [1000, 10_000, 65_000], async size =>
+    measureBytes(() => poolRequests(size))),
+];
--- /dev/null
+++ b/src/measure/slopes/page.ts
@@ -0,0 +1,55 @@
+/** Generated sections of docs/CAPACITY.md. */
+import {readFileSync, writeFileSync} from 'node:fs';
+import {fileURLToPath} from 'node:url';
+import {figuresSchema, type Figures, type Series} from './series.js';
+
+/** File with the figures of the last measurement. */
+export const figuresPath = fileURLToPath(new URL('../../../docs/capacity-figures.json', import.meta.url));
+/** Page that the figures are written into. */
+export const pagePath = fileURLToPath(new URL('../../../docs/CAPACITY.md', import.meta.url));
+
+const PRECISION = 4;
+
+/** Number with four significant digits, thousands separated. */
+export const formatNumber = (value: number): string =>
+  Number(value.toPrecision(PRECISION)).toLocaleString('en-GB', {maximumSignificantDigits: PRECISION});
+
+const seriesRow = ({name, unit, per, points, fit}: Series): string => {
+  const measured = points.map(({size, value}) => `${formatNumber(size)}: ${formatNumber(value)}`).join(', ');
+  return `| \`${name}\` | ${unit} | ${per} | ${formatNumber(fit.intercept)} | ${formatNumber(fit.slope)} | ${formatNumber(fit.residual)} | ${measured} |`;
+};
+
+/** Table of the slopes, with how they were measured. */
+export const renderSlopes = (figures: Figures): string => [
+  `\`${figures.command}\`, ${figures.date}, Node ${figures.nodeVersion}, ${figures.cores} cores, ${figures.elapsedSeconds} s.`,
+  `Resident: ${formatNumber(figures.residentBytesAtStart / 1_000_000)} MB at the start, at most ${formatNumber(figures.residentBytesMax / 1_000_000)} MB.`,
+  `Load average before: ${figures.loadBefore.map(load => formatNumber(load)).join(', ')}; after: ${figures.loadAfter.map(load => formatNumber(load)).join(', ')}. ${figures.method}`,
+  '',
+  '| name | unit | size is the number of | intercept | slope | residual | measured at (size: value) |',
+  '| --- | --- | --- | ---: | ---: | ---: | --- |',
+  ...figures.series.map(series => seriesRow(series)),
+].join('\n');
+
+/** Replaces what stands between the markers of a section. */
+export const replaceSection = (page: string, section: string, content: string): string => {
+  const begin = `<!-- begin ${section} -->`;
+  const end = `<!-- end ${section} -->`;
+  const from = page.indexOf(begin);
+  const to = page.indexOf(end);
+  if (from === -1 || to < from) {
+    throw new Error(`the page lacks the markers of the section ${section}; add \`${begin}\` and \`${end}\``);
+  }
+
+  return `${page.slice(0, from)}${begin}\n\n${content}\n\n${page.slice(to)}`;
+};
+
+/** Page with its generated sections rewritten. */
+export const renderPage = (page: string, figures: Figures): string => replaceSection(page, 'slopes', renderSlopes(figures));
+
+/** Reads the figures of the last measurement. */
+export const readFigures = (): Figures => figuresSchema.parse(JSON.parse(readFileSync(figuresPath, 'utf8')));
+
+/** Rewrites the generated sections of the page. */
+export const writePage = (figures: Figures): void => {
+  writeFileSync(pagePath, renderPage(readFileSync(pagePath, 'utf8'), figures));
+};
--- a/src/objects/policy.ts
+++ b/src/objects/policy.ts
@@ -81,18 +81,42 @@
 const ofType = <Type extends Rule['spec']['type']>(rules: readonly Rule[], type: Type): Array<RuleOfType<Type>> =>
   rules.map(rule => rule.spec).filter((spec): spec is RuleOfType<Type> => spec.type === type);
 
-const priorityOf = (rules: readonly Rule[], subject: Subject): {priority: number; priorityName: string} => {
-  const priorities = ofType(rules, 'priority').flatMap(spec => spec.priorities);
+/** Rules by type, in order of name. */
+type RulesByType = {[Type in Rule['spec']['type']]: Array<RuleOfType<Type>>};
+
+const groupByType = (rules: readonly Rule[]): RulesByType => ({
+  priority: ofType(rules, 'priority'),
+  deadline: ofType(rules, 'deadline'),
+  retry: ofType(rules, 'retry'),
+  limit: ofType(rules, 'limit'),
+  share: ofType(rules, 'share'),
+  drain: ofType(rules, 'drain'),
+});
+
+/** Request kinds by service, so that the cost of a policy grows with its services and not with their square. */
+const groupByService = (requestKinds: readonly RequestKind[]): Map<string, RequestKind[]> => {
+  const groups = new Map<string, RequestKind[]>();
+  for (const requestKind of requestKinds) {
+    const group = groups.get(requestKind.spec.service) ?? [];
+    group.push(requestKind);
+    groups.set(requestKind.spec.service, group);
+  }
+
+  return groups;
+};
+
+const priorityOf = (rules: RulesByType, subject: Subject): {priority: number; priorityName: string} => {
+  const priorities = rules.priority.flatMap(spec => spec.priorities);
   const index = priorities.findIndex(priority => selects(priority.select, subject));
   return index === -1 ? {priority: priorities.length, priorityName: DEFAULT_PRIORITY_NAME} : {priority: index, priorityName: priorities[index]!.name};
 };
 
-const treatmentOf = (rules: readonly Rule[], service: Service, requestKind: RequestKind, backendLabels?: Labels): Treatment => {
+const treatmentOf = (rules: RulesByType, service: Service, requestKind: RequestKind, backendLabels?: Labels): Treatment => {
   const subject = {service, requestKind, backendLabels};
   const applies = (spec: {select: Selection}) => selects(spec.select, subject);
-  const retry = ofType(rules, 'retry').find(spec => applies(spec));
-  const limit = ofType(rules, 'limit').find(spec => applies(spec));
-  const share = ofType(rules, 'share').find(spec => applies(spec));
+  const retry = rules.retry.find(spec => applies(spec));
+  const limit = rules.limit.find(spec => applies(spec));
+  const share = rules.share.find(spec => applies(spec));
   return {
     service: service.name,
     requestKind: requestKind.name,
@@ -100,7 +124,7 @@
     path: requestKind.spec.path,
     idempotent: requestKind.spec.idempotent,
     ...priorityOf(rules, subject),
-    deadlineMs: ofType(rules, 'deadline').find(spec => applies(spec))?.milliseconds ?? DEFAULT_DEADLINE_MS,
+    deadlineMs: rules.deadline.find(spec => applies(spec))?.milliseconds ?? DEFAULT_DEADLINE_MS,
     retryBudget: retry?.retryBudget ?? DEFAULT_RETRY_BUDGET,
     retryRatio: retry?.ratio ?? DEFAULT_RETRY_RATIO,
     queueMs: limit?.queueMs ?? DEFAULT_QUEUE_MS,
@@ -117,21 +141,19 @@
 */
 export const compilePolicy = (objects: readonly DeclaredObject[], backendLabels?: Labels): Policy => {
   const services = objects.filter((object): object is Service => object.kind === 'Service').sort(byName);
-  const requestKinds = objects.filter((object): object is RequestKind => object.kind === 'RequestKind').sort(byName);
-  const rules = objects.filter((object): object is Rule => object.kind === 'Rule').sort(byName);
-  const priorities = ofType(rules, 'priority').flatMap(spec => spec.priorities);
+  const requestKinds = groupByService(objects.filter((object): object is RequestKind => object.kind === 'RequestKind').sort(byName));
+  const rules = groupByType(objects.filter((object): object is Rule => object.kind === 'Rule').sort(byName));
+  const priorities = rules.priority.flatMap(spec => spec.priorities);
   return {
     priorityCount: priorities.length + 1,
     minimumShares: [...priorities.map(({minimumShare}) => minimumShare ?? 0), 0],
     treatments: new Map(services.map(service => [
       service.name,
-      requestKinds
-        .filter(requestKind => requestKind.spec.service === service.name)
-        .map(requestKind => treatmentOf(rules, service, requestKind, backendLabels)),
+      (requestKinds.get(service.name) ?? []).map(requestKind => treatmentOf(rules, service, requestKind, backendLabels)),
     ])),
     drainMs: new Map(services.map(service => [
       service.name,
-      ofType(rules, 'drain').find(spec => selects(spec.select, {service, backendLabels}))?.milliseconds ?? DEFAULT_DRAIN_MS,
+      rules.drain.find(spec => selects(spec.select, {service, backendLabels}))?.milliseconds ?? DEFAULT_DRAIN_MS,
     ])),
   };
 };
