--- a/src/measure/slopes/fleet.ts
+++ b/src/measure/slopes/fleet.ts
@@ -166,10 +166,10 @@
   return [
     ...zoneSeries(stretches),
     ...startSeries(random),
-    measureSizes('summary-json', 'B', 'service of a zone', [10, 100, 955], size => JSON.stringify(createSummary(size, 'zone-1')).length),
-    measureSizes('summary-part', 'ns', 'entry', [10, 100, 955], size => measureSummaryPart(size, random)),
-    measureSizes('summary-answer', 'ns', 'entry per zone', [10, 100, 955], size => measureSummaryAnswer(size, random)),
-    measureSizes('join-records', 'ns', 'member of the zone', MEMBER_SIZES, size => measureJoin(size, random)),
+    measureSizes({name: 'summary-json', unit: 'B', per: 'service of a zone'}, [10, 100, 955], size => JSON.stringify(createSummary(size, 'zone-1')).length),
+    measureSizes({name: 'summary-part', unit: 'ns', per: 'entry'}, [10, 100, 955], size => measureSummaryPart(size, random)),
+    measureSizes({name: 'summary-answer', unit: 'ns', per: 'entry per zone'}, [10, 100, 955], size => measureSummaryAnswer(size, random)),
+    measureSizes({name: 'join-records', unit: 'ns', per: 'member of the zone'}, MEMBER_SIZES, size => measureJoin(size, random)),
     await measureSizesLater({name: 'heap-members', unit: 'B', per: 'member record'}, MEMBER_SIZES, async size => measureBytes(() => createMemberMap(size))),
     await measureSizesLater({name: 'heap-summary-entries', unit: 'B', per: 'service of a zone'}, [10, 100, 955, 4000], async size =>
       measureBytes(() => createSummary(size, 'zone-1').map(entry => ({epoch: 1, publisher: 'zone-1', entry: structuredClone(entry)})))),
--- a/src/measure/slopes/inbound.ts
+++ b/src/measure/slopes/inbound.ts
@@ -134,10 +134,10 @@
 
 /** Measures the inbound decision. */
 export const measureInbound = async (random: Random): Promise<Series[]> => [
-  measureSizes('inbound-call-by-priorities', 'ns', 'priority', [1, 4, 8, 16], size => measureInboundCall({priorities: size, groups: 1, tickets: -1}, random)),
-  measureSizes('inbound-call-by-groups', 'ns', 'client group', [1, 10, 100, 1000], size => measureInboundCall({priorities: 4, groups: size, tickets: -1}, random)),
-  measureSizes('inbound-call-by-tickets', 'ns', 'ticket record', [0, 10_000, 50_000], size => measureInboundCall({priorities: 4, groups: 10, tickets: size}, random)),
-  measureSizes('inbound-tick', 'ns', 'client group', [1, 10, 100, 1000], size => measureTick(size, random)),
+  measureSizes({name: 'inbound-call-by-priorities', unit: 'ns', per: 'priority'}, [1, 4, 8, 16], size => measureInboundCall({priorities: size, groups: 1, tickets: -1}, random)),
+  measureSizes({name: 'inbound-call-by-groups', unit: 'ns', per: 'client group'}, [1, 10, 100, 1000], size => measureInboundCall({priorities: 4, groups: size, tickets: -1}, random)),
+  measureSizes({name: 'inbound-call-by-tickets', unit: 'ns', per: 'ticket record'}, [0, 10_000, 50_000], size => measureInboundCall({priorities: 4, groups: 10, tickets: size}, random)),
+  measureSizes({name: 'inbound-tick', unit: 'ns', per: 'client group'}, [1, 10, 100, 1000], size => measureTick(size, random)),
   await measureSizesLater({name: 'heap-ticket-records', unit: 'B', per: 'record'}, [1000, 10_000, 50_000], async size => measureBytes(() => fillLedger(size))),
   await measureSizesLater({name: 'heap-stored-responses', unit: 'B', per: 'response of 1,024 B'}, [100, 1000, 10_000], async size => measureBytes(() => storeResponses(size))),
 ];
--- a/src/measure/slopes/meter.ts
+++ b/src/measure/slopes/meter.ts
@@ -65,7 +65,7 @@
 });
 
 /** Measures a quantity at several sizes, one after another. */
-export const measureSizes = (name: string, unit: string, per: string, sizes: readonly number[], measure: (size: number) => number): Series => {
+export const measureSizes = ({name, unit, per}: Pick<Series, 'name' | 'unit' | 'per'>, sizes: readonly number[], measure: (size: number) => number): Series => {
   // Measured once in vain, or the first size would pay for the compilation of the code.
   measure(sizes[0]!);
   return seriesOf(name, unit, per, sizes.map(size => ({size, value: measure(size)})));
--- a/src/measure/slopes/outbound.ts
+++ b/src/measure/slopes/outbound.ts
@@ -126,11 +126,11 @@
 
 /** Measures the outbound decision. */
 export const measureOutbound = async (random: Random): Promise<Series[]> => [
-  measureSizes('outbound-call-by-endpoints', 'ns', 'endpoint', ENDPOINT_SIZES, size => measureOutboundCall(size, 10, random)),
-  measureSizes('outbound-call-by-services', 'ns', 'service', SERVICE_SIZES, size => measureOutboundCall(ENDPOINTS, size, random)),
-  measureSizes('endpoint-update', 'ns', 'endpoint', ENDPOINT_SIZES, size => measureUpdate(size, random)),
-  measureSizes('endpoint-replacement', 'ns', 'endpoint', ENDPOINT_SIZES, size => measureReplacement(size, random)),
-  measureSizes('endpoint-list', 'ns', 'endpoint', [220, 2200, 21_000], size => measureList(size)),
+  measureSizes({name: 'outbound-call-by-endpoints', unit: 'ns', per: 'endpoint'}, ENDPOINT_SIZES, size => measureOutboundCall(size, 10, random)),
+  measureSizes({name: 'outbound-call-by-services', unit: 'ns', per: 'service'}, SERVICE_SIZES, size => measureOutboundCall(ENDPOINTS, size, random)),
+  measureSizes({name: 'endpoint-update', unit: 'ns', per: 'endpoint'}, ENDPOINT_SIZES, size => measureUpdate(size, random)),
+  measureSizes({name: 'endpoint-replacement', unit: 'ns', per: 'endpoint'}, ENDPOINT_SIZES, size => measureReplacement(size, random)),
+  measureSizes({name: 'endpoint-list', unit: 'ns', per: 'endpoint'}, [220, 2200, 21_000], size => measureList(size)),
   await measureSizesLater({name: 'heap-endpoints', unit: 'B', per: 'endpoint'}, ENDPOINT_SIZES, async size =>
     measureBytes(() => createOutbound(size, Math.min(size, 2900), random))),
   await measureSizesLater({name: 'heap-learnt-fractions', unit: 'B', per: 'row'}, [100, 1000, 10_000, 16_000], async size =>
--- a/src/measure/slopes/policy.ts
+++ b/src/measure/slopes/policy.ts
@@ -80,7 +80,7 @@
   const bySize = new Map(SERVICE_SIZES.map(size => [size, createObjects(size, random)]));
   const objectsOf = (size: number): DeclaredObject[] => bySize.get(size)!;
   const sizes = (name: string, unit: string, measure: (objects: DeclaredObject[], services: number) => number): Series =>
-    measureSizes(name, unit, 'service', SERVICE_SIZES, size => measure(objectsOf(size), size));
+    measureSizes({name, unit, per: 'service'}, SERVICE_SIZES, size => measure(objectsOf(size), size));
   return [
     sizes('policy-compilation', 'ns', measureCompilation),
     sizes('policy-lookup', 'ns', measureLookup),
@@ -90,7 +90,7 @@
     sizes('configuration-objects', 'objects', objects => objects.length),
     sizes('configuration-json', 'B', objects => jsonBytes(createConfiguration(objects, 1))),
     sizes('configuration-stored', 'B', objects => jsonBytes(encodeConfiguration(createConfiguration(objects, 1, CHANGE_LOG_LENGTH)))),
-    measureSizes('configuration-change-json', 'B', 'entry of the change log', [0, 100, 500], size => {
+    measureSizes({name: 'configuration-change-json', unit: 'B', per: 'entry of the change log'}, [0, 100, 500], size => {
       const {base, next} = createPair(objectsOf(100), size);
       return jsonBytes(describeChange(base, next));
     }),
