--- a/src/measure/slopes/zone.ts
+++ b/src/measure/slopes/zone.ts
@@ -75,6 +75,18 @@
   state.roles.holders = holders;
 };
 
+/** Gives all members the summary that the aggregator publishes; otherwise its spread would last into the measured time. */
+const shareOwnSummary = (processes: readonly Process[], random: Random): void => {
+  const publisher = processes.find(({aggregator}) => aggregator)!.state;
+  decideFleet(publisher, {kind: 'tick'}, 0, random);
+  const {stamp, entries} = publisher.zones.feeds.get(ZONE)!;
+  for (const {state} of processes) {
+    state.zones.feeds.set(ZONE, {stamp, entries: new Map(entries)});
+    state.zones.digest = publisher.zones.digest;
+    state.zones.noticeDue = false;
+  }
+};
+
 /** Running zone. */
 export type Zone = {
   /** Lets time pass and returns what happened. */
@@ -109,6 +121,10 @@
       state, codec, tickAt: random() * TICK_MS, aggregator: record.host === holders[0],
     };
   });
+  if (!strangers) {
+    shareOwnSummary(processes, random);
+  }
+
   const byAddress = new Map(processes.map(process => [process.state.self.address, process]));
 
   const later = (process: Process, event: FleetEvent): void => {
