feat(daemon): expose the concurrency limit and all ticket records as gauges

Cause: low goodput could not be told from the metrics; the gauge of the concurrency limit was declared and never set. Change: it is set on each tick, and the gauge of tickets counts cancelled ones too.

--- a/src/daemon/receiver.ts
+++ b/src/daemon/receiver.ts
@@ -13,6 +13,7 @@
 import {
   createInboundState, decideInbound, inboundLoad, responseFraction, type BackendOutcome, type InboundAction, type InboundEvent,
 } from '../decisions/inbound/inbound.js';
+import {allowedCalls} from '../decisions/inbound/concurrency-limit.js';
 import type {EventLog} from './event-log.js';
 import {numberHeader} from './headers.js';
 import {
@@ -386,7 +387,8 @@
       apply({kind: 'tick', epochMs: Date.now()});
       metrics.setGauge('calls_in_flight', state.runningCount);
       metrics.setGauge('calls_waiting', state.queue.length);
-      metrics.setGauge('tickets', state.ledger.records.size);
+      metrics.setGauge('concurrency_limit', allowedCalls(state.limit));
+      metrics.setGauge('tickets', state.ledger.records.size + state.ledger.cancelledCount);
     },
     inFlight: () => entries.size,
     async close() {
