fix(inbound): do not lower the concurrency limit for rejections of a dependency

Change: a 503 counts only for calls without sub-calls. Test: load.spec.ts, two cases; the first fails without the change.

--- a/src/decisions/inbound/__tests__/load.spec.ts
+++ b/src/decisions/inbound/__tests__/load.spec.ts
@@ -114,3 +114,29 @@
   const {mostDeep} = runDeep(driver, 300, 100);
   t.true(mostDeep > 10, `${mostDeep}`);
 });
+
+const refusals: Array<[failure: string, withSubCall: boolean, isLowered: boolean]> = [
+  ['rejections that a call passes on from a dependency lower the limit of its own backend server', true, false],
+  ['own rejections of the backend server do not lower the limit', false, true],
+];
+
+for (const [failure, withSubCall, isLowered] of refusals) {
+  test(failure, t => {
+    const driver = createDriver(SLOTS);
+    for (let index = 0; index < 200; index++) {
+      const callId = `c${index}`;
+      driver.arrive(callId);
+      if (withSubCall) {
+        driver.send({kind: 'sub-call-started', callId, service: 'registro'});
+        driver.send({
+          kind: 'sub-call-ended', callId, service: 'registro', fraction: 1,
+        });
+      }
+
+      driver.end(callId, 503);
+      driver.wait(20);
+    }
+
+    t.is(allowedCalls(driver.state.limit) < SLOTS, isLowered);
+  });
+}
--- a/src/decisions/inbound/ending.ts
+++ b/src/decisions/inbound/ending.ts
@@ -47,6 +47,8 @@
   // A call that waits for a dependency, or that had little time from the start, says nothing about the backend server.
   const usualMs = usualServiceMs(state.serviceTimes, active.call.requestKind);
   const isTimeoutOverload = subCalls.open.size === 0 && active.deadlineAt - startedAt >= usualMs * TIMEOUT_RATIO;
+  // A 503 of a call with sub-calls mostly passes on the rejection of a dependency.
+  const isOwnRefusal = outcome.kind === 'responded' && outcome.status === 503 && subCalls.used.size === 0;
   const waitedMs = closeSubCalls(state.dependencies, subCalls, active.call.requestKind, now);
   if (active.isCancelled || startedAt < state.resumedAt) {
     return;
@@ -57,7 +59,7 @@
     const ownMs = Math.max(0, heldMs - waitedMs);
     const inflation = addServiceTime(state.serviceTimes, {requestKind: active.call.requestKind, heldMs, ownMs}, now);
     addLoadSample(state.limit, {kind: 'served', inflation});
-  } else if (outcome.kind === 'responded' || (outcome.kind === 'timed-out' && isTimeoutOverload)) {
+  } else if (isOwnRefusal || (outcome.kind === 'timed-out' && isTimeoutOverload)) {
     addLoadSample(state.limit, {kind: 'overloaded'});
   }
 };
