docs(capacity): work out the target size from measured slopes

Nearly all of it is the whole configuration that each process hashes and compiles per change.

Changes are measured five in 10 s, because a single one was lost in the noise of the idle time, and a stretch of 5 s held the comparison of all records in one case and not in the other.

--- a/src/measure/slopes/__tests__/capacity.spec.ts
+++ b/src/measure/slopes/__tests__/capacity.spec.ts
@@ -6,7 +6,7 @@
 import {hashObjects} from '../../../objects/configuration.js';
 import {validateObjects} from '../../../objects/validation.js';
 import {
-  estimateLimits, estimatePeaks, estimateRoles, TARGET, valueAt, ZONE_MEMBERS,
+  estimateBreaks, estimateLimits, estimatePeaks, estimateRoles, TARGET, valueAt, ZONE_MEMBERS,
 } from '../capacity.js';
 import {fitLine, median, type Point} from '../fit.js';
 import {formatNumber} from '../format.js';
@@ -152,9 +152,14 @@
   const quantities = [
     ...estimateRoles(readFigures()).map(({name, value}) => ({name, value})),
     ...estimateLimits(readFigures()).map(({limit, estimate}) => ({name: limit, value: estimate})),
+    ...estimateBreaks(readFigures()).map(({size, value}) => ({name: size, value})),
     ...estimatePeaks(readFigures()).map(({quantity, value}) => ({name: quantity, value})),
   ];
-  t.deepEqual(quantities.filter(({value}) => value < 0), []);
+  const changes = readFigures().series
+    .filter(({name}) => /-change-(?:messages|bytes|processor)$/u.test(name))
+    .map(({name}) => ({name, value: valueAt(readFigures(), name, ZONE_MEMBERS)}));
+  t.is(changes.length, 9);
+  t.deepEqual([...quantities, ...changes].filter(({value}) => value < 0), []);
 });
 
 test('capacity › a missed limit is shown as missed', t => {
@@ -192,7 +197,7 @@
 // A reader follows the name of a slope from the text to the table.
 test('page › every slope that is named has a row', t => {
   const names = readFigures().series.map(({name}) => name);
-  const rows = [...estimateRoles(readFigures()), ...estimateLimits(readFigures()), ...estimatePeaks(readFigures())];
+  const rows = [...estimateRoles(readFigures()), ...estimateLimits(readFigures()), ...estimatePeaks(readFigures()), ...estimateBreaks(readFigures())];
   const named = rows
     .flatMap(({basis}) => [...basis.matchAll(/`([a-z-]+)(\*?)`/gu)])
     .map(([, name, wildcard]) => ({name: name!, wildcard: wildcard !== ''}));
--- a/src/measure/slopes/capacity.ts
+++ b/src/measure/slopes/capacity.ts
@@ -29,6 +29,8 @@
 } as const;
 const MICROSECOND_NS = 1000;
 const CORE_US = 1_000_000;
+const PROCESSOR_LIMIT_US = 39_000;
+const VALUE_BYTES_MAX = 1_048_576;
 
 /** One worked-out quantity. */
 export type Estimate = {
@@ -567,6 +569,74 @@
   ...estimatePeaks(figures).map(({peak, quantity, value, unit, basis}) => `| ${peak} | ${quantity} | ${formatNumber(value)} | ${unit} | ${basis} |`),
 ].join('\n');
 
+/** Size at which a limit is reached while all other sizes stay at the target. */
+export type Break = {limit: string; size: string; value: number; unit: string; basis: string};
+
+/** Works out the sizes at which limits are reached. */
+export const estimateBreaks = (figures: Figures): Break[] => {
+  const costs = createCosts(figures);
+  const slopeOf = (name: string): number => figures.series.find(series => series.name === name)!.fit.slope;
+  const processor = processorByCause(costs);
+  const perChangeUs = processor.configuration / rates.configuration;
+  const leftUs = PROCESSOR_LIMIT_US - processor.idle - processor.members - processor.summaries;
+  const perServiceUs = (slopeOf('configuration-adoption') + slopeOf('policy-compilation')) / MICROSECOND_NS;
+  const blockUs = costs.adoptionUs + costs.compilationUs;
+  const publishShare = (rates.memberChanges + rates.summaryChanges) * costs.publishUs / CORE_US;
+  const memory = memoryByStore(figures, costs);
+  const otherMemory = sum(memory) - memory.endpoints;
+  return [
+    {
+      limit: 'time in which calls wait for control',
+      size: 'configuration changes with 2,900 services',
+      value: Math.max(0, 0.01 - publishShare) * CORE_US / blockUs * DAY_SECONDS,
+      unit: 'per day',
+      basis: '(1 % − record and summary changes × `publish`) / `block`',
+    },
+    {
+      limit: 'processor time for control, per process',
+      size: 'configuration changes with 2,900 services',
+      value: leftUs / perChangeUs * DAY_SECONDS,
+      unit: 'per day',
+      basis: '(3.9 % of a core − the other `control-*` rows) / `control-configuration` of one change',
+    },
+    {
+      limit: 'processor time for control, per process',
+      size: 'services with 33,000 changes a day',
+      value: leftUs / rates.configuration / perServiceUs,
+      unit: 'services',
+      basis: 'the same by the slopes of `configuration-adoption` and `policy-compilation`; messages not counted',
+    },
+    {
+      limit: 'bytes for control, watcher',
+      size: 'configuration changes with 2,900 services',
+      value: Math.max(0, 15_000 - sum(bytesByCause(costs))) / costs.storedBytes * DAY_SECONDS,
+      unit: 'per day',
+      basis: '(15 KB/s − the `bytes-*` rows) / `configuration-stored` at 2,900',
+    },
+    {
+      limit: 'size of one value',
+      size: 'services, if the objects do not compress at all',
+      value: VALUE_BYTES_MAX / slopeOf('configuration-json'),
+      unit: 'services',
+      basis: '1 MB / slope of `configuration-json`',
+    },
+    {
+      limit: 'memory per process',
+      size: 'endpoints with all stores full',
+      value: Math.max(0, 256_000_000 - otherMemory) / slopeOf('heap-endpoints'),
+      unit: 'endpoints',
+      basis: '(256 MB − the other `memory-*` rows) / slope of `heap-endpoints`; 0 when the others alone exceed it',
+    },
+  ];
+};
+
+/** Table of the sizes at which limits are reached. */
+export const renderBreaks = (figures: Figures): string => [
+  '| limit | reached at | worked out | unit | from |',
+  '| --- | --- | ---: | --- | --- |',
+  ...estimateBreaks(figures).map(({limit, size, value, unit, basis}) => `| ${limit} | ${size} | ${formatNumber(value)} | ${unit} | ${basis} |`),
+].join('\n');
+
 /** Table of the quantities of each role. */
 export const renderRoles = (figures: Figures): string => [
   '| name | role | quantity | worked out | unit | from | code |',
--- a/src/measure/slopes/fleet.ts
+++ b/src/measure/slopes/fleet.ts
@@ -12,13 +12,17 @@
 import {createKnownFleet} from './outbound.js';
 import {CHANGE_LOG_LENGTH} from './policy.js';
 import type {Series} from './series.js';
-import {createZone, type Traffic, type Zone} from './zone.js';
+import {
+  addTraffic, createZone, type Traffic, type Zone,
+} from './zone.js';
 
 /** Members of a zone; 21,000 in 22 zones are 955. */
 const MEMBER_SIZES = [10, 50, 200, 955];
 const SETTLE_MS = 8000;
-/** Time of a measured stretch, in milliseconds; the spread of one change has ended by then. */
-const STRETCH_MS = 5000;
+/** Time of a measured stretch, in milliseconds. It holds one comparison of all records, which members make every 10 s. */
+const STRETCH_MS = 10_000;
+/** Changes in a stretch; a single one is lost in the noise of the idle time. */
+const CHANGES = 5;
 const SECOND_MS = 1000;
 const SMALL_SERVICES = 10;
 
@@ -29,35 +33,47 @@
   zone.showConfiguration(createConfiguration(changeOneObject(objects, sequence), sequence, CHANGE_LOG_LENGTH));
 };
 
+/** Makes changes at equal intervals, and returns the traffic with the longest time that one took to reach the last member. */
+const changeRepeatedly = (zone: Zone, change: (turn: number) => void): {traffic: Traffic; slowestMs: number} => {
+  const parts = Array.from({length: CHANGES}, (_, turn) => {
+    const changedAt = zone.now();
+    change(turn);
+    const traffic = zone.run(STRETCH_MS / CHANGES);
+    return {traffic, slowestMs: Math.max(0, ...traffic.adoptedAt) - changedAt};
+  });
+  return {traffic: addTraffic(parts.map(({traffic}) => traffic)), slowestMs: Math.max(...parts.map(({slowestMs}) => slowestMs))};
+};
+
 const measureZone = (members: number, random: Random): Stretches => {
   const zone = createZone(members, random);
-  zone.run(SETTLE_MS);
   changeConfiguration(zone, 1, random);
   zone.run(SETTLE_MS);
   // A small zone takes too little processor time for a short stretch to show it.
   const idle = zone.run(STRETCH_MS * Math.max(1, Math.ceil(200 / members)));
-  zone.changeMember(members - 1);
-  const memberChange = zone.run(STRETCH_MS);
-  zone.changeOtherZone(1);
-  const summaryChange = zone.run(STRETCH_MS);
-  const shown = SETTLE_MS + SETTLE_MS + (STRETCH_MS * (Math.max(1, Math.ceil(200 / members)) + 2));
-  changeConfiguration(zone, 2, random);
-  const configurationChange = zone.run(STRETCH_MS);
-  if (zone.sequences().some(sequence => sequence !== 2)) {
+  const {traffic: memberChange} = changeRepeatedly(zone, turn => {
+    zone.changeMember(members - 1 - turn);
+  });
+  const {traffic: summaryChange} = changeRepeatedly(zone, turn => {
+    zone.changeOtherZone(turn + 1);
+  });
+  const {traffic: configurationChange, slowestMs} = changeRepeatedly(zone, turn => {
+    changeConfiguration(zone, turn + 2, random);
+  });
+  if (zone.sequences().some(sequence => sequence !== CHANGES + 1)) {
     throw new Error('a configuration did not reach every member of the measured zone; the stretch is too short or the fleet decision is at fault');
   }
 
   return {
-    members, idle, memberChange, summaryChange, configurationChange, slowestMs: Math.max(...configurationChange.adoptedAt) - shown,
+    members, idle, memberChange, summaryChange, configurationChange, slowestMs,
   };
 };
 
 const idleSeconds = ({members}: Stretches): number => STRETCH_MS * Math.max(1, Math.ceil(200 / members)) / SECOND_MS;
 
-/** What a change added to an idle stretch, per member. */
+/** What one change added to an idle stretch, per member. */
 const added = (stretches: Stretches, change: Traffic, read: (traffic: Traffic) => number): number => {
   const idle = read(stretches.idle) / idleSeconds(stretches) * (STRETCH_MS / SECOND_MS);
-  return (read(change) - idle) / stretches.members;
+  return (read(change) - idle) / stretches.members / CHANGES;
 };
 
 const zoneSeries = (all: Stretches[]): Series[] => {
@@ -86,8 +102,8 @@
     ...changes('summary-change', ({summaryChange}) => summaryChange),
     ...changes('configuration-change', ({configurationChange}) => configurationChange),
     by('configuration-change-spread', 'simulated ms until the last member has it, decisions taking no time', ({slowestMs}) => slowestMs),
-    by('configuration-change-aggregator-messages', 'messages', ({configurationChange}) => configurationChange.aggregatorMessages),
-    by('configuration-change-aggregator-bytes', 'B', ({configurationChange}) => configurationChange.aggregatorBytes),
+    by('configuration-change-aggregator-messages', 'messages in 10 s with 5 changes', ({configurationChange}) => configurationChange.aggregatorMessages),
+    by('configuration-change-aggregator-bytes', 'B in 10 s with 5 changes', ({configurationChange}) => configurationChange.aggregatorBytes),
   ];
 };
 
--- a/src/measure/slopes/page.ts
+++ b/src/measure/slopes/page.ts
@@ -1,7 +1,9 @@
 /** Generated sections of docs/CAPACITY.md. */
 import {readFileSync, writeFileSync} from 'node:fs';
 import {fileURLToPath} from 'node:url';
-import {renderLimits, renderPeaks, renderRoles} from './capacity.js';
+import {
+  renderBreaks, renderLimits, renderPeaks, renderRoles,
+} from './capacity.js';
 import {formatNumber} from './format.js';
 import {figuresSchema, type Figures, type Series} from './series.js';
 
@@ -44,7 +46,8 @@
   const withRoles = replaceSection(page, 'roles', renderRoles(figures));
   const withPeaks = replaceSection(withRoles, 'peaks', renderPeaks(figures));
   const withLimits = replaceSection(withPeaks, 'limits', renderLimits(figures));
-  return replaceSection(withLimits, 'slopes', renderSlopes(figures));
+  const withBreaks = replaceSection(withLimits, 'breaks', renderBreaks(figures));
+  return replaceSection(withBreaks, 'slopes', renderSlopes(figures));
 };
 
 /** Reads the figures of the last measurement. */
--- a/src/measure/slopes/zone.ts
+++ b/src/measure/slopes/zone.ts
@@ -47,6 +47,25 @@
   messages: 0, bytes: 0, processorUs: 0, aggregatorUs: 0, aggregatorMessages: 0, aggregatorBytes: 0, adoptedAt: [], platformReads: 0, platformWatches: 0, platformWrites: 0,
 });
 
+/** Sum of stretches. */
+export const addTraffic = (parts: readonly Traffic[]): Traffic => {
+  const total = noTraffic();
+  for (const part of parts) {
+    total.messages += part.messages;
+    total.bytes += part.bytes;
+    total.processorUs += part.processorUs;
+    total.aggregatorUs += part.aggregatorUs;
+    total.aggregatorMessages += part.aggregatorMessages;
+    total.aggregatorBytes += part.aggregatorBytes;
+    total.adoptedAt.push(...part.adoptedAt);
+    total.platformReads += part.platformReads;
+    total.platformWatches += part.platformWatches;
+    total.platformWrites += part.platformWrites;
+  }
+
+  return total;
+};
+
 const feedOf = (zone: string) => ({
   stamp: {
     zone, epoch: 1, publisher: zone, version: OTHER_SERVICES,
@@ -98,6 +117,8 @@
   /** Lets a relay of another zone tell a relay of this one of a change in its summary. */
   changeOtherZone: (revision: number) => void;
   sequences: () => number[];
+  /** Simulated time, in milliseconds. */
+  now: () => number;
 };
 
 /** Creates a zone whose members know each other, or know only the addresses of the first ones when they are `strangers`. */
@@ -273,6 +294,7 @@
     changeOtherZone(revision) {
       later(processes.find(({aggregator}) => aggregator)!, {kind: 'message-received', message: relayMessage(revision)});
     },
+    now: () => now,
     sequences: () => processes.map(({state}) => state.configuration.current.sequence),
   };
 };
