feat(entry): bring a new ticket with a rejection that is not run

Change: the response carries the next ticket, the load tool uses it. Test: call-path.spec.ts, cancel, late copy, next ticket.

--- a/src/daemon/__tests__/call-path.spec.ts
+++ b/src/daemon/__tests__/call-path.spec.ts
@@ -139,3 +139,19 @@
   t.is(reply.statusCode, 403);
   await reply.body.dump();
 });
+
+test.serial('a rejection that is not run brings a ticket for the next try, and the rejected one stays void', async t => {
+  const first = await request(url(1, '/chiuse/closures'), {method: 'POST', body: 'gate 9'});
+  await first.body.dump();
+  const ticket = String(first.headers['jujubewell-ticket']);
+  const cancelled = await request(url(0, `/.jujubewell/tickets/${ticket}`), {method: 'DELETE'});
+  t.deepEqual(await cancelled.body.json(), {state: 'cancelled'});
+  const before = closures;
+  const late = await request(url(1, '/chiuse/closures'), {method: 'POST', body: 'gate 9', headers: {'jujubewell-ticket': ticket}});
+  t.like(await late.body.json(), {error: 'ticket-cancelled', outcome: 'not-run'});
+  t.is(closures, before);
+  const next = await request(url(1, '/chiuse/closures'), {method: 'POST', body: 'gate 9', headers: {'jujubewell-ticket': String(late.headers['jujubewell-ticket'])}});
+  t.is(next.statusCode, 200);
+  t.is(await next.body.text(), 'recorded gate 9');
+  t.is(closures, before + 1);
+});
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -1,12 +1,13 @@
 /** Entry for clients: checks a request, gives it its context and passes it to the outbound side. */
-import {createHmac, randomBytes, timingSafeEqual} from 'node:crypto';
+import {createHmac, timingSafeEqual} from 'node:crypto';
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-  DEADLINE_HEADER, GROUP_HEADER, REQUEST_ID_HEADER, REQUEST_ID_MAX_LENGTH, TICKET_HEADER,
+  DEADLINE_HEADER, GROUP_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER, REQUEST_ID_MAX_LENGTH, TICKET_HEADER,
 } from '../shared/constants.js';
 import type {Call} from '../shared/call.js';
 import {admissionHash} from '../shared/hash.js';
+import {createIdSource} from '../shared/ids.js';
 import {readTicket, type Ticket} from '../shared/ticket.js';
 import {findTreatment, type Policy, type Treatment} from '../objects/policy.js';
 import type {EventLog} from './event-log.js';
@@ -25,7 +26,7 @@
 
 /** Client group of a request that states none. */
 const DEFAULT_GROUP = 'default';
-const REQUEST_ID_BYTES = 12;
+const nextRequestId = createIdSource(12);
 const GROUP_MAC_LENGTH = 22;
 
 /** Options of the entry. */
@@ -75,7 +76,7 @@
 const readRequestId = (headers: Headers): string | undefined => {
   const text = singleHeader(headers, REQUEST_ID_HEADER);
   if (text === undefined) {
-    return randomBytes(REQUEST_ID_BYTES).toString('base64url');
+    return nextRequestId();
   }
 
   return text.length <= REQUEST_ID_MAX_LENGTH && /^[\w.:-]+$/u.test(text) ? text : undefined;
@@ -195,6 +196,13 @@
     }, cause.headers);
   };
 
+  /** A ticket that was rejected as not run is void, so the response brings another one for the next try. */
+  const nextTicket = ({call, clientTicket}: Checked, reply: Reply): Headers => {
+    const isVoid = clientTicket !== undefined && reply.headers[OUTCOME_HEADER] === 'not-run';
+    const ticket = isVoid ? sender.issueTicket(call) : undefined;
+    return ticket === undefined ? {} : {[TICKET_HEADER]: ticket};
+  };
+
   const handleOwn = async (request: IncomingMessage, response: ServerResponse, rest: string): Promise<void> => {
     if (rest.startsWith('tickets/')) {
       return options.ticketRequest(request, response, rest.slice('tickets/'.length));
@@ -217,7 +225,8 @@
 
     const message = messageOf(request, response, target.path, {bytes: options.replayBytesPerCall, budget: options.replayBudget});
     const reply = await sender.handle({...checked, message, signal: callerSignal(response)});
-    await writeReply(request, response, {...reply, headers: {...reply.headers, [REQUEST_ID_HEADER]: checked.call.requestId}});
+    const headers = {...reply.headers, [REQUEST_ID_HEADER]: checked.call.requestId, ...nextTicket(checked, reply)};
+    await writeReply(request, response, {...reply, headers});
     message.body.release();
   };
 };
--- a/src/load/request.ts
+++ b/src/load/request.ts
@@ -126,6 +126,10 @@
       continue;
     }
 
+    if (result.kind === 'rejected') {
+      ticket = result.ticket ?? ticket;
+    }
+
     const waitMs = waitBefore(context, result);
     if (record.resends >= context.settings.client.resends || waitMs >= remaining()) {
       break;
--- a/src/load/sending.ts
+++ b/src/load/sending.ts
@@ -12,8 +12,8 @@
   | {kind: 'completed'}
   /** Nothing has run; the request is to be sent again with the ticket. */
   | {kind: 'ticket'; ticket: string}
-  /** A response other than 200. */
-  | {kind: 'rejected'; status: number; reason: string; outcome: string; retryAfterMs: number | undefined}
+  /** A response other than 200; a void ticket is replaced by the one of the response. */
+  | {kind: 'rejected'; status: number; reason: string; outcome: string; retryAfterMs: number | undefined; ticket: string | undefined}
   /** A 200 response that is not whole. */
   | {kind: 'truncated'}
   /** A whole 200 response to another request. */
@@ -71,6 +71,7 @@
     reason: header(headers, REASON_HEADER) ?? `status-${status}`,
     outcome: header(headers, OUTCOME_HEADER) ?? 'unstated',
     retryAfterMs: retryAfter === undefined ? undefined : Number(retryAfter) * 1000,
+    ticket,
   };
 };
 
