--- a/src/daemon/__tests__/transport.spec.ts
+++ b/src/daemon/__tests__/transport.spec.ts
@@ -59,6 +59,6 @@
 
     response.end('whole');
   });
-  t.is((await send()).kind, 'silent');
-  t.is((await send(true)).kind, 'replied');
+  t.like(await send(), {kind: 'silent'});
+  t.like(await send(true), {kind: 'replied'});
 });
--- a/src/daemon/receiver.ts
+++ b/src/daemon/receiver.ts
@@ -1,11 +1,11 @@
 /** Performs the inbound decisions: passes calls to the backend server of this host. */
 import {Buffer} from 'node:buffer';
-import {randomBytes} from 'node:crypto';
 import {
   CALL_TOKEN_HEADER, DEADLINE_HEADER, FRACTION_HEADER, GAVE_UP_HEADER, LOAD_HEADER, OUTCOME_HEADER, REASON_HEADER, REQUEST_ID_HEADER, RETRY_BUDGET_HEADER,
 } from '../shared/constants.js';
 import type {Call} from '../shared/call.js';
 import type {Clock} from '../shared/clock.js';
+import {createIdSource} from '../shared/ids.js';
 import type {Random} from '../shared/random.js';
 import type {Ticket} from '../shared/ticket.js';
 import type {BackendServer} from '../objects/schema.js';
@@ -97,7 +97,7 @@
   reason: 'response-not-kept', outcome: 'run', retryAfterMs: 0, fraction: 1,
 };
 
-const TOKEN_BYTES = 12;
+const nextToken = createIdSource(12);
 
 const outcomeOf = (attempt: Attempt, durationMs: number): BackendOutcome => {
   switch (attempt.kind) {
@@ -199,7 +199,7 @@
 
   const dispatch = async (entry: Entry, timeoutMs: number) => {
     const sentAt = clock.now();
-    entry.token = `${entry.callId}.${randomBytes(TOKEN_BYTES).toString('base64url')}`;
+    entry.token = `${entry.callId}.${nextToken()}`;
     tokens.set(entry.token, entry);
     const {call} = entry;
     options.openParent({
@@ -321,8 +321,13 @@
     };
     entries.set(callId, entry);
     request.signal.addEventListener('abort', onGone, {once: true});
+    const {call, ticket} = request;
     apply({
-      kind: 'call-arrived', callId, call: request.call, epochMs: Date.now(), ...(request.ticket !== undefined && {ticketExpiresAt: request.ticket.expiresAt, ticketIncarnation: request.ticket.incarnation}),
+      kind: 'call-arrived',
+      callId,
+      call,
+      epochMs: Date.now(),
+      ...(ticket !== undefined && {ticketExpiresAt: ticket.expiresAt, ticketIncarnation: ticket.incarnation}),
     });
   });
 
--- a/src/daemon/transport.ts
+++ b/src/daemon/transport.ts
@@ -1,6 +1,5 @@
 /** HTTP exchanges with backend servers and other processes, with an end to each connection that goes silent. */
 import {Buffer} from 'node:buffer';
-import {type Readable} from 'node:stream';
 import {Pool} from 'undici';
 import {type Headers, forwardedResponseHeaders} from './headers.js';
 import {BUFFERED_REPLY_BYTES, type Attempt, type Message} from './message.js';
@@ -154,15 +153,6 @@
   return typeof text === 'string' ? Number(text) : undefined;
 };
 
-const readWhole = async (body: Readable): Promise<Buffer> => {
-  const chunks: Buffer[] = [];
-  for await (const chunk of body as AsyncIterable<Buffer>) {
-    chunks.push(chunk);
-  }
-
-  return Buffer.concat(chunks);
-};
-
 /** Waits for running exchanges; a pool that is already closed is not an error here. */
 const closeQuietly = async (pool: Pool): Promise<void> => {
   try {
@@ -213,7 +203,7 @@
     const headers = forwardedResponseHeaders(response.headers);
     const length = message.method === 'HEAD' ? 0 : declaredLength(headers);
     if (length !== undefined && length <= BUFFERED_REPLY_BYTES) {
-      const whole = await readWhole(response.body);
+      const whole = Buffer.from(await response.body.arrayBuffer());
       watchdog.stop();
       return {kind: 'replied', reply: {status: response.statusCode, headers, body: whole}};
     }
--- a/src/measure/deployments.ts
+++ b/src/measure/deployments.ts
@@ -1,8 +1,8 @@
 /**
 Deployments that are measured: the sizes of docs/design.md 1.5, with service times and rates scaled to one machine.
 
-Slots, backend servers and connections are as stated there. Service times of some 200 ms keep the
-capacity of each service at a few hundred requests per second, which 10 cores can carry for
+Slots, backend servers and connections are as stated there. Service times of some 500 ms keep the
+capacity of each service at some hundred requests per second, which 10 cores can carry for
 all processes together; zone distances are not emulated.
 */
 import type {BackendServerSettingsInput} from '../emulator/backend-server/settings.js';
@@ -70,46 +70,46 @@
     {
       name: 'statusrog', backendServers: 4, slots: 40, connections: 330, requestKinds: [
         {
-          name: 'channel-status', methods: ['GET'], path: '/channels*', idempotent: true, serviceTime: {meanMs: 400}, responseBytes: 2000,
+          name: 'channel-status', methods: ['GET'], path: '/channels*', idempotent: true, serviceTime: {meanMs: 800}, responseBytes: 2000,
         },
       ],
     },
     {
       name: 'chiuse', backendServers: 3, slots: 50, connections: 410, requestKinds: [
         {
-          name: 'closure-booking', methods: ['POST'], path: '/closures', idempotent: false, serviceTime: {meanMs: 240}, steps: [[{service: 'registro', method: 'PUT', path: '/records/closure'}]],
+          name: 'closure-booking', methods: ['POST'], path: '/closures', idempotent: false, serviceTime: {meanMs: 480}, steps: [[{service: 'registro', method: 'PUT', path: '/records/closure'}]],
         },
         {
-          name: 'closure-list', methods: ['GET'], path: '/closures*', idempotent: true, serviceTime: {meanMs: 200}, steps: [[{service: 'registro', method: 'GET', path: '/records/closures'}]],
+          name: 'closure-list', methods: ['GET'], path: '/closures*', idempotent: true, serviceTime: {meanMs: 400}, steps: [[{service: 'registro', method: 'GET', path: '/records/closures'}]],
         },
       ],
     },
     {
       name: 'fotoargine', backendServers: 3, slots: 50, connections: 410, requestKinds: [
         {
-          name: 'photo-upload', methods: ['PUT'], path: '/photos/*', idempotent: true, serviceTime: {meanMs: 400}, steps: [[{service: 'registro', method: 'PUT', path: '/records/photo'}]],
+          name: 'photo-upload', methods: ['PUT'], path: '/photos/*', idempotent: true, serviceTime: {meanMs: 800}, steps: [[{service: 'registro', method: 'PUT', path: '/records/photo'}]],
         },
         {
-          name: 'photo-view', methods: ['GET'], path: '/photos/*', idempotent: true, serviceTime: {meanMs: 200}, responseBytes: 20_000,
+          name: 'photo-view', methods: ['GET'], path: '/photos/*', idempotent: true, serviceTime: {meanMs: 400}, responseBytes: 20_000,
         },
       ],
     },
     {
       name: 'registro', backendServers: 3, slots: 13, connections: 180, requestKinds: [
         {
-          name: 'record-read', methods: ['GET'], path: '/records*', idempotent: true, serviceTime: {meanMs: 120},
+          name: 'record-read', methods: ['GET'], path: '/records*', idempotent: true, serviceTime: {meanMs: 240},
         },
         {
-          name: 'record-write', methods: ['PUT'], path: '/records/*', idempotent: true, serviceTime: {meanMs: 160},
+          name: 'record-write', methods: ['PUT'], path: '/records/*', idempotent: true, serviceTime: {meanMs: 320},
         },
       ],
     },
   ],
   offered: [
-    read('channel-status', 'statusrog', '/channels', 125),
-    read('closure-list', 'chiuse', '/closures', 30),
-    upload('photo-upload', 'fotoargine', '/photos/*', 25),
-    urgent('closure-booking', 'chiuse', '/closures', 40),
+    read('channel-status', 'statusrog', '/channels', 62.5),
+    read('closure-list', 'chiuse', '/closures', 15),
+    upload('photo-upload', 'fotoargine', '/photos/*', 12.5),
+    urgent('closure-booking', 'chiuse', '/closures', 20),
   ],
   groups: [{name: 'foremen', share: 1, weight: 3}, {name: 'crews', share: 1, weight: 2}, {name: 'clerks', share: 1, weight: 1}],
 };
@@ -120,47 +120,47 @@
     {
       name: 'archives', backendServers: 5, slots: 40, connections: 350, requestKinds: [
         {
-          name: 'archive-browse', methods: ['GET'], path: '/nominations*', idempotent: true, serviceTime: {meanMs: 500}, responseBytes: 4000,
+          name: 'archive-browse', methods: ['GET'], path: '/nominations*', idempotent: true, serviceTime: {meanMs: 1000}, responseBytes: 4000,
         },
       ],
     },
     {
       name: 'filings', backendServers: 4, slots: 50, connections: 420, requestKinds: [
         {
-          name: 'filing', methods: ['POST'], path: '/nominations', idempotent: false, serviceTime: {meanMs: 400}, steps: [[{service: 'endorsements', method: 'GET', path: '/endorsements'}]],
+          name: 'filing', methods: ['POST'], path: '/nominations', idempotent: false, serviceTime: {meanMs: 800}, steps: [[{service: 'endorsements', method: 'GET', path: '/endorsements'}]],
         },
         {
-          name: 'filing-list', methods: ['GET'], path: '/nominations*', idempotent: true, serviceTime: {meanMs: 200}, steps: [[{service: 'endorsements', method: 'GET', path: '/endorsements'}]],
+          name: 'filing-list', methods: ['GET'], path: '/nominations*', idempotent: true, serviceTime: {meanMs: 400}, steps: [[{service: 'endorsements', method: 'GET', path: '/endorsements'}]],
         },
       ],
     },
     {
       name: 'scans', backendServers: 3, slots: 70, connections: 530, requestKinds: [
         {
-          name: 'scan-upload', methods: ['PUT'], path: '/scans/*', idempotent: true, serviceTime: {meanMs: 500}, steps: [[{service: 'filings', method: 'GET', path: '/nominations'}]],
+          name: 'scan-upload', methods: ['PUT'], path: '/scans/*', idempotent: true, serviceTime: {meanMs: 1000}, steps: [[{service: 'filings', method: 'GET', path: '/nominations'}]],
         },
         {
-          name: 'scan-view', methods: ['GET'], path: '/scans/*', idempotent: true, serviceTime: {meanMs: 200}, responseBytes: 20_000,
+          name: 'scan-view', methods: ['GET'], path: '/scans/*', idempotent: true, serviceTime: {meanMs: 400}, responseBytes: 20_000,
         },
       ],
     },
     {
       name: 'endorsements', backendServers: 3, slots: 20, connections: 230, requestKinds: [
         {
-          name: 'endorsement', methods: ['POST'], path: '/endorsements', idempotent: false, serviceTime: {meanMs: 240},
+          name: 'endorsement', methods: ['POST'], path: '/endorsements', idempotent: false, serviceTime: {meanMs: 480},
         },
         {
-          name: 'endorsement-list', methods: ['GET'], path: '/endorsements*', idempotent: true, serviceTime: {meanMs: 120},
+          name: 'endorsement-list', methods: ['GET'], path: '/endorsements*', idempotent: true, serviceTime: {meanMs: 240},
         },
       ],
     },
   ],
   offered: [
-    read('archive-browse', 'archives', '/nominations', 125),
-    read('filing-list', 'filings', '/nominations', 30),
-    upload('scan-upload', 'scans', '/scans/*', 20),
-    urgent('filing', 'filings', '/nominations', 35),
-    urgent('endorsement', 'endorsements', '/endorsements', 40),
+    read('archive-browse', 'archives', '/nominations', 62.5),
+    read('filing-list', 'filings', '/nominations', 15),
+    upload('scan-upload', 'scans', '/scans/*', 10),
+    urgent('filing', 'filings', '/nominations', 17.5),
+    urgent('endorsement', 'endorsements', '/endorsements', 20),
   ],
   groups: ['societe-casbah-alger', 'societe-medina-fes', 'societe-carthage', 'societe-oasis-ghadames', 'societe-adrar', 'societe-kairouan']
     .map(name => ({name, share: 1, weight: 1})),
--- a/src/shared/ticket.ts
+++ b/src/shared/ticket.ts
@@ -1,6 +1,7 @@
 /** Tickets: request ids bound to the one process incarnation that may run them. */
 import {Buffer} from 'node:buffer';
-import {createHmac, randomBytes, timingSafeEqual} from 'node:crypto';
+import {createHmac, timingSafeEqual} from 'node:crypto';
+import {createIdSource} from './ids.js';
 import {fail, ok, type Result} from './result.js';
 
 /** Content of a ticket. */
@@ -21,6 +22,7 @@
 /** Why a ticket was not accepted. */
 export type TicketFault = {kind: 'malformed-ticket' | 'forged-ticket'; message: string};
 
+const nextNonce = createIdSource(12);
 const MAC_LENGTH = 22;
 const FIELD_COUNT = 6;
 
@@ -31,7 +33,7 @@
 
 /** Issues a ticket for a process incarnation. */
 export const issueTicket = (binding: Omit<Ticket, 'nonce'>, key: string): string => {
-  const parts = [binding.service, binding.host, binding.incarnation, binding.address, randomBytes(12).toString('base64url'), String(binding.expiresAt)];
+  const parts = [binding.service, binding.host, binding.incarnation, binding.address, nextNonce(), String(binding.expiresAt)];
   const text = parts.map(part => encodePart(part)).join('.');
   return `${text}.${sign(text, key)}`;
 };
