feat(inbound): let calls wait by their deadline, and leave resends out of the demand

Cause: in a surge of 4 s the queue of 200 ms rejected work that its deadline of 3 to 6 s left time for, and each resend of a rejected call counted as new demand, which lowered the admitted fraction further. Change: without a limit rule a call waits half of its remaining time at the first hop and a tenth further down; admission fills the queue to 0.6 of that; only calls below the admitted fraction count as demand, each for those left out; a sub-call is not thinned by its hash, because work above it has been spent.

--- a/src/cli/commands/describe.ts
+++ b/src/cli/commands/describe.ts
@@ -57,7 +57,7 @@
     treatment.idempotent ? 'yes' : 'no',
     `${treatment.deadlineMs} ms`,
     String(treatment.retryBudget),
-    `${treatment.queueMs} ms`,
+    treatment.queueMs === undefined ? 'by deadline' : `${treatment.queueMs} ms`,
     treatment.concurrency === undefined ? 'slots' : String(treatment.concurrency),
     [...treatment.weights].map(([group, weight]) => `${group}=${weight}`).join(','),
   ]),
--- a/src/decisions/inbound/admission.ts
+++ b/src/decisions/inbound/admission.ts
@@ -2,7 +2,7 @@
 import {FRACTION_FLOOR} from '../../shared/constants.js';
 import type {Random} from '../../shared/random.js';
 import {
-  DEMAND_NEGLIGIBLE, DEMAND_SMOOTHING, GROUPS_MAX, HEADROOM_LOWER, HEADROOM_MAX, HEADROOM_MIN, HEADROOM_RAISE,
+  CAPACITY_SHARE_MIN, DEMAND_NEGLIGIBLE, DEMAND_SMOOTHING, GROUPS_MAX, HEADROOM_LOWER, HEADROOM_MAX, HEADROOM_MIN, HEADROOM_RAISE, QUEUE_HORIZON_MS,
   RETRY_AFTER_MIN_MS, RETRY_AFTER_WINDOW_MAX_MS, RETRY_AFTER_WINDOW_MS, UTILISATION_GOAL, WINDOW_MAX_MS,
 } from './constants.js';
 
@@ -46,6 +46,8 @@
   utilisation: number;
   isQueueEmpty: boolean;
   queueRejections: number;
+  /** Work that the queue may still take, less what it holds beyond that, in slot-milliseconds. */
+  queueRoomMs: number;
   /** Minimum share of each priority of the capacity that the highest one leaves; that of the highest has no effect. */
   minimumShares: readonly number[];
 };
@@ -96,8 +98,13 @@
   return added;
 };
 
-/** Counts the demand of a call that takes `workMs` slot-milliseconds; it stands for the calls rejected upstream, too. */
-export const observeDemand = (admission: Admission, {priority, group, fraction}: Applicant, weight: number, workMs: number): void => {
+/**
+Counts the demand of a call that takes `workMs` slot-milliseconds.
+
+Only calls below the admitted fraction count, each for all calls that the fraction leaves out. Rejected calls come
+again and again under the same id; counted each time, they lower the fraction further and leave slots free.
+*/
+export const observeDemand = (admission: Admission, {priority, group, admissionHash, fraction}: Applicant, weight: number, workMs: number): void => {
   const demand = findGroup(admission, priority, group) ?? addGroup(admission, priority, group, weight);
   if (demand.names === undefined) {
     demand.weight = weight;
@@ -105,7 +112,9 @@
     demand.names.add(group);
   }
 
-  demand.arrivedMs += workMs / Math.max(fraction, FRACTION_FLOOR);
+  if (admissionHash < demand.fraction) {
+    demand.arrivedMs += workMs / Math.max(Math.min(fraction, demand.fraction), FRACTION_FLOOR);
+  }
 };
 
 /** Tells whether a call is admitted. */
@@ -187,10 +196,14 @@
   return {allotted, minimums};
 };
 
+/** Capacity that is given out: a queue with room lets a short surge wait instead of rejecting it, an overfull one takes less. */
+const capacityWithQueue = ({capacity, queueRoomMs}: Window): number =>
+  Math.max(capacity * CAPACITY_SHARE_MIN, capacity + (queueRoomMs / QUEUE_HORIZON_MS));
+
 const computeFractions = (admission: Admission, window: Window): void => {
   const priorities = Array.from({length: Math.max(admission.priorities.length, window.minimumShares.length)}, (_, priority) => [...(admission.priorities[priority]?.values() ?? [])]);
   const demands = priorities.map(members => sum(members.map(({demand}) => demand)));
-  const {allotted, minimums} = allotWithHeadroom(demands, window, admission.headroom);
+  const {allotted, minimums} = allotWithHeadroom(demands, {...window, capacity: capacityWithQueue(window)}, admission.headroom);
   for (const [priority, members] of priorities.entries()) {
     shareCapacity(members, demands[priority]! <= allotted[priority]! ? Number.POSITIVE_INFINITY : allotted[priority]!);
   }
--- a/src/decisions/inbound/arrival.ts
+++ b/src/decisions/inbound/arrival.ts
@@ -1,12 +1,13 @@
 /** Decides on calls that arrive. */
-import {DEFAULT_QUEUE_MS} from '../../objects/policy.js';
 import type {Call} from '../../shared/call.js';
 import {isAdmitted, observeDemand} from './admission.js';
 import {
   dispatchNext, endWaiting, join, reject, treatmentOf, unrunOutcome,
 } from './calls.js';
 import {allowedCalls} from './concurrency-limit.js';
-import {QUEUE_LENGTH_MAX, SERVICE_TIME_DEFAULT_MS} from './constants.js';
+import {
+  QUEUE_LENGTH_MAX, QUEUE_SHARE_DEEPER, QUEUE_SHARE_FIRST_HOP, RECENT_SMOOTHING, SERVICE_TIME_DEFAULT_MS,
+} from './constants.js';
 import {isHeldBack} from './dependency-share.js';
 import type {EventOf, InboundRejection} from './events.js';
 import {displaceLast, enqueue} from './queue.js';
@@ -40,7 +41,8 @@
   }
 
   countDemand(state, call);
-  return isAdmitted(state.admission, call) ? undefined : 'admission';
+  // Work has been spent on a sub-call's request already; it waits in the queue, and its first hop thins the next ones.
+  return call.hops > 1 || isAdmitted(state.admission, call) ? undefined : 'admission';
 };
 
 const refuseTicket = (decision: Decision, event: EventOf<'call-arrived'>, answer: Exclude<TicketAnswer, {kind: 'new'}>): void => {
@@ -69,10 +71,15 @@
   return Math.min(QUEUE_LENGTH_MAX, limit * Math.max(1, queueMs / meanMs));
 };
 
+/** Longest wait of a call: by policy, else a share of its remaining time. */
+const queueTimeMs = (state: InboundState, call: Call): number =>
+  treatmentOf(state, call)?.queueMs ?? call.remainingMs * (call.hops > 1 ? QUEUE_SHARE_DEEPER : QUEUE_SHARE_FIRST_HOP);
+
 const enqueueCall = (decision: Decision, active: ActiveCall): void => {
   const {state, now} = decision;
   const {callId, call, deadlineAt} = active;
-  const queueMs = treatmentOf(state, call)?.queueMs ?? DEFAULT_QUEUE_MS;
+  const queueMs = queueTimeMs(state, call);
+  state.usualQueueMs += (queueMs - state.usualQueueMs) * RECENT_SMOOTHING;
   state.calls.set(callId, active);
   if (active.ticket === undefined) {
     state.ledger.attempts.set(active.attemptKey, callId);
--- a/src/decisions/inbound/constants.ts
+++ b/src/decisions/inbound/constants.ts
@@ -26,6 +26,19 @@
 /** Share of busy slots below which thinned work could have been admitted. */
 export const UTILISATION_GOAL = 0.97;
 
+/** Part of the remaining time that a call may wait at the first hop, and further down, where it holds a slot of each caller above. */
+export const QUEUE_SHARE_FIRST_HOP = 0.5;
+export const QUEUE_SHARE_DEEPER = 0.1;
+
+/** Part of the usual longest wait that admission fills the queue to; the rest takes random bursts. */
+export const QUEUE_FILL = 0.6;
+
+/** Time in which admission fills or empties the queue, in milliseconds. */
+export const QUEUE_HORIZON_MS = 500;
+
+/** Least share of the capacity that is given out while the queue is overfull. */
+export const CAPACITY_SHARE_MIN = 0.5;
+
 /** Shortest retry-after, and width of its random window when everything is admitted, in milliseconds. */
 export const RETRY_AFTER_MIN_MS = 100;
 export const RETRY_AFTER_WINDOW_MS = 1000;
--- a/src/decisions/inbound/inbound.ts
+++ b/src/decisions/inbound/inbound.ts
@@ -8,7 +8,9 @@
   cancelRunning, dispatchNext, endWaiting, rejectQueue,
 } from './calls.js';
 import {allowedCalls, updateLimit} from './concurrency-limit.js';
-import {PAUSE_MS, WINDOW_MS} from './constants.js';
+import {
+  PAUSE_MS, QUEUE_FILL, SERVICE_TIME_DEFAULT_MS, WINDOW_MS,
+} from './constants.js';
 import {endSubCall, startSubCall, updateDependencies} from './dependency-share.js';
 import {endsNow, mustCancel, startDrain} from './drain.js';
 import {cancelAbandoned, finish, leave} from './ending.js';
@@ -96,6 +98,7 @@
     utilisation: busyMs / Math.max(1, capacity * elapsedMs),
     isQueueEmpty: queue.length === 0,
     queueRejections: window.queueRejections,
+    queueRoomMs: (capacity * state.usualQueueMs * QUEUE_FILL) - (queue.length * (state.serviceTimes.meanMs ?? SERVICE_TIME_DEFAULT_MS)),
     minimumShares: state.policy.minimumShares,
   });
   updateLimit(limit, now);
--- a/src/decisions/inbound/state.ts
+++ b/src/decisions/inbound/state.ts
@@ -60,6 +60,8 @@
   admission: Admission;
   limit: ConcurrencyLimit;
   queue: Queue;
+  /** Recent mean of the longest wait of calls, in milliseconds. */
+  usualQueueMs: number;
   dependencies: DependencyShare;
   serviceTimes: ServiceTimes;
   ledger: TicketLedger;
@@ -81,6 +83,7 @@
   admission: createAdmission(),
   limit: createConcurrencyLimit(),
   queue: createQueue(),
+  usualQueueMs: 0,
   dependencies: createDependencyShare(),
   serviceTimes: createServiceTimes(),
   ledger: createTicketLedger(options.incarnation, options.ledgerLimits),
--- a/src/objects/policy.ts
+++ b/src/objects/policy.ts
@@ -19,8 +19,8 @@
   retryBudget: number;
   /** Retries per call, on average. */
   retryRatio: number;
-  /** Longest wait in the queue of a backend server, in milliseconds. */
-  queueMs: number;
+  /** Longest wait in the queue of a backend server, in milliseconds; undefined leaves it to the deadline. */
+  queueMs: number | undefined;
   /** Upper bound of calls in flight per backend server. */
   concurrency: number | undefined;
   /** Weights of client groups. */
@@ -47,8 +47,6 @@
 export const DEFAULT_RETRY_BUDGET = 2;
 /** Retries per call that no rule selects. */
 export const DEFAULT_RETRY_RATIO = 0.1;
-/** Queue time of a call that no rule selects, in milliseconds. */
-export const DEFAULT_QUEUE_MS = 200;
 /** Drain time of a service that no rule selects, in milliseconds. */
 export const DEFAULT_DRAIN_MS = 30_000;
 
@@ -127,7 +125,7 @@
     deadlineMs: rules.deadline.find(spec => applies(spec))?.milliseconds ?? DEFAULT_DEADLINE_MS,
     retryBudget: retry?.retryBudget ?? DEFAULT_RETRY_BUDGET,
     retryRatio: retry?.ratio ?? DEFAULT_RETRY_RATIO,
-    queueMs: limit?.queueMs ?? DEFAULT_QUEUE_MS,
+    queueMs: limit?.queueMs,
     concurrency: limit?.concurrency,
     weights: new Map(share?.groups.map(group => [group.name, group.weight])),
   };
--- a/src/objects/schema.ts
+++ b/src/objects/schema.ts
@@ -91,7 +91,7 @@
     type: z.literal('limit'),
     select: selection,
     concurrency: z.number().int().min(1).max(100_000).optional().describe('Upper bound of calls in flight per backend server; its slots when absent.'),
-    queueMs: milliseconds(60_000).default(200).describe('Longest wait in the queue of a backend server.'),
+    queueMs: milliseconds(60_000).optional().describe('Longest wait in the queue of a backend server; a share of the remaining deadline when absent.'),
   }),
   z.strictObject({
     type: z.literal('share'),
