feat(outbound): hold calls that are not admitted instead of rejecting them at once

Change: a client's call that is not admitted waits at its entry for at most 0.4 of its remaining time and is checked about every 100 ms; sub-calls are not held.

--- a/src/decisions/outbound/outbound.ts
+++ b/src/decisions/outbound/outbound.ts
@@ -24,6 +24,12 @@
 
 export type * from './events.js';
 
+/** Part of its remaining time that a client's call may wait here to be admitted. */
+const HOLD_SHARE = 0.4;
+/** Usual time between two checks of a held call, in milliseconds. */
+const HOLD_CHECK_MS = 100;
+/** Calls that are held at most; their bodies stay unread at the client. */
+export const HELD_MAX = 10_000;
 /** Interval of the clean-up of what has expired, in milliseconds. */
 const SWEEP_INTERVAL_MS = 1000;
 /** Time after its deadline at which a call whose attempt never ended is dropped, in milliseconds. */
@@ -57,6 +63,11 @@
   attempt: Attempt | undefined;
 };
 
+type Arrival = Extract<OutboundEvent, {kind: 'call-arrived'}>;
+
+/** Client's call that waits here until it is admitted or has waited for long enough. */
+type Held = {event: Arrival; arrivedAt: number; until: number; wakeAt: number};
+
 /** State of an outbound, changed in place by its decisions. */
 export type OutboundState = {
   host: string;
@@ -68,6 +79,8 @@
   calls: Map<string, Pending>;
   /** End of the backoff by call id, in milliseconds. */
   waiting: Map<string, number>;
+  /** Calls that are not admitted yet, by call id. */
+  held: Map<string, Held>;
   sweptAt: number;
 };
 
@@ -81,6 +94,7 @@
   budgets: createRetryBudgets(),
   calls: new Map(),
   waiting: new Map(),
+  held: new Map(),
   sweptAt: 0,
 });
 
@@ -88,8 +102,6 @@
 export const chooseTicketEndpoint = (state: OutboundState, wish: {service: string; priority: number}, now: number, random: Random): Endpoint | undefined =>
   chooseForTicket(state.routing, {...wish, avoided: []}, {now, random});
 
-type Arrival = Extract<OutboundEvent, {kind: 'call-arrived'}>;
-
 const isClientBound = (event: Arrival): boolean => event.boundHost !== undefined && event.rebindable !== true;
 
 const markGivenUp = (state: OutboundState, parentCallId: string | undefined): void => {
@@ -240,9 +252,67 @@
 const retryRatio = (state: OutboundState, {service, requestKind}: Call): number =>
   findRequestKind(state.policy, service, requestKind)?.retryRatio ?? DEFAULT_RETRY_RATIO;
 
+const begin = (state: OutboundState, event: Arrival, fraction: number, moment: Moment): OutboundAction[] => {
+  const {call} = event;
+  const service = state.routing.services.get(call.service);
+  if (service !== undefined) {
+    creditCall(service.bucket, retryRatio(state, call));
+  }
+
+  return send(state, accept(state, event, fraction, moment.now), moment);
+};
+
+const rejectUnadmitted = (state: OutboundState, event: Arrival, moment: Moment): OutboundAction =>
+  reject(state, {...event, reason: 'admission', outcome: isClientBound(event) ? 'unknown' : 'not-run'}, moment);
+
+/** Keeps a call that is not admitted: a short surge passes while it waits, and a rejected client would come back with more load. */
+const hold = (state: OutboundState, event: Arrival, {now, random}: Moment): void => {
+  state.held.set(event.callId, {
+    event, arrivedAt: now, until: now + (event.call.remainingMs * HOLD_SHARE), wakeAt: now + (HOLD_CHECK_MS * (0.5 + random())),
+  });
+};
+
+const admitOrHold = (state: OutboundState, event: Arrival, moment: Moment): OutboundAction[] => {
+  const admission = admit(state.feedback, event.call, moment.now);
+  // The work above a sub-call has been spent, so it is not rejected here; the request's first hop is thinned instead.
+  if (admission.admitted || event.parentCallId !== undefined) {
+    return begin(state, event, admission.fraction, moment);
+  }
+
+  if (state.held.size >= HELD_MAX) {
+    return [rejectUnadmitted(state, event, moment)];
+  }
+
+  hold(state, event, moment);
+  return [];
+};
+
+const recheck = (state: OutboundState, held: Held, moment: Moment): OutboundAction[] => {
+  const {now, random} = moment;
+  const {event} = held;
+  const remainingMs = event.call.remainingMs - (now - held.arrivedAt);
+  const call = {...event.call, remainingMs};
+  const admission = admit(state.feedback, call, now);
+  if (admission.admitted && remainingMs > 0) {
+    state.held.delete(event.callId);
+    return begin(state, {...event, call}, admission.fraction, moment);
+  }
+
+  if (now >= held.until) {
+    state.held.delete(event.callId);
+    return [rejectUnadmitted(state, event, moment)];
+  }
+
+  held.wakeAt = now + (HOLD_CHECK_MS * (0.5 + random()));
+  return [];
+};
+
+const checkHeld = (state: OutboundState, moment: Moment): OutboundAction[] =>
+  [...state.held.values()].filter(({wakeAt}) => wakeAt <= moment.now).flatMap(held => recheck(state, held, moment));
+
 const arrive = (state: OutboundState, event: Arrival, moment: Moment): OutboundAction[] => {
   const {call} = event;
-  if (state.calls.has(event.callId)) {
+  if (state.calls.has(event.callId) || state.held.has(event.callId)) {
     return [];
   }
 
@@ -253,17 +323,7 @@
     return [reject(state, {...event, reason, outcome}, moment)];
   }
 
-  const admission = admit(state.feedback, call, moment.now);
-  if (!admission.admitted) {
-    return [reject(state, {...event, reason: 'admission', outcome}, moment)];
-  }
-
-  const service = state.routing.services.get(call.service);
-  if (service !== undefined) {
-    creditCall(service.bucket, retryRatio(state, call));
-  }
-
-  return send(state, accept(state, event, admission.fraction, moment.now), moment);
+  return admitOrHold(state, event, moment);
 };
 
 const release = (state: OutboundState, attempt: Attempt, observation: Observation, moment: Moment): void => {
@@ -436,6 +496,7 @@
 };
 
 const leave = (state: OutboundState, callId: string, moment: Moment): OutboundAction[] => {
+  state.held.delete(callId);
   const pending = state.calls.get(callId);
   if (pending === undefined) {
     return [];
@@ -475,7 +536,7 @@
 
 const tick = (state: OutboundState, moment: Moment): OutboundAction[] => {
   offerProbes(state.routing, moment.now);
-  return [...wake(state, moment), ...sweep(state, moment)];
+  return [...wake(state, moment), ...checkHeld(state, moment), ...sweep(state, moment)];
 };
 
 /** Decides on one event; `now` is in milliseconds of a clock that never goes back. */
