--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -55,7 +55,7 @@
   const result = await measure(scenario); // eslint-disable-line no-await-in-loop
   results.push(result);
   for (const system of systems) {
-    const {kinds: _, ...figures} = result[system]!;
+    const {kinds: _, priorities: __, ...figures} = result[system]!;
     console.log(`${scenario.name} ${system} ${JSON.stringify(figures)}`);
   }
 
--- a/src/measure/run-scenario.ts
+++ b/src/measure/run-scenario.ts
@@ -17,6 +17,8 @@
 export type SystemResult = Figures & {
   /** Summaries per kind over the whole run. */
   kinds: LoadSummary[];
+  /** Summaries per priority over the whole run. */
+  priorities: LoadSummary[];
   offered: number;
   /** Largest delay of a sending behind its schedule; a large one means that the load tool was overloaded. */
   maxStartLateMs: number;
@@ -32,6 +34,13 @@
   system: SystemKind;
   seed: number;
   onProgress: (text: string) => void;
+  /**
+   * Load before the measured time, in milliseconds.
+   * @default 10000
+   */
+  warmUpMs?: number;
+  /** Called with the result while the system still runs; the system stops when it returns. */
+  onResult?: (result: SystemResult, system: System) => Promise<void>;
 };
 
 /**
@@ -175,7 +184,7 @@
 
 const secondsOf = (children: readonly Child[]): number => sum(children.filter(child => !child.ended()).map(child => child.cpuMs() / 1000));
 
-const warmUpOf = (scenario: Scenario): Scenario => ({...scenario, durationMs: WARM_UP_MS, events: []});
+const warmUpOf = (scenario: Scenario, durationMs: number): Scenario => ({...scenario, durationMs, events: []});
 
 const processorSecondsOf = (hosts: readonly MeasuredHost[]): SystemResult['processorSeconds'] => ({
   system: secondsOf(hosts.map(host => host.process)), backendServers: secondsOf(hosts.map(host => host.backendServer)),
@@ -195,7 +204,7 @@
       kind: options.system, deployment, seed: options.seed, children, ports: createPorts(),
     });
     try {
-      await runLoad({...options, name: WARM_UP_NAME, scenario: warmUpOf(scenario)}, deployment, system, children);
+      await runLoad({...options, name: WARM_UP_NAME, scenario: warmUpOf(scenario, options.warmUpMs ?? WARM_UP_MS)}, deployment, system, children);
       const before = new Map(system.hosts.map(host => [host.name, processorSecondsOf([host])]));
       const loads = await runLoad({...options, name: LOAD_NAME}, deployment, system, children);
       const gone = goneOnPurpose(scenario);
@@ -210,16 +219,20 @@
       const runs = await system.runs();
       const startedAt = Math.min(...loads.map(load => load.startedAt));
       const requests = loads.flatMap(load => load.records);
-      return {
+      const summary = buildResult(startedAt, requests);
+      const result: SystemResult = {
         ...computeFigures({
           deployment, scenario, conditions: conditionsOf(deployment, scenario), startedAt, requests, runs: runs.filter(({requestId}) => requestId.startsWith(LOAD_NAME)),
         }),
-        kinds: buildResult(startedAt, requests).kinds,
+        kinds: summary.kinds,
+        priorities: summary.priorities,
         offered: requests.length,
         processorSeconds,
         maxStartLateMs: Math.max(...loads.map(load => load.maxStartLateMs)),
         unexpectedEnds,
       };
+      await options.onResult?.(result, system);
+      return result;
     } finally {
       await system.stop();
     }
--- a/src/measure/system.ts
+++ b/src/measure/system.ts
@@ -39,6 +39,8 @@
 /** Running system. */
 export type System = {
   kind: SystemKind;
+  /** Address of the platform, `ip:port`; empty for the baseline, which has none. */
+  platform: string;
   hosts: MeasuredHost[];
   control: (host: MeasuredHost, change: Control) => Promise<void>;
   /** Collects the records of runs of all backend servers. */
@@ -212,6 +214,7 @@
   await (kind === 'jujubewell' ? waitForFleet(hosts) : Promise.all(hosts.map(async host => host.process.firstLine())));
   return {
     kind,
+    platform,
     hosts,
     async control(host, change) {
       const response = await request(`http://${host.backendAdmin}/control`, {method: 'POST', body: JSON.stringify(change)});
