fix(daemon): end the record of a call whose caller has gone

Cause: a call that was cancelled at the backend server got no rejection from the decision and was never settled. Change: the receiver settles such a call when its exchange has ended. Result: caller-gone.spec.ts fails without the change and passes with it. Conclusion: cancelled calls leave nothing behind.

--- /dev/null
+++ b/src/daemon/__tests__/caller-gone.spec.ts
@@ -0,0 +1,43 @@
+/** Guards against calls that stay on record after their caller has gone: `drain --wait` would never end, and kept bodies use up the replay budget. */
+import test from 'ava';
+import {request} from 'undici';
+import type {DeclaredObject} from '../../objects/schema.js';
+import {eventually, startDeployment, type Backend} from './deployment.js';
+
+const objects: DeclaredObject[] = [
+  {
+    kind: 'Service', name: 'fotoargine', labels: {}, spec: {},
+  },
+  {
+    kind: 'RequestKind', name: 'photo', labels: {}, spec: {
+      service: 'fotoargine', methods: ['PUT'], path: '/photos/*', idempotent: true,
+    },
+  },
+];
+
+test('a call whose caller goes while the backend server works leaves nothing behind', async t => {
+  let arrived = 0;
+  let closed = 0;
+  const backend: Backend = {
+    service: 'fotoargine',
+    handle(_incoming, response) {
+      arrived++;
+      response.on('close', () => {
+        closed++;
+      });
+    },
+  };
+  const deployment = await startDeployment(objects, [backend]);
+  t.teardown(deployment.stop);
+  const [host] = deployment.hosts;
+  const client = new AbortController();
+  const calls = [1, 2, 3].map(async index =>
+    request(`http://${host!.entry}/fotoargine/photos/${index}`, {method: 'PUT', body: 'photo', signal: client.signal}));
+  await eventually(() => arrived === 3);
+  client.abort();
+  const ends = await Promise.allSettled(calls);
+  t.deepEqual(ends.map(({status}) => status), ['rejected', 'rejected', 'rejected']);
+  await eventually(() => closed === 3);
+  await eventually(() => (host!.node.status() as {inFlight: number}).inFlight === 0);
+  t.is((host!.node.status() as {inFlight: number}).inFlight, 0);
+});
--- a/src/daemon/receiver.ts
+++ b/src/daemon/receiver.ts
@@ -194,6 +194,9 @@
     // Failed attempts are settled by the rejections that the decision returns.
     if (reply !== undefined) {
       settle(entry, reply);
+    } else if (entry.signal.aborted) {
+      // The decision returns no rejection for a call whose caller has gone.
+      settle(entry, callerGoneReply);
     }
   };
 
