--- a/src/daemon/replay-body.ts
+++ b/src/daemon/replay-body.ts
@@ -94,7 +94,18 @@
     keptBytes += chunk.length;
   };
 
+  const failEarly = () => {
+    failure ??= new Error('the client closed the connection before the request body was complete');
+    reader?.destroy(failure);
+  };
+
   const listen = () => {
+    // A source that was closed before emits nothing more, and its reader would wait for ever.
+    if (source.destroyed) {
+      failEarly();
+      return;
+    }
+
     source.on('data', (chunk: Buffer) => {
       keep(chunk);
       // Without a reader the chunk stays in `kept`; with one, its backpressure pauses the client.
@@ -112,8 +123,7 @@
     });
     source.on('close', () => {
       if (!ended) {
-        failure ??= new Error('the client closed the connection before the request body was complete');
-        reader?.destroy(failure);
+        failEarly();
       }
     });
   };
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -81,7 +81,16 @@
 /** One problem of a settings file. */
 export type SettingsFault = {path: string; found: string; remedy: string};
 
+/** Objects and lists are named by their fields and length only, because the fleet key may be inside, also under a misspelt name. */
 const describe = (value: unknown): string => {
+  if (Array.isArray(value)) {
+    return `a list with ${value.length} entries`;
+  }
+
+  if (typeof value === 'object' && value !== null) {
+    return `an object with the fields ${Object.keys(value).join(', ')}`;
+  }
+
   const text = JSON.stringify(value) ?? 'nothing';
   return text.length > 80 ? `${text.slice(0, 77)}...` : text;
 };
@@ -105,12 +114,17 @@
   return parsed.success ? ok(parsed.data) : fail(parsed.error.issues.map(issue => toFault(issue, input)));
 };
 
+/** A syntax error quotes the text around it, which may hold the fleet key, so only its position is passed on. */
+const describeFailure = (error: unknown): string => {
+  const message = error instanceof Error ? error.message : String(error);
+  return error instanceof SyntaxError ? `text that is not valid JSON${/ at position \d+/u.exec(message)?.[0] ?? ''}` : message;
+};
+
 /** Reads and checks a settings file. */
 export const loadSettings = (path: string): Result<Settings, SettingsFault[]> => {
   try {
     return parseSettings(JSON.parse(readFileSync(path, 'utf8')));
   } catch (error) {
-    const message = error instanceof Error ? error.message : String(error);
-    return fail([{path: '(file)', found: message, remedy: 'name a readable JSON file as the first argument'}]);
+    return fail([{path: '(file)', found: describeFailure(error), remedy: 'name a readable JSON file as the first argument'}]);
   }
 };
