--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -29,7 +29,7 @@
     textOf(memberOf(status, 'host')),
     textOf(memberOf(status, 'zone')),
     textOf(memberOf(status, 'state')),
-    textOf(memberOf(memberOf(status, 'backendServer'), 'service')),
+    textOf(memberOf(memberOf(memberOf(status, 'backendServer'), 'spec'), 'service')),
     textOf(memberOf(status, 'inFlight')),
     textOf(memberCount(status)),
     textOf(inForceSequence(status)),
