--- a/src/daemon/remedies.ts
+++ b/src/daemon/remedies.ts
@@ -56,5 +56,8 @@
 /** Status code and remedy of a reason. */
 export const remedyFor = (reason: RejectionReason): Remedy => REMEDIES[reason];
 
+/** All reasons that this release knows. */
+export const REJECTION_REASONS: readonly string[] = Object.keys(REMEDIES);
+
 /** Whether a text is a reason that this release knows. */
 export const isRejectionReason = (text: string): text is RejectionReason => Object.hasOwn(REMEDIES, text);
