--- a/src/daemon/__tests__/pages.spec.ts
+++ b/src/daemon/__tests__/pages.spec.ts
@@ -21,8 +21,8 @@
   for (const reason of REJECTION_REASONS) {
     const row = operators.get(reason);
     t.truthy(row, `${reason} is missing; add a row to docs/operators.md`);
-    t.is(row?.[0], isRejectionReason(reason) ? String(remedyFor(reason).status) : undefined, reason);
-    t.true(row?.slice(1).every(cell => cell !== ''), reason);
+    t.is(row?.[0], isRejectionReason(reason) ? String(remedyFor(reason).status) : undefined, `reason ${reason}`);
+    t.true(row?.slice(1).every(cell => cell !== ''), `reason ${reason}`);
   }
 });
 
@@ -63,10 +63,10 @@
   t.deepEqual([...settings.keys()], options.map(({name}) => name));
   for (const option of options) {
     const [byDefault, range, meaning, remedy] = settings.get(option.name)!;
-    t.is(byDefault, option.default, option.name);
-    t.is(range, option.range ?? range, option.name);
-    t.truthy(meaning, option.name);
-    t.truthy(remedy, option.name);
+    t.is(byDefault, option.default, `option ${option.name}`);
+    t.is(range, option.range ?? range, `option ${option.name}`);
+    t.truthy(meaning, `option ${option.name}`);
+    t.truthy(remedy, `option ${option.name}`);
   }
 });
 
