perf(fleet): update single endpoints and push before compiling

Cause: each change of a member or a zone summary rebuilt the whole list of endpoints, and each hop compiled the policy before it pushed the configuration on.

Change: an endpoint index turns the hosts and zones named by `members-changed` into `endpoints-updated` events; Sender.updateEndpoints replaces setEndpoints, and connections are kept by a live set of addresses. The decision puts pushes before `configuration-in-force`, and the daemon hands a configuration to its listeners 10 ms later, because a push that needs a new connection is written in a later turn of the loop. Configurations that arrive within the delay are compiled once. The process counts as ready when its first policy is compiled. The sequence in status and probes is at most these 10 ms and the compilation ahead of the calls; the gauge configuration_sequence is set after the compilation.

The effect of the earlier pushes on the spread was not measured.

Conclusion: `publish` is no longer a cost per record; a summary costs its own zone only.

--- a/src/daemon/fleet-part.ts
+++ b/src/daemon/fleet-part.ts
@@ -1,13 +1,13 @@
 /** Joins the fleet part of a process to its endpoints, policy, events and counters. */
 import type {Clock} from '../shared/clock.js';
 import type {Random} from '../shared/random.js';
-import type {FleetReport} from '../decisions/fleet/fleet.js';
+import {endpointOf, type FleetReport} from '../decisions/fleet/fleet.js';
 import type {Configuration} from '../objects/configuration.js';
 import type {BackendServer} from '../objects/schema.js';
-import type {Endpoint} from '../decisions/outbound/outbound.js';
 import type {PlatformClient} from '../platform/client.js';
 import type {EventLog} from './event-log.js';
-import {createFleet, type FleetCount} from './fleet/fleet.js';
+import {createEndpointIndex, type EndpointChange, type EndpointGroup} from './fleet/endpoint-index.js';
+import {createFleet, type FleetCount, type MembersChange} from './fleet/fleet.js';
 import type {FleetHandler} from './fleet/transport.js';
 import type {Metrics} from './metrics.js';
 import type {Settings} from './settings.js';
@@ -35,7 +35,7 @@
   random: Random;
   metrics: Metrics;
   eventLog: EventLog;
-  onEndpoints: (endpoints: readonly Endpoint[]) => void;
+  onEndpoints: (change: EndpointChange) => void;
   onConfiguration: (configuration: Configuration) => void;
 };
 
@@ -87,18 +87,27 @@
     },
     onCount: countInto(metrics),
   });
-  const publish = () => {
-    options.onEndpoints(fleet.endpoints());
-    metrics.setGauge('members', fleet.members().length);
-  };
+  const index = createEndpointIndex();
+
+  const groupsOf = ({changed, removed, zones}: MembersChange): EndpointGroup[] => [
+    ...removed.map(host => ({source: `host ${host}`, endpoints: []})),
+    ...changed.map(record => ({source: `host ${record.host}`, endpoints: [endpointOf(record)].filter(endpoint => endpoint !== undefined)})),
+    ...zones.map(zone => ({source: `zone ${zone}`, endpoints: fleet.endpointsOfZone(zone)})),
+  ];
 
-  fleet.onMembersChanged(publish);
-  fleet.onConfiguration(options.onConfiguration);
+  fleet.onMembersChanged(change => {
+    options.onEndpoints(index.update(groupsOf(change)));
+    metrics.setGauge('members', fleet.members().length);
+  });
+  let isConfigured = false;
+  fleet.onConfiguration(configuration => {
+    options.onConfiguration(configuration);
+    isConfigured = true;
+  });
 
   return {
     async start() {
       fleet.start();
-      publish();
     },
     async stop() {
       await fleet.leave();
@@ -114,13 +123,11 @@
         labels: backendServer.labels,
         draining: false,
       });
-      publish();
     },
     setDraining() {
       fleet.setDraining();
-      publish();
     },
-    ready: () => fleet.configuration().sequence > 0,
+    ready: () => isConfigured,
     status: () => ({...fleet.status(), backendServers: fleet.endpoints().length}),
   };
 };
--- a/src/daemon/fleet/__tests__/fleet.spec.ts
+++ b/src/daemon/fleet/__tests__/fleet.spec.ts
@@ -254,6 +254,7 @@
 test('three processes over loopback find each other, share configuration and endpoints, and notice who leaves', async t => {
   const platform = createFakePlatform();
   const counts: FleetCount[] = [];
+  const configurationSteps: Array<{index: number; step: 'sent' | 'in force'}> = [];
   const fleets: Fleet[] = [];
   t.teardown(async () => Promise.all(fleets.map(async fleet => fleet.stop())));
   const start = async (index: number, contacts: string[]) => {
@@ -261,9 +262,17 @@
       fleets[index]!.handler(request, response);
     });
     const fleet = createFleet({
-      host: `n${index}`, zone: 'north', address, incarnation: `i${index}`, contacts, key: KEY, platform: platform.client, onCount: count => counts.push(count),
+      host: `n${index}`, zone: 'north', address, incarnation: `i${index}`, contacts, key: KEY, platform: platform.client, onCount(count) {
+        counts.push(count);
+        if (count.counter === 'message-sent' && count.kind === 'configuration-change') {
+          configurationSteps.push({index, step: 'sent'});
+        }
+      },
     });
     fleets[index] = fleet;
+    fleet.onConfiguration(() => {
+      configurationSteps.push({index, step: 'in force'});
+    });
     fleet.start();
     fleet.setBackendServer({
       service: 'chiuse', slots: 50, connections: 410, coldStartMs: 0, draining: false, labels: {},
@@ -281,6 +290,13 @@
   await until(() => platform.objects.has('ZoneStatus/north'));
   t.like(platform.objects.get('ZoneStatus/north'), {value: {zone: 'north'}});
 
+  // Compiling before pushing would add its time to every hop of the spread.
+  await until(() => configurationSteps.filter(({step}) => step === 'in force').length === 3);
+  configurationSteps.length = 0;
+  await platform.put(configurationOf(2), platform.objects.get(`${CONFIGURATION_KIND}/${CONFIGURATION_NAME}`)!.version);
+  await until(() => configurationSteps.filter(({step}) => step === 'in force').length === 3);
+  t.deepEqual([0, 1, 2].map(index => configurationSteps.find(step => step.index === index)?.step), ['sent', 'sent', 'sent']);
+
   fleets[2]!.setDraining();
   await until(() => fleets[0]!.endpoints().some(({draining}) => draining));
   t.deepEqual(fleets[0]!.endpoints().filter(({draining}) => draining).map(({host}) => host), ['n2']);
--- a/src/daemon/fleet/constants.ts
+++ b/src/daemon/fleet/constants.ts
@@ -2,6 +2,11 @@
 
 /** Time between two ticks of the decision, in milliseconds. */
 export const TICK_MS = 100;
+/**
+Time between taking a configuration and handing it to the listeners, in milliseconds. Compiling the policy of
+2,900 services blocks the loop for 0.3 s; by then the pushes to other processes, which may need a new connection, are sent.
+*/
+export const APPLY_DELAY_MS = 10;
 /** Time that a message may take, in milliseconds. It is below the probe interval, so a silent connection is replaced before the next probe. */
 export const MESSAGE_TIMEOUT_MS = 800;
 /** Time that a message with a configuration may take, in milliseconds. */
--- /dev/null
+++ b/src/daemon/fleet/endpoint-index.ts
@@ -0,0 +1,91 @@
+/** Turns the endpoints of one host or zone at a time into updates of the endpoints that calls are sent to. */
+import type {Endpoint} from '../../decisions/outbound/outbound.js';
+
+/** Change of the endpoints that calls are sent to. */
+export type EndpointChange = {
+  changed: readonly Endpoint[];
+  /** Removed before `changed` is added. */
+  removed: ReadonlyArray<{service: string; host: string}>;
+  /** Addresses of all endpoints after the change; it follows later changes. */
+  addresses: {has: (address: string) => boolean};
+};
+
+/** Endpoints with one source: a host of the own zone, or the summary of another zone. */
+export type EndpointGroup = {source: string; endpoints: readonly Endpoint[]};
+
+/** Endpoints that were handed out, by their source. */
+export type EndpointIndex = {
+  /** Replaces the endpoints of the groups and tells what differs; of two groups with one source the last counts. */
+  update: (groups: readonly EndpointGroup[]) => EndpointChange;
+};
+
+const keyOf = ({service, host}: {service: string; host: string}): string => `${service}/${host}`;
+
+const isSame = (a: Endpoint, b: Endpoint): boolean =>
+  (Object.keys(b) as Array<keyof Endpoint>).every(field => a[field] === b[field]);
+
+/** Creates an index without endpoints. Each service and host pair belongs to the source that named it last. */
+export const createEndpointIndex = (): EndpointIndex => {
+  const known = new Map<string, {source: string; endpoint: Endpoint}>();
+  const keysOfSource = new Map<string, Set<string>>();
+  const addresses = new Map<string, number>();
+
+  const countAddress = (address: string, difference: number): void => {
+    const count = (addresses.get(address) ?? 0) + difference;
+    if (count === 0) {
+      addresses.delete(address);
+    } else {
+      addresses.set(address, count);
+    }
+  };
+
+  const put = (source: string, endpoint: Endpoint): boolean => {
+    const key = keyOf(endpoint);
+    const previous = known.get(key);
+    known.set(key, {source, endpoint});
+    countAddress(endpoint.address, 1);
+    if (previous === undefined) {
+      return true;
+    }
+
+    countAddress(previous.endpoint.address, -1);
+    return !isSame(previous.endpoint, endpoint);
+  };
+
+  const drop = (source: string, key: string): Endpoint | undefined => {
+    const previous = known.get(key);
+    if (previous?.source !== source) {
+      return undefined;
+    }
+
+    known.delete(key);
+    countAddress(previous.endpoint.address, -1);
+    return previous.endpoint;
+  };
+
+  const replace = ({source, endpoints}: EndpointGroup) => {
+    const keys = new Set(endpoints.map(endpoint => keyOf(endpoint)));
+    const removed = [...keysOfSource.get(source) ?? []]
+      .filter(key => !keys.has(key))
+      .map(key => drop(source, key))
+      .filter(endpoint => endpoint !== undefined);
+    if (keys.size === 0) {
+      keysOfSource.delete(source);
+    } else {
+      keysOfSource.set(source, keys);
+    }
+
+    return {removed, changed: endpoints.filter(endpoint => put(source, endpoint))};
+  };
+
+  return {
+    update(groups) {
+      // The receiver applies all removals before all additions, so one source must not do both in turn.
+      const latest = new Map(groups.map(group => [group.source, group]));
+      const differences = [...latest.values()].map(group => replace(group));
+      const changed = differences.flatMap(difference => difference.changed);
+      const removed = differences.flatMap(difference => difference.removed).map(({service, host}) => ({service, host}));
+      return {changed, removed, addresses};
+    },
+  };
+};
--- a/src/daemon/fleet/fleet.ts
+++ b/src/daemon/fleet/fleet.ts
@@ -1,7 +1,7 @@
 /** Fleet part of a process: performs what the fleet decision asks for. */
 import {setTimeout as wait} from 'node:timers/promises';
 import {
-  composeStatus, createFleetState, decideFleet, endpointsOf, ownLag,
+  composeStatus, createFleetState, decideFleet, endpointsOf, endpointsOfZone, ownLag,
   type Announcement, type Body, type ConfigurationSource, type FleetAction, type FleetEvent, type FleetReport, type MemberRecord, type Message, type ZoneStatus,
 } from '../../decisions/fleet/fleet.js';
 import type {Endpoint} from '../../decisions/outbound/outbound.js';
@@ -11,7 +11,7 @@
 import type {Random} from '../../shared/random.js';
 import {fail, ok, type Result} from '../../shared/result.js';
 import {
-  CONFIGURATION_TIMEOUT_MS, MESSAGE_TIMEOUT_MS, SENDS_MAX, TICK_MS,
+  APPLY_DELAY_MS, CONFIGURATION_TIMEOUT_MS, MESSAGE_TIMEOUT_MS, SENDS_MAX, TICK_MS,
 } from './constants.js';
 import {createEnvelopeCodec, type Envelope, type EnvelopeFault} from './envelope.js';
 import {createPlatformLink} from './platform-link.js';
@@ -58,8 +58,6 @@
   removed: readonly string[];
   /** Other zones whose summary changed. */
   zones: readonly string[];
-  /** All endpoints, built when asked for. */
-  endpoints: () => Endpoint[];
 };
 
 /** What this process knows about its zone, and its own part. */
@@ -85,10 +83,12 @@
   members: () => MemberRecord[];
   /** Backend servers that calls can be sent to, in all zones. */
   endpoints: () => Endpoint[];
+  /** Those of another zone. */
+  endpointsOfZone: (zone: string) => Endpoint[];
   /** Calls the listener after each change; returns a function that ends this. */
   onMembersChanged: (listener: (change: MembersChange) => void) => () => void;
   configuration: () => Configuration;
-  /** Calls the listener with each configuration that comes into effect; returns a function that ends this. */
+  /** Calls the listener with a configuration shortly after it was taken and pushed on; returns a function that ends this. */
   onConfiguration: (listener: (configuration: Configuration) => void) => () => void;
   /** Announces the backend server of this host, or that there is none. */
   setBackendServer: (announcement: Announcement | undefined) => void;
@@ -131,6 +131,7 @@
   const configurationListeners = createListeners<Configuration>();
   const sends = new Set<Promise<void>>();
   let timer: NodeJS.Timeout | undefined;
+  let applyTimer: NodeJS.Timeout | undefined;
   let isStopped = false;
   let isDraining = false;
 
@@ -188,6 +189,14 @@
     void sending.finally(() => sends.delete(sending)); // eslint-disable-line promise/prefer-await-to-then
   };
 
+  /** Several configurations that arrive within the delay are applied as the last of them. */
+  const applyLater = (): void => {
+    applyTimer ??= setTimeout(() => {
+      applyTimer = undefined;
+      configurationListeners.call(state.configuration.current);
+    }, APPLY_DELAY_MS);
+  };
+
   const perform = (action: FleetAction): void => {
     switch (action.kind) {
       case 'send': {
@@ -197,14 +206,12 @@
 
       case 'members-changed': {
         const {changed, removed, zones} = action;
-        membersListeners.call({
-          changed, removed, zones, endpoints: () => endpointsOf(state),
-        });
+        membersListeners.call({changed, removed, zones});
         break;
       }
 
       case 'configuration-in-force': {
-        configurationListeners.call(action.configuration);
+        applyLater();
         break;
       }
 
@@ -268,6 +275,7 @@
     async stop() {
       isStopped = true;
       clearInterval(timer);
+      clearTimeout(applyTimer);
       link.stopWatching();
       await sender.close();
       await Promise.all(sends);
@@ -275,6 +283,7 @@
     handler: createHandler(receive, reason => onCount?.({counter: 'message-rejected', reason})),
     members: () => [{...state.self}, ...[...state.membership.members.values()].map(member => member.record)],
     endpoints: () => endpointsOf(state),
+    endpointsOfZone: zone => endpointsOfZone(state, zone),
     onMembersChanged: listener => membersListeners.add(listener),
     configuration: () => state.configuration.current,
     onConfiguration: listener => configurationListeners.add(listener),
--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -118,7 +118,7 @@
   };
 
   const fleet = createFleetPart({
-    settings, incarnation, platform: options.platform, clock, random, metrics, eventLog, onEndpoints: sender.setEndpoints, onConfiguration: setConfiguration,
+    settings, incarnation, platform: options.platform, clock, random, metrics, eventLog, onEndpoints: sender.updateEndpoints, onConfiguration: setConfiguration,
   });
 
   const onAnnounced = (announced: BackendServer) => {
--- a/src/daemon/peer-transports.ts
+++ b/src/daemon/peer-transports.ts
@@ -33,7 +33,7 @@
   /** Cancels a ticket at its bound process; the response is JSON, undefined when it could not be had. */
   cancelTicket: (address: string, ticket: string, timeoutMs: number) => Promise<Buffer | undefined>;
   /** Closes connections to addresses that are no longer in use. */
-  retain: (addresses: ReadonlySet<string>) => void;
+  retain: (addresses: {has: (address: string) => boolean}) => void;
   close: () => Promise<void>;
 };
 
--- a/src/daemon/sender.ts
+++ b/src/daemon/sender.ts
@@ -12,6 +12,7 @@
   chooseTicketEndpoint, createOutboundState, decideOutbound, type AttemptResult, type Endpoint, type OutboundAction, type OutboundEvent,
 } from '../decisions/outbound/outbound.js';
 import type {EventLog} from './event-log.js';
+import type {EndpointChange} from './fleet/endpoint-index.js';
 import {numberHeader, singleHeader} from './headers.js';
 import {
   callerGoneReply, rejectionReply, type Attempt, type Message, type Reply,
@@ -48,7 +49,8 @@
   openParent: (parent: ParentCall) => void;
   /** Closes it and tells what its response carries. */
   closeParent: (callId: string) => ParentRest;
-  setEndpoints: (endpoints: readonly Endpoint[]) => void;
+  /** Changes some endpoints and closes connections to addresses that no endpoint has any more. */
+  updateEndpoints: (change: EndpointChange) => void;
   setPolicy: (policy: Policy) => void;
   tick: () => void;
   inFlight: () => number;
@@ -352,9 +354,9 @@
       apply({kind: 'parent-closed', parentCallId: callId});
       return parentRest;
     },
-    setEndpoints(endpoints) {
-      apply({kind: 'endpoints-changed', endpoints});
-      peers.retain(new Set(endpoints.map(endpoint => endpoint.address)));
+    updateEndpoints({changed, removed, addresses}) {
+      apply({kind: 'endpoints-updated', changed, removed});
+      peers.retain(addresses);
     },
     setPolicy(policy) {
       apply({kind: 'policy-changed', policy});
--- a/src/decisions/fleet/__tests__/network.ts
+++ b/src/decisions/fleet/__tests__/network.ts
@@ -29,7 +29,9 @@
     network.writeStatus(process, status);
   },
   report: (network, process, {report}) => network.reports.push({host: process.state.self.host, report}),
-  'members-changed': () => undefined,
+  'members-changed'(network, process, action) {
+    network.memberChanges.push({process, action});
+  },
   'configuration-in-force': () => undefined,
 };
 
@@ -45,6 +47,7 @@
     reads: 0, writes: 0, statusWrites: 0, statuses: new Map<string, ZoneStatus>(),
   };
 
+  memberChanges: Array<{process: Process; action: Extract<FleetAction, {kind: 'members-changed'}>}> = [];
   reverted: string[] = [];
   reports: Array<{host: string; report: FleetReport}> = [];
   sent: Array<{from: string; to: string; kind: string; bytes: number}> = [];
--- a/src/decisions/fleet/configuration.ts
+++ b/src/decisions/fleet/configuration.ts
@@ -83,7 +83,8 @@
   own.source = source;
   own.receivedAt = now;
   own.fault = '';
-  return [...conflict, {kind: 'configuration-in-force', configuration, source}, ...push(state, previous, random)];
+  // The pushes come first, because bringing a configuration into force may block the process for long.
+  return [...conflict, ...push(state, previous, random), {kind: 'configuration-in-force', configuration, source}];
 };
 
 /** Notes what the sender has in effect and asks for it if it is later. */
