--- a/src/daemon/__tests__/deployment.ts
+++ b/src/daemon/__tests__/deployment.ts
@@ -17,7 +17,12 @@
 export type Host = {node: Node; settings: Settings; entry: string; stopBackend: () => Promise<void>};
 
 /** Running deployment. */
-export type Deployment = {hosts: Host[]; stop: () => Promise<void>};
+export type Deployment = {
+  hosts: Host[];
+  /** Address of the platform, `ip:port`. */
+  platform: string;
+  stop: () => Promise<void>;
+};
 
 const silentLog = {
   error() {}, warn() {}, info() {}, debug() {}, // eslint-disable-line @typescript-eslint/no-empty-function
@@ -141,6 +146,7 @@
   });
   return {
     hosts,
+    platform: platformAddress,
     async stop() {
       await Promise.all(hosts.map(async host => host.node.stop()));
       await Promise.all(hosts.map(async host => host.stopBackend()));
