--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -69,7 +69,7 @@
 };
 
 const scenario = readScenario(SCENARIO);
-console.log(`Rogge Nord with 13 hosts, seed ${seed}. ${scenario.title}. This takes about 35 s.`);
+console.log(`Rogge Nord with 13 hosts, seed ${seed}. ${scenario.title}. This takes less than a minute.`);
 await runScenario({
   scenario, system: 'jujubewell', seed, warmUpMs: WARM_UP_MS, onResult: show, onProgress,
 });
