feat(measure): measure a fleet of real processes

Cause: spread of a configuration, loss of a host and control cost were known from simulated time and single-process slopes only.

Change: `npm run measure:fleet` starts real processes with an emulated platform and announcements. An answer on the same connection is now counted as a message sent; before, the counters left out the bytes of answers sent. A test asserts it.

--- a/src/daemon/fleet/__tests__/fleet.spec.ts
+++ b/src/daemon/fleet/__tests__/fleet.spec.ts
@@ -304,4 +304,6 @@
   await until(() => fleets.slice(0, 2).every(fleet => fleet.endpoints().length === 2));
   t.deepEqual(fleets.slice(0, 2).map(fleet => fleet.endpoints().length), [2, 2]);
   t.false(counts.some(({counter}) => counter === 'message-rejected'));
+  // Answers are messages sent, too; without them the counters show half of the bytes sent.
+  t.true(counts.some(count => count.counter === 'message-sent' && count.kind === 'ack'));
 });
--- a/src/daemon/fleet/fleet.ts
+++ b/src/daemon/fleet/fleet.ts
@@ -264,7 +264,13 @@
     }
 
     const answer = handle({kind: 'message-received', message: opened.value}, true);
-    return ok(answer === undefined ? undefined : codec.seal(opened.value.from.address, answer));
+    if (answer === undefined) {
+      return ok(undefined);
+    }
+
+    const sealed = codec.seal(opened.value.from.address, answer);
+    onCount?.({counter: 'message-sent', kind: answer.body.kind, bytes: sealed.content.length});
+    return ok(sealed);
   };
 
   return {
--- /dev/null
+++ b/src/measure/fleet-processes.ts
@@ -0,0 +1,215 @@
+/** Starts a fleet of real `jujubewelld` processes on loopback, with an emulated platform and announcements but no backend servers. */
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
+import {Agent, request} from 'undici';
+import {startAnnouncement} from '../emulator/backend-server/announcement.js';
+import type {CallCounts} from '../emulator/platform/emulator.js';
+import {
+  CONFIGURATION_KIND, CONFIGURATION_NAME, hashObjects, type Configuration,
+} from '../objects/configuration.js';
+import {declaredObjectSchema, type BackendServer, type DeclaredObject} from '../objects/schema.js';
+import {createPlatformClient, type PlatformClient} from '../platform/client.js';
+import type {ProcessEvent} from '../daemon/event-log.js';
+import type {Child, Children} from './children.js';
+import type {Ports} from './ports.js';
+
+/** One process of the fleet. */
+export type FleetProcess = {
+  host: string;
+  zone: string;
+  peer: string;
+  admin: string;
+  child: Child;
+  /** Ends the announcements and kills the process. */
+  kill: () => void;
+};
+
+/** Running fleet. */
+export type FleetOfProcesses = {
+  /** Processes that were not killed. */
+  processes: FleetProcess[];
+  /** Accepts a configuration that changes one object; resolves with its sequence and the time of acceptance. */
+  change: () => Promise<{sequence: number; acceptedAt: number}>;
+  /** Calls that the platform counted since its start. */
+  platformCalls: () => Promise<CallCounts>;
+  stop: () => Promise<void>;
+};
+
+/** Options of a fleet. */
+export type FleetOfProcessesOptions = {
+  /** Number of processes. */
+  hosts: number;
+  children: Children;
+  ports: Ports;
+};
+
+const FLEET_KEY = 'measurement-fleet-key';
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+/** Backend servers of a service in a zone; a zone summary names up to 3, so that every process knows all of them. */
+const BACKEND_SERVERS_PER_SERVICE_AND_ZONE = 3;
+/** Processes that start at one time, which bounds the load of the start. */
+const STARTS_AT_ONCE = 2;
+/** The first process of each zone is a contact of all. */
+const CONTACTS = ZONES.length;
+const READY_TIMEOUT_MS = 90_000;
+const READY_POLL_MS = 500;
+const REQUEST_TIMEOUT_MS = 5000;
+
+/** Reads JSON of a process; undefined when it does not answer. */
+const getJson = async <Value>(url: string): Promise<Value | undefined> => {
+  try {
+    const response = await request(url, {signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS)});
+    return await response.body.json() as Value;
+  } catch {
+    return undefined;
+  }
+};
+
+/** Number of backend servers that a process lists as endpoints; undefined when it does not answer. */
+export const readEndpointCount = async ({admin}: FleetProcess): Promise<number | undefined> => {
+  const status = await getJson<{fleet: {backendServers: number}}>(`http://${admin}/status`);
+  return status?.fleet.backendServers;
+};
+
+/** Events that a process keeps. */
+export const readEvents = async ({admin}: FleetProcess): Promise<ProcessEvent[]> => {
+  const answer = await getJson<{events: ProcessEvent[]}>(`http://${admin}/events`);
+  return answer?.events ?? [];
+};
+
+/** Value of all series of a metric, added up. */
+export const readCounter = async ({admin}: FleetProcess, prefix: string): Promise<number> => {
+  const response = await request(`http://${admin}/metrics`, {signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS)});
+  const text = await response.body.text();
+  return text.split('\n').filter(line => line.startsWith(prefix)).map(line => Number(line.split(' ').at(-1))).reduce((sum, value) => sum + value, 0);
+};
+
+const objectsOf = (services: number, revision: number): DeclaredObject[] => Array.from({length: services}, (_, index) => [
+  {kind: 'Service', name: `service-${index}`, spec: {description: index === revision % services ? `revision ${revision}` : 'unchanged'}},
+  {
+    kind: 'RequestKind', name: `read-${index}`, spec: {
+      service: `service-${index}`, methods: ['GET'], path: '/*', idempotent: true,
+    },
+  },
+]).flat().map(object => declaredObjectSchema.parse(object));
+
+const createWriter = (platform: PlatformClient, services: number) => {
+  let sequence = 0;
+  let version: number | undefined;
+  return async () => {
+    sequence++;
+    const objects = objectsOf(services, sequence);
+    const configuration: Configuration = {
+      sequence, hash: hashObjects(objects), acceptedAt: Date.now(), author: 'measure', writeId: `measure-${sequence}`, objects,
+    };
+    const written = await platform.write({
+      kind: CONFIGURATION_KIND, name: CONFIGURATION_NAME, value: configuration, expectedVersion: version,
+    });
+    if (written.kind === 'error') {
+      throw new Error(`the platform did not take configuration ${sequence}: ${written.error.message}`);
+    }
+
+    version = written.value.version;
+    return {sequence, acceptedAt: Date.now()};
+  };
+};
+
+const waitUntil = async (condition: () => Promise<boolean>, what: string): Promise<void> => {
+  const end = Date.now() + READY_TIMEOUT_MS;
+  while (!await condition()) { // eslint-disable-line no-await-in-loop
+    if (Date.now() > end) {
+      throw new Error(`${what} within ${READY_TIMEOUT_MS} ms`);
+    }
+
+    await delay(READY_POLL_MS); // eslint-disable-line no-await-in-loop
+  }
+};
+
+const allKnow = async (processes: readonly FleetProcess[]): Promise<boolean> => {
+  const counts = await Promise.all(processes.map(async process => readEndpointCount(process)));
+  return counts.every(count => count === processes.length);
+};
+
+/** Starts a fleet and waits until every process lists all backend servers and has a configuration. */
+export const startFleet = async ({hosts, children, ports}: FleetOfProcessesOptions): Promise<FleetOfProcesses> => {
+  const directory = mkdtempSync(path.join(tmpdir(), 'jujubewell-fleet-'));
+  const agent = new Agent();
+  const services = Math.ceil(hosts / (ZONES.length * BACKEND_SERVERS_PER_SERVICE_AND_ZONE));
+  const platformAddress = await ports.next();
+  const platformChild = children.start({name: 'platform', program: 'emulator/platform/main.js', argument: JSON.stringify({port: Number(platformAddress.split(':')[1])})});
+  await platformChild.firstLine();
+  const platform = createPlatformClient({address: platformAddress});
+  const change = createWriter(platform, services);
+  await change();
+  const contacts: string[] = [];
+  for (let index = 0; index < CONTACTS; index++) {
+    contacts.push(await ports.next()); // eslint-disable-line no-await-in-loop
+  }
+
+  const startOne = async (index: number): Promise<FleetProcess> => {
+    const host = `host-${index}`;
+    const zone = ZONES[index % ZONES.length]!;
+    const peer = contacts[index] ?? await ports.next();
+    const [entry, local, admin] = [await ports.next(), await ports.next(), await ports.next()];
+    const file = path.join(directory, `${host}.json`);
+    writeFileSync(file, JSON.stringify({
+      host, zone, entry, peer, local, admin, contacts, platform: `http://${platformAddress}`, fleetKey: FLEET_KEY, log: {level: 'error', format: 'json'},
+    }));
+    const child = children.start({name: `jujubewelld ${host}`, program: 'daemon/main.js', argument: file});
+    const process: FleetProcess = {
+      host, zone, peer, admin, child, kill() {
+        announcement.abandon();
+        child.signal('SIGKILL');
+      },
+    };
+    await waitUntil(async () => await readEndpointCount(process) !== undefined, `${host} did not start`);
+    const backendServer: BackendServer = {
+      kind: 'BackendServer',
+      name: host,
+      labels: {},
+      spec: {
+        service: `service-${Math.floor(index / ZONES.length) % services}`, address: '127.0.0.1:1', slots: 40, connections: 350, coldStartMs: 0,
+      },
+    };
+    const announcement = startAnnouncement(agent, local, backendServer);
+    announcements.push(announcement);
+    return process;
+  };
+
+  const announcements: Array<ReturnType<typeof startAnnouncement>> = [];
+  const processes: FleetProcess[] = [];
+  for (let first = 0; first < hosts; first += STARTS_AT_ONCE) {
+    const batch = Array.from({length: Math.min(STARTS_AT_ONCE, hosts - first)}, (_, index) => first + index);
+    processes.push(...await Promise.all(batch.map(async index => startOne(index)))); // eslint-disable-line no-await-in-loop
+  }
+
+  await waitUntil(async () => allKnow(processes), 'the processes did not learn all backend servers');
+  return {
+    processes,
+    change,
+    async platformCalls() {
+      const calls = await getJson<CallCounts>(`http://${platformAddress}/.emulator/counts`);
+      if (calls === undefined) {
+        throw new Error('the emulated platform does not answer');
+      }
+
+      return calls;
+    },
+    async stop() {
+      for (const announcement of announcements) {
+        announcement.abandon();
+      }
+
+      for (const {child} of processes) {
+        child.signal('SIGKILL');
+      }
+
+      await platform.close();
+      await children.stopAll();
+      await agent.destroy();
+      rmSync(directory, {recursive: true});
+    },
+  };
+};
--- /dev/null
+++ b/src/measure/fleet.ts
@@ -0,0 +1,205 @@
+#!/usr/bin/env node
+/**
+Program: `npm run measure:fleet -- [--hosts N]... [--json FILE]`; without `--hosts`, 15 and then 60.
+
+Real `jujubewelld` processes in three zones on loopback with an emulated platform. Each process gets the
+announcement of a backend server once a second; there are no backend servers and no calls. All times are by
+the clock of the machine.
+
+- Rest: for 10 s without changes, per process and second: control messages and the bytes of their content,
+  sent and received (HTTP and TCP not counted); processor time (user and system, the whole process, its
+  announcements included); resident memory at the end; and calls to the platform by all processes.
+- Configuration change: from the platform's response to the write until the last process reports the
+  configuration as in effect, which it does after compiling; five changes, 3 s apart. Platform calls and
+  processor time are stated for these 15 s, too.
+- Loss of a host: from SIGKILL until a round of requests shows that no other process lists its backend server;
+  three hosts in turn. Rounds are 100 ms apart, so the time is up to a round too long.
+*/
+import {readFileSync, writeFileSync} from 'node:fs';
+import {cpus, loadavg} from 'node:os';
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {parseArgs} from 'node:util';
+import {createChildren} from './children.js';
+import {
+  readCounter, readEndpointCount, readEvents, startFleet, type FleetOfProcesses, type FleetProcess,
+} from './fleet-processes.js';
+import {createPorts} from './ports.js';
+
+const DEFAULT_HOSTS = ['15', '60'];
+const HOSTS_MIN = 6;
+const HOSTS_MAX = 195;
+const MEMORY_MAX_MB = 8192;
+/** Time after the start in which records are still fetched and summaries exchanged. */
+const SETTLE_MS = 8000;
+const REST_MS = 10_000;
+const CHANGES = 5;
+const CHANGE_GAP_MS = 3000;
+const KILLS = 3;
+const KILL_POLL_MS = 100;
+const KILL_TIMEOUT_MS = 60_000;
+
+/** Counters of all processes at a time. */
+type Sample = {at: number; sent: number; received: number; bytes: number; processorMs: number; platformCalls: number};
+
+type Rates = {
+  messagesSentPerSecond: number;
+  messagesReceivedPerSecond: number;
+  bytesPerSecond: number;
+  processorPercent: number;
+  platformCallsPerSecond: number;
+};
+
+const sumOf = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0);
+
+const medianOf = (values: readonly number[]): number => [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)]!;
+
+const round = (value: number, digits = 2): number => Number(value.toFixed(digits));
+
+const sumCounter = async (processes: readonly FleetProcess[], prefix: string): Promise<number> =>
+  sumOf(await Promise.all(processes.map(async each => readCounter(each, prefix))));
+
+const takeSample = async (fleet: FleetOfProcesses): Promise<Sample> => {
+  const calls = await fleet.platformCalls();
+  return {
+    sent: await sumCounter(fleet.processes, 'jujubewell_control_messages_total{direction="out"'),
+    received: await sumCounter(fleet.processes, 'jujubewell_control_messages_total{direction="in"'),
+    bytes: await sumCounter(fleet.processes, 'jujubewell_control_bytes_total'),
+    at: Date.now(),
+    processorMs: sumOf(fleet.processes.map(({child}) => child.cpuMs())),
+    platformCalls: sumOf([calls.read, calls.list, calls.write, calls.delete, calls.watch]),
+  };
+};
+
+/** Rates per process, apart from the platform calls, which are those of the whole fleet. */
+const ratesBetween = (before: Sample, after: Sample, hosts: number): Rates => {
+  const seconds = (after.at - before.at) / 1000;
+  const perProcess = (difference: number): number => difference / seconds / hosts;
+  return {
+    messagesSentPerSecond: round(perProcess(after.sent - before.sent)),
+    messagesReceivedPerSecond: round(perProcess(after.received - before.received)),
+    bytesPerSecond: round(perProcess(after.bytes - before.bytes), 0),
+    processorPercent: round(perProcess(after.processorMs - before.processorMs) / 10),
+    platformCallsPerSecond: round((after.platformCalls - before.platformCalls) / seconds),
+  };
+};
+
+const residentMb = ({child}: FleetProcess): number =>
+  Number(/VmRSS:\s+(\d+) kB/u.exec(readFileSync(`/proc/${child.pid}/status`, 'utf8'))![1]) / 1024;
+
+const measureRest = async (fleet: FleetOfProcesses): Promise<Rates> => {
+  const before = await takeSample(fleet);
+  await delay(REST_MS);
+  return ratesBetween(before, await takeSample(fleet), fleet.processes.length);
+};
+
+/** Time until the last process reported each configuration, in milliseconds. */
+const spreadOf = async (fleet: FleetOfProcesses, accepted: ReadonlyArray<{sequence: number; acceptedAt: number}>): Promise<number[]> => {
+  const events = await Promise.all(fleet.processes.map(async each => readEvents(each)));
+  return accepted.map(({sequence, acceptedAt}) => {
+    const times = events.map(kept => kept.find(({kind, cause}) => kind === 'configuration-in-effect' && cause.startsWith(`configuration ${sequence} `))?.at);
+    if (times.includes(undefined)) {
+      throw new Error(`configuration ${sequence} was not in effect everywhere ${CHANGE_GAP_MS} ms after its acceptance`);
+    }
+
+    return Math.max(...times as number[]) - acceptedAt;
+  });
+};
+
+const measureChanges = async (fleet: FleetOfProcesses) => {
+  const before = await takeSample(fleet);
+  const accepted: Array<{sequence: number; acceptedAt: number}> = [];
+  for (let index = 0; index < CHANGES; index++) {
+    /* eslint-disable no-await-in-loop */
+    accepted.push(await fleet.change());
+    await delay(CHANGE_GAP_MS);
+    /* eslint-enable no-await-in-loop */
+  }
+
+  const rates = ratesBetween(before, await takeSample(fleet), fleet.processes.length);
+  const milliseconds = await spreadOf(fleet, accepted);
+  return {
+    milliseconds, p50Milliseconds: medianOf(milliseconds), maxMilliseconds: Math.max(...milliseconds), rates,
+  };
+};
+
+const measureKill = async (fleet: FleetOfProcesses): Promise<number> => {
+  // The last process is no contact of the others.
+  const victim = fleet.processes.pop()!;
+  const killedAt = Date.now();
+  victim.kill();
+  while (Date.now() - killedAt < KILL_TIMEOUT_MS) {
+    /* eslint-disable no-await-in-loop */
+    const counts = await Promise.all(fleet.processes.map(async each => readEndpointCount(each)));
+    if (counts.every(count => count === fleet.processes.length)) {
+      return Date.now() - killedAt;
+    }
+
+    await delay(KILL_POLL_MS);
+    /* eslint-enable no-await-in-loop */
+  }
+
+  throw new Error(`${victim.host} was still listed ${KILL_TIMEOUT_MS} ms after it was killed`);
+};
+
+const measureKills = async (fleet: FleetOfProcesses) => {
+  const milliseconds: number[] = [];
+  for (let index = 0; index < KILLS; index++) {
+    milliseconds.push(await measureKill(fleet)); // eslint-disable-line no-await-in-loop
+  }
+
+  return {milliseconds, p50Milliseconds: medianOf(milliseconds), maxMilliseconds: Math.max(...milliseconds)};
+};
+
+const measureFleet = async (hosts: number) => {
+  const children = createChildren();
+  try {
+    const fleet = await startFleet({hosts, children, ports: createPorts()});
+    try {
+      const started = fleet.processes.map(each => residentMb(each));
+      if (sumOf(started) > MEMORY_MAX_MB) {
+        throw new Error(`the processes use ${round(sumOf(started), 0)} MB, more than ${MEMORY_MAX_MB} MB; measure fewer hosts`);
+      }
+
+      await delay(SETTLE_MS);
+      const loadBefore = loadavg().map(value => round(value));
+      const rest = await measureRest(fleet);
+      const resident = fleet.processes.map(each => residentMb(each));
+      const configurationChange = await measureChanges(fleet);
+      const hostLoss = await measureKills(fleet);
+      return {
+        hosts,
+        loadAverageBefore: loadBefore,
+        loadAverageAfter: loadavg().map(value => round(value)),
+        rest,
+        residentMb: {p50: round(medianOf(resident), 1), max: round(Math.max(...resident), 1)},
+        configurationChange,
+        hostLoss,
+      };
+    } finally {
+      await fleet.stop();
+    }
+  } finally {
+    await children.stopAll();
+  }
+};
+
+const {values} = parseArgs({options: {json: {type: 'string'}, hosts: {type: 'string', multiple: true, default: DEFAULT_HOSTS}}});
+const sizes = values.hosts.map(Number);
+if (sizes.some(size => !Number.isInteger(size) || size < HOSTS_MIN || size > HOSTS_MAX)) {
+  console.error(`--hosts needs a whole number from ${HOSTS_MIN} to ${HOSTS_MAX}`);
+  process.exit(2);
+}
+
+const results = [];
+for (const size of sizes) {
+  const result = await measureFleet(size); // eslint-disable-line no-await-in-loop
+  results.push(result);
+  console.log(JSON.stringify(result, undefined, 2));
+}
+
+if (values.json !== undefined) {
+  writeFileSync(values.json, `${JSON.stringify({
+    command: `npm run measure:fleet -- ${process.argv.slice(2).join(' ')}`, node: process.version, processors: cpus().length, results,
+  }, undefined, 2)}\n`);
+}
