feat(entry): tell the state of a ticket

Cause: the design promises GET /.jujubewell/tickets/<ticket>; it returned 405. Change: the query goes to the bound process like a cancellation does; the types of received calls moved to their own module. Test: call-path.spec.ts asks through both entries before and after a cancellation.

--- a/src/daemon/__tests__/call-path.spec.ts
+++ b/src/daemon/__tests__/call-path.spec.ts
@@ -144,8 +144,14 @@
   const first = await request(url(1, '/chiuse/closures'), {method: 'POST', body: 'gate 9'});
   await first.body.dump();
   const ticket = String(first.headers['jujubewell-ticket']);
-  const cancelled = await request(url(0, `/.jujubewell/tickets/${ticket}`), {method: 'DELETE'});
-  t.deepEqual(await cancelled.body.json(), {state: 'cancelled'});
+  const ask = async (host: number, method: 'GET' | 'DELETE') => {
+    const asked = await request(url(host, `/.jujubewell/tickets/${ticket}`), {method});
+    return asked.body.json();
+  };
+
+  t.deepEqual([await ask(0, 'GET'), await ask(1, 'GET'), await ask(0, 'DELETE'), await ask(1, 'GET')], [
+    {state: 'unseen'}, {state: 'unseen'}, {state: 'cancelled'}, {state: 'cancelled'},
+  ]);
   const before = closures;
   const late = await request(url(1, '/chiuse/closures'), {method: 'POST', body: 'gate 9', headers: {'jujubewell-ticket': ticket}});
   t.like(await late.body.json(), {error: 'ticket-cancelled', outcome: 'not-run'});
--- a/src/daemon/local.ts
+++ b/src/daemon/local.ts
@@ -13,7 +13,8 @@
 } from './http-server.js';
 import {rejectionReply, type Reply} from './message.js';
 import type {Metrics} from './metrics.js';
-import type {ActiveCall, Receiver} from './receiver.js';
+import type {ActiveCall} from './received-call.js';
+import type {Receiver} from './receiver.js';
 import {remedyFor, type RejectionReason} from './remedies.js';
 import type {ReplayBudget} from './replay-body.js';
 import type {Sender} from './sender.js';
--- a/src/daemon/peer-transports.ts
+++ b/src/daemon/peer-transports.ts
@@ -5,12 +5,16 @@
 import {encodeCall, type Call} from '../shared/call.js';
 import type {Endpoint} from '../decisions/outbound/outbound.js';
 import type {Attempt, Message} from './message.js';
+import type {TicketAsk} from './received-call.js';
 import {emptyBody} from './replay-body.js';
 import {createTransport, type Transport} from './transport.js';
 
 /** Time without a sign of life after which a connection to a process counts as silent, in milliseconds. */
 export const SILENCE_MS = 750;
 
+/** Time for the bound process of a ticket to respond, in milliseconds. */
+const TICKET_TIMEOUT_MS = 2000;
+
 /** Proof that a process belongs to the fleet; it is bound to its host and incarnation. */
 export const peerProof = (host: string, incarnation: string, fleetKey: string): string => {
   const mac = createHmac('sha256', fleetKey).update(`peer:${host}:${incarnation}`).digest('base64url');
@@ -30,8 +34,8 @@
 /** Connections to other processes. */
 export type PeerTransports = {
   send: (peerCall: PeerCall) => Promise<Attempt>;
-  /** Cancels a ticket at its bound process; the response is JSON, undefined when it could not be had. */
-  cancelTicket: (address: string, ticket: string, timeoutMs: number) => Promise<Buffer | undefined>;
+  /** Asks the bound process of a ticket about it; the response is JSON, undefined when it could not be had. */
+  askTicket: (address: string, ask: TicketAsk, ticket: string) => Promise<Buffer | undefined>;
   /** Closes connections to addresses that are no longer in use. */
   retain: (addresses: {has: (address: string) => boolean}) => void;
   close: () => Promise<void>;
@@ -78,13 +82,13 @@
         newConnection: peerCall.newConnection,
       });
     },
-    async cancelTicket(address, ticket, timeoutMs) {
+    async askTicket(address, ask, ticket) {
       const attempt = await transportFor(address, options.connections).send({
         message: {
-          method: 'DELETE', path: `/.jujubewell/tickets/${ticket}`, headers: {}, body: emptyBody,
+          method: ask === 'cancel' ? 'DELETE' : 'GET', path: `/.jujubewell/tickets/${ticket}`, headers: {}, body: emptyBody,
         },
         headers: {[PEER_HEADER]: proof},
-        timeoutMs,
+        timeoutMs: TICKET_TIMEOUT_MS,
         silenceMs: undefined,
         signal: new AbortController().signal,
         newConnection: false,
--- a/src/daemon/peer.ts
+++ b/src/daemon/peer.ts
@@ -11,6 +11,7 @@
 import {callerSignal, writeJson, writeReply} from './http-server.js';
 import {rejectionReply, type Reply} from './message.js';
 import type {Metrics} from './metrics.js';
+import type {TicketAsk} from './received-call.js';
 import type {Receiver} from './receiver.js';
 import {remedyFor, type EntryRejection} from './remedies.js';
 import type {ReplayBudget} from './replay-body.js';
@@ -31,6 +32,7 @@
 const FIRST_SIGN_OF_LIFE_MS = 50;
 /** Interval of signs of life, in milliseconds. */
 const SIGN_OF_LIFE_INTERVAL_MS = 200;
+const TICKET_PATH_PREFIX = `${OWN_PATH_PREFIX}tickets/`;
 /** Proofs whose check is remembered. */
 const REMEMBERED_PROOFS = 50_000;
 
@@ -124,14 +126,14 @@
     }
   };
 
-  const cancelTicket = (response: ServerResponse, text: string) => {
+  const askTicket = (response: ServerResponse, ask: TicketAsk, text: string) => {
     const read = readTicket(text, options.fleetKey);
     if (read.kind === 'error') {
       writeJson(response, 400, {error: read.error.kind, message: read.error.message});
       return;
     }
 
-    writeJson(response, 200, {state: options.receiver.cancelTicket(text, read.value)});
+    writeJson(response, 200, {state: options.receiver.askTicket(ask, text, read.value)});
   };
 
   return async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
@@ -145,8 +147,8 @@
 
     const url = request.url ?? '/';
     const header = singleHeader(request.headers, CALL_HEADER);
-    if (header === undefined && request.method === 'DELETE' && url.startsWith(`${OWN_PATH_PREFIX}tickets/`)) {
-      cancelTicket(response, url.slice(`${OWN_PATH_PREFIX}tickets/`.length));
+    if (header === undefined && url.startsWith(TICKET_PATH_PREFIX)) {
+      askTicket(response, request.method === 'DELETE' ? 'cancel' : 'query', url.slice(TICKET_PATH_PREFIX.length));
       return;
     }
 
--- a/src/daemon/receiver.ts
+++ b/src/daemon/receiver.ts
@@ -11,38 +11,28 @@
 import type {BackendServer} from '../objects/schema.js';
 import type {Policy} from '../objects/policy.js';
 import {
-  createInboundState, decideInbound, inboundLoad, responseFraction, type BackendOutcome, type InboundAction, type InboundEvent,
+  createInboundState, decideInbound, inboundLoad, responseFraction, type InboundAction, type InboundEvent,
 } from '../decisions/inbound/inbound.js';
 import {allowedCalls} from '../decisions/inbound/concurrency-limit.js';
 import type {EventLog} from './event-log.js';
 import {numberHeader} from './headers.js';
 import {
-  callerGoneReply, rejectionReply, type Attempt, type Message, type Reply,
+  outcomeOf, type ActiveCall, type ReceivedCall, type TicketAsk, type TicketState,
+} from './received-call.js';
+import {
+  callerGoneReply, rejectionReply, type Attempt, type Reply,
 } from './message.js';
 import type {Metrics} from './metrics.js';
 import {remedyFor, type RejectionReason} from './remedies.js';
 import type {ParentRest, Sender} from './sender.js';
 import {createTransport, type Transport} from './transport.js';
 
-/** Call that the backend server of this host is working on; its sub-calls belong to it. */
-export type ActiveCall = {
-  callId: string;
-  call: Call;
-  /** Time by which the call must end, on the process clock. */
-  deadlineAt: number;
-  /** Ends when the call ends or its caller has gone. */
-  signal: AbortSignal;
-};
-
-/** State of a ticket as its bound process knows it. */
-export type TicketState = Extract<InboundAction, {kind: 'ticket-state'}>['state'];
-
 /** Inbound side of a process. */
 export type Receiver = {
   /** Passes a call to the backend server; the reply may be a rejection. */
   handle: (request: ReceivedCall) => Promise<Reply>;
-  /** Cancels a ticket that has not been used. */
-  cancelTicket: (ticket: string, content: Ticket) => TicketState;
+  /** Tells the state of a ticket; `cancel` also voids one that has not been used. */
+  askTicket: (ask: TicketAsk, ticket: string, content: Ticket) => TicketState;
   announce: (backendServer: BackendServer) => void;
   backendLeft: () => void;
   /** Rejects new work and resolves when all calls in flight have ended. */
@@ -56,16 +46,6 @@
   close: () => Promise<void>;
 };
 
-/** Call that arrived for the backend server of this host. */
-export type ReceivedCall = {
-  call: Call;
-  message: Message;
-  /** Content of the call's ticket, whose authentication code has been checked. */
-  ticket: Ticket | undefined;
-  /** Ends when the caller has gone. */
-  signal: AbortSignal;
-};
-
 /** Options of a receiver. */
 export type ReceiverOptions = {
   incarnation: string;
@@ -99,27 +79,6 @@
 
 const nextToken = createIdSource(12);
 
-const outcomeOf = (attempt: Attempt, durationMs: number): BackendOutcome => {
-  switch (attempt.kind) {
-    case 'replied': {
-      return {kind: 'responded', status: attempt.reply.status, durationMs};
-    }
-
-    case 'not-connected': {
-      return {kind: 'not-sent'};
-    }
-
-    case 'timed-out': {
-      return {kind: 'timed-out'};
-    }
-
-    case 'silent':
-    case 'lost': {
-      return {kind: 'lost'};
-    }
-  }
-};
-
 /** Creates the inbound side of a process. */
 export const createReceiver = (options: ReceiverOptions): Receiver => {
   const {clock, metrics, eventLog} = options;
@@ -347,9 +306,9 @@
 
   return {
     handle: async request => admit(request),
-    cancelTicket(ticket, content) {
+    askTicket(ask, ticket, content) {
       apply({
-        kind: 'ticket-cancel-asked', askId: ticket, ticket, epochMs: Date.now(), ticketExpiresAt: content.expiresAt, ticketIncarnation: content.incarnation,
+        kind: `ticket-${ask}-asked`, askId: ticket, ticket, epochMs: Date.now(), ticketExpiresAt: content.expiresAt, ticketIncarnation: content.incarnation,
       });
       return ticketState;
     },
--- a/src/daemon/ticket-requests.ts
+++ b/src/daemon/ticket-requests.ts
@@ -1,10 +1,11 @@
-/** Requests of clients about tickets: issue one, or cancel one that has not been used. */
+/** Requests of clients about tickets: issue one, tell the state of one, or cancel one that has not been used. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {TICKET_HEADER} from '../shared/constants.js';
 import {readTicket, type Ticket} from '../shared/ticket.js';
 import type {Policy} from '../objects/policy.js';
 import {writeJson} from './http-server.js';
 import type {PeerTransports} from './peer-transports.js';
+import type {TicketAsk} from './received-call.js';
 import type {Receiver} from './receiver.js';
 import type {Sender} from './sender.js';
 
@@ -19,9 +20,6 @@
   peers: PeerTransports;
 };
 
-/** Time for the bound process to respond, in milliseconds. */
-const CANCEL_TIMEOUT_MS = 2000;
-
 const UNREACHABLE = {
   state: 'unknown',
   message: 'the process that the ticket is bound to cannot be reached; ask again later with the same ticket',
@@ -45,12 +43,12 @@
     writeJson(response, 201, {ticket});
   };
 
-  const cancelRemotely = async (ticket: string, content: Ticket): Promise<unknown> => {
-    const reply = await options.peers.cancelTicket(content.address, ticket, CANCEL_TIMEOUT_MS);
+  const askRemotely = async (method: TicketAsk, ticket: string, content: Ticket): Promise<unknown> => {
+    const reply = await options.peers.askTicket(content.address, method, ticket);
     return reply === undefined ? UNREACHABLE : JSON.parse(reply.toString());
   };
 
-  const cancel = async (response: ServerResponse, ticket: string): Promise<void> => {
+  const ask = async (response: ServerResponse, method: TicketAsk, ticket: string): Promise<void> => {
     const read = readTicket(ticket, options.fleetKey);
     if (read.kind === 'error') {
       writeJson(response, 400, {error: read.error.kind, message: read.error.message});
@@ -59,8 +57,8 @@
 
     const isOwn = read.value.host === options.host && read.value.incarnation === options.incarnation;
     writeJson(response, 200, isOwn
-      ? {state: options.receiver.cancelTicket(ticket, read.value)}
-      : await cancelRemotely(ticket, read.value));
+      ? {state: options.receiver.askTicket(method, ticket, read.value)}
+      : await askRemotely(method, ticket, read.value));
   };
 
   return async (request: IncomingMessage, response: ServerResponse, rest: string): Promise<void> => {
@@ -70,13 +68,17 @@
       return;
     }
 
+    if (request.method === 'GET') {
+      return ask(response, 'query', rest);
+    }
+
     if (request.method === 'DELETE') {
-      return cancel(response, rest);
+      return ask(response, 'cancel', rest);
     }
 
     writeJson(response, 405, {
       error: 'method-not-allowed',
-      message: 'use POST /.jujubewell/tickets/<service> or DELETE /.jujubewell/tickets/<ticket>; repeat the request with its ticket to read its response',
+      message: 'use POST /.jujubewell/tickets/<service>, or GET or DELETE /.jujubewell/tickets/<ticket>; repeat the request with its ticket to read its response',
     });
   };
 };
