--- a/src/decisions/fleet/message.ts
+++ b/src/decisions/fleet/message.ts
@@ -121,15 +121,25 @@
 /** Schema of a message. */
 export const messageSchema = z.strictObject({from: senderSchema, body: bodySchema});
 
+/** Backend server as its process announces it. */
 export type Announcement = z.infer<typeof announcementSchema>;
+/** Record of a member, as gossip carries it. */
 export type MemberRecord = z.infer<typeof memberRecordSchema>;
+/** Sender of a message, and what it has in effect. */
 export type Sender = z.infer<typeof senderSchema>;
+/** Process through which another zone reaches a service. */
 export type ZoneContact = z.infer<typeof zoneContactSchema>;
+/** Entry of a zone summary. */
 export type SummaryEntry = z.infer<typeof summaryEntrySchema>;
+/** Version of a zone summary. */
 export type Stamp = z.infer<typeof stampSchema>;
+/** Part of a zone summary. */
 export type SummaryPart = z.infer<typeof summaryPartSchema>;
+/** Difference between two configurations. */
 export type ConfigurationChange = z.infer<typeof configurationChangeSchema>;
+/** Content of a message, by kind. */
 export type Body = z.infer<typeof bodySchema>;
+/** Message between two processes. */
 export type Message = z.infer<typeof messageSchema>;
 /** Message with a body of one kind. */
 export type Received<Kind extends Body['kind']> = {from: Sender; body: Extract<Body, {kind: Kind}>};
--- a/src/decisions/outbound/__tests__/routing.spec.ts
+++ b/src/decisions/outbound/__tests__/routing.spec.ts
@@ -2,7 +2,8 @@
 import test from 'ava';
 import fc from 'fast-check';
 import type {Endpoint} from '../outbound.js';
-import {inFlightLimit, rampWeight} from '../routing.js';
+import {inFlightLimit} from '../endpoint-records.js';
+import {rampWeight} from '../routing.js';
 import {spillShare} from '../spill-over.js';
 import {
   createDriver, endpoint, hosts, rejected, responded, type Attempt, type Driver,
--- a/src/decisions/outbound/observation.ts
+++ b/src/decisions/outbound/observation.ts
@@ -1,6 +1,6 @@
 /** Derives from the result of an attempt what it tells about its backend server. */
 import type {AttemptResult} from './events.js';
-import type {Observation} from './routing.js';
+import type {Observation} from './call-results.js';
 
 /** Shortest timeout whose passing counts as a failure, in milliseconds; callers with short deadlines would eject all. */
 const TIMEOUT_FAILURE_MIN_MS = 500;
