feat(inbound): let sub-calls wait a quarter of their remaining time

Cause: photo uploads with seconds to go died with 503 after their first hop, because registro let a sub-call wait a tenth of its remaining time. Change: a quarter.

--- a/src/decisions/inbound/constants.ts
+++ b/src/decisions/inbound/constants.ts
@@ -28,7 +28,7 @@
 
 /** Part of the remaining time that a call may wait at the first hop, and further down, where it holds a slot of each caller above. */
 export const QUEUE_SHARE_FIRST_HOP = 0.5;
-export const QUEUE_SHARE_DEEPER = 0.1;
+export const QUEUE_SHARE_DEEPER = 0.25;
 
 /** Part of the usual longest wait that admission fills the queue to; the rest takes random bursts. */
 export const QUEUE_FILL = 0.6;
