refactor(daemon): build the rejections of the three listeners in one place

Cause: entry, local and peer listener each had the same code to count, explain and build a rejection. Change: early-rejection.ts; the labels of an unknown call token no longer name a service that the caller made up.

--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -10,15 +10,16 @@
 import {createIdSource} from '../shared/ids.js';
 import {readTicket, type Ticket} from '../shared/ticket.js';
 import {findTreatment, type Policy, type Treatment} from '../objects/policy.js';
+import {createEarlyRejection, type EarlyRejection} from './early-rejection.js';
 import type {EventLog} from './event-log.js';
 import {
   forwardedRequestHeaders, numberHeader, singleHeader, type Headers,
 } from './headers.js';
 import {callerSignal, writeJson, writeReply} from './http-server.js';
-import {rejectionReply, type Message, type Reply} from './message.js';
+import type {Message, Reply} from './message.js';
 import type {Metrics} from './metrics.js';
 import {createReplayBody, type ReplayBudget} from './replay-body.js';
-import {remedyFor, type RejectionReason} from './remedies.js';
+import type {RejectionReason} from './remedies.js';
 import type {Sender} from './sender.js';
 
 /** Path prefix of the system's own requests. */
@@ -105,9 +106,7 @@
 });
 
 type Checked = {call: Call; clientTicket: Ticket | undefined};
-type Refused = {reason: RejectionReason; detail?: string; headers?: Headers};
-
-const refused = (reason: RejectionReason, detail?: string): Refused => (detail === undefined ? {reason} : {reason, detail});
+const refused = (reason: RejectionReason, detail?: string): EarlyRejection => (detail === undefined ? {reason} : {reason, detail});
 
 const buildCall = (treatment: Treatment, headers: Headers, context: {requestId: string; group: string; deadlineMs: number; fleetKey: string}): Call => ({
   requestId: context.requestId,
@@ -129,8 +128,9 @@
 /** Creates the request handler of the entry. */
 export const createEntry = (options: EntryOptions) => {
   const {fleetKey, sender} = options;
+  const rejectEarly = createEarlyRejection(options);
 
-  const checkTicket = (treatment: Treatment, headers: Headers): Ticket | Refused | undefined => {
+  const checkTicket = (treatment: Treatment, headers: Headers): Ticket | EarlyRejection | undefined => {
     if (treatment.idempotent) {
       return undefined;
     }
@@ -149,7 +149,7 @@
     return read.value.service === treatment.service ? read.value : refused('ticket-other-service');
   };
 
-  const check = (request: IncomingMessage, target: Target): Checked | Refused => {
+  const check = (request: IncomingMessage, target: Target): Checked | EarlyRejection => {
     const policy = options.policy();
     if (!policy.treatments.has(target.service)) {
       return refused('unknown-service');
@@ -183,19 +183,6 @@
     return {call, clientTicket: ticket};
   };
 
-  const refusal = (cause: Refused, target: Target): Reply => {
-    const {status, message} = remedyFor(cause.reason);
-    const labels = {service: options.policy().treatments.has(target.service) ? target.service : '', requestKind: '', priority: 0};
-    options.metrics.countRejection(cause.reason, 'entry', labels);
-    const remedy = cause.detail ?? message;
-    const explainId = options.eventLog.explain({
-      part: 'entry', requestId: '', ...labels, group: '', reason: cause.reason, outcome: 'not-run', fraction: 1, remedy,
-    });
-    return rejectionReply({
-      status, reason: cause.reason, outcome: 'not-run', explainId, message: remedy, retryAfterMs: 0, fraction: 1, retryBudget: 0,
-    }, cause.headers);
-  };
-
   /** A ticket that was rejected as not run is void, so the response brings another one for the next try. */
   const nextTicket = ({call, clientTicket}: Checked, reply: Reply): Headers => {
     const isVoid = clientTicket !== undefined && reply.headers[OUTCOME_HEADER] === 'not-run';
@@ -220,7 +207,7 @@
     const target = splitTarget(url);
     const checked = check(request, target);
     if ('reason' in checked) {
-      return writeReply(request, response, refusal(checked, target));
+      return writeReply(request, response, rejectEarly({...checked, ...(options.policy().treatments.has(target.service) && {service: target.service})}));
     }
 
     const message = messageOf(request, response, target.path, {bytes: options.replayBytesPerCall, budget: options.replayBudget});
--- a/src/daemon/local.ts
+++ b/src/daemon/local.ts
@@ -6,16 +6,16 @@
 import {backendServerSchema, type BackendServer} from '../objects/schema.js';
 import {findTreatment, type Policy, type Treatment} from '../objects/policy.js';
 import {messageOf, OWN_PATH_PREFIX, splitTarget} from './entry.js';
+import {createEarlyRejection} from './early-rejection.js';
 import type {EventLog} from './event-log.js';
 import {numberHeader, singleHeader} from './headers.js';
 import {
   callerSignal, readJson, writeJson, writeReply,
 } from './http-server.js';
-import {rejectionReply, type Reply} from './message.js';
+import type {Reply} from './message.js';
 import type {Metrics} from './metrics.js';
 import type {ActiveCall} from './received-call.js';
 import type {Receiver} from './receiver.js';
-import {remedyFor, type RejectionReason} from './remedies.js';
 import type {ReplayBudget} from './replay-body.js';
 import type {Sender} from './sender.js';
 
@@ -47,17 +47,7 @@
 
 /** Creates the request handler of the local listener. */
 export const createLocal = (options: LocalOptions) => {
-  const refusal = (reason: RejectionReason, target: {service: string}, call?: Call): Reply => {
-    const {status, message} = remedyFor(reason);
-    const labels = {service: target.service, requestKind: call?.requestKind ?? '', priority: call?.priority ?? 0};
-    options.metrics.countRejection(reason, 'entry', labels);
-    const explainId = options.eventLog.explain({
-      part: 'entry', requestId: call?.requestId ?? '', ...labels, group: call?.group ?? '', reason, outcome: 'not-run', fraction: 1, remedy: message,
-    });
-    return rejectionReply({
-      status, reason, outcome: 'not-run', explainId, message, retryAfterMs: 0, fraction: 1, retryBudget: 0,
-    });
-  };
+  const rejectEarly = createEarlyRejection(options);
 
   const announce = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const parsed = backendServerSchema.safeParse(await readJson(request, ANNOUNCEMENT_BYTES));
@@ -92,19 +82,19 @@
     const target = splitTarget(request.url ?? '/');
     const policy = options.policy();
     if (!policy.treatments.has(target.service)) {
-      return refusal('unknown-service', target);
+      return rejectEarly({reason: 'unknown-service'});
     }
 
     const treatment = findTreatment(policy, target.service, request.method ?? 'GET', target.path.split('?', 1)[0]!);
     if (treatment === undefined) {
-      return refusal('unknown-request-kind', target);
+      return rejectEarly({reason: 'unknown-request-kind', service: target.service});
     }
 
     const left = parent.deadlineAt - options.clock.now();
     const stated = numberHeader(request.headers, DEADLINE_HEADER) ?? left;
     const call = subCall(parent, treatment, Math.max(0, Math.min(left, stated, treatment.deadlineMs)));
     if (call.hops >= HOP_COUNT_MAX) {
-      return refusal('hop-limit', target, call);
+      return rejectEarly({reason: 'hop-limit', call});
     }
 
     const message = messageOf(request, response, target.path, {bytes: options.replayBytesPerCall, budget: options.replayBudget});
@@ -126,7 +116,7 @@
     const token = singleHeader(request.headers, CALL_TOKEN_HEADER);
     const parent = token === undefined ? undefined : options.receiver.activeCall(token);
     const reply = parent === undefined
-      ? refusal('unknown-call-token', splitTarget(url))
+      ? rejectEarly({reason: 'unknown-call-token'})
       : await send(request, response, parent);
     await writeReply(request, response, reply);
   };
--- a/src/daemon/peer.ts
+++ b/src/daemon/peer.ts
@@ -6,14 +6,15 @@
 import {decodeCall, type Call} from '../shared/call.js';
 import {readTicket, type Ticket} from '../shared/ticket.js';
 import {messageOf, OWN_PATH_PREFIX} from './entry.js';
+import {createEarlyRejection} from './early-rejection.js';
 import type {EventLog} from './event-log.js';
 import {singleHeader} from './headers.js';
 import {callerSignal, writeJson, writeReply} from './http-server.js';
-import {rejectionReply, type Reply} from './message.js';
+import type {Reply} from './message.js';
 import type {Metrics} from './metrics.js';
 import type {TicketAsk} from './received-call.js';
 import type {Receiver} from './receiver.js';
-import {remedyFor, type EntryRejection} from './remedies.js';
+import type {EntryRejection} from './remedies.js';
 import type {ReplayBudget} from './replay-body.js';
 
 /** Options of the peer listener. */
@@ -85,19 +86,7 @@
 /** Creates the request handler of the peer listener. */
 export const createPeer = (options: PeerOptions) => {
   const isPeer = createProofCheck(options.fleetKey);
-
-  const refusal = (reason: EntryRejection, detail?: string): Reply => {
-    const {status, message} = remedyFor(reason);
-    const labels = {service: '', requestKind: '', priority: 0};
-    options.metrics.countRejection(reason, 'entry', labels);
-    const remedy = detail ?? message;
-    const explainId = options.eventLog.explain({
-      part: 'entry', requestId: '', ...labels, group: '', reason, outcome: 'not-run', fraction: 1, remedy,
-    });
-    return rejectionReply({
-      status, reason, outcome: 'not-run', explainId, message: remedy, retryAfterMs: 0, fraction: 1, retryBudget: 0,
-    });
-  };
+  const rejectEarly = createEarlyRejection(options);
 
   const ticketOf = (call: Call): Ticket | undefined | {kind: EntryRejection} => {
     if (call.ticket === undefined) {
@@ -111,7 +100,7 @@
   const receive = async (request: IncomingMessage, response: ServerResponse, call: Call): Promise<Reply> => {
     const ticket = ticketOf(call);
     if (ticket !== undefined && 'kind' in ticket) {
-      return refusal(ticket.kind);
+      return rejectEarly({reason: ticket.kind});
     }
 
     const message = messageOf(request, response, request.url ?? '/', {bytes: 0, budget: options.replayBudget});
@@ -142,7 +131,7 @@
     }
 
     if (!isPeer(singleHeader(request.headers, PEER_HEADER))) {
-      return writeReply(request, response, refusal('unauthenticated-peer'));
+      return writeReply(request, response, rejectEarly({reason: 'unauthenticated-peer'}));
     }
 
     const url = request.url ?? '/';
@@ -155,7 +144,7 @@
     const call = decodeCall(header ?? '');
     const reply = call.kind === 'ok'
       ? await receive(request, response, call.value)
-      : refusal('malformed-request', call.error.message);
+      : rejectEarly({reason: 'malformed-request', detail: call.error.message});
     await writeReply(request, response, reply);
   };
 };
