fix(daemon): never give a backend server more time than its caller has

Cause: the deadline header was rounded up; (now + 4000) - now is 4000.0000000001 for some clock readings, so a backend server was told 4001 ms. Seen as a failure of deep-chain.spec.ts in a fresh clone (1 of 3 runs). Change: round down, at least 1 ms. Result: the test passes; it checks the header at each of four hops.

--- a/src/daemon/receiver.ts
+++ b/src/daemon/receiver.ts
@@ -173,7 +173,7 @@
         message: entry.message,
         headers: {
           [CALL_TOKEN_HEADER]: entry.token,
-          [DEADLINE_HEADER]: String(Math.ceil(timeoutMs)),
+          [DEADLINE_HEADER]: String(Math.max(1, Math.floor(timeoutMs))),
           [REQUEST_ID_HEADER]: entry.call.requestId,
         },
         timeoutMs,
