feat(mesh): serve calls on the users' platform

One process a host: entry for callers, links between processes, and a door that is the only way to the backend server.

--- /dev/null
+++ b/src/mesh/backend-connection.ts
@@ -0,0 +1,258 @@
+/** One HTTP/1.1 connection to the backend server; it carries one call at a time. */
+import {Buffer} from 'node:buffer';
+import {connect, type Socket} from 'node:net';
+import {HTTPParser, type HTTPParserJS} from 'http-parser-js';
+import type {HttpDialect} from './protocol.js';
+
+/** How a call on a connection ended. */
+export type ExchangeResult =
+  | {kind: 'answered'; status: number; rawHeaders: string[]; body: Buffer}
+  | {kind: 'not-sent'; cause: string}
+  | {kind: 'lost'; cause: string};
+
+/** Request of one call. */
+export type Exchange = {
+  requestId: string;
+  method: string;
+  path: string;
+  rawHeaders: string[];
+  body: Buffer;
+  onEnd: (result: ExchangeResult) => void;
+};
+
+/** A connection to the backend server. */
+export type BackendConnection = {
+  send: (exchange: Exchange) => void;
+  /** Closes the connection; a call on it ends as lost. */
+  destroy: (cause: string) => void;
+  /** Time at which the connection became idle, in milliseconds of the clock. */
+  idleSince: () => number;
+  /** Time until which an idle connection may be used. */
+  usableUntil: () => number;
+};
+
+/** Options of a connection. */
+export type BackendConnectionOptions = {
+  address: string;
+  dialect: HttpDialect;
+  now: () => number;
+  /** The connection may carry another call. */
+  onIdle: (connection: BackendConnection) => void;
+  onClosed: (connection: BackendConnection) => void;
+  onReport: (event: string, requestId: string | undefined) => void;
+};
+
+/** Time in which a connection on the same host has to be established, in milliseconds; the operating system alone would wait for minutes. */
+const CONNECT_TIMEOUT_MS = 1000;
+/** Idle time after which a connection is not used again when the backend server does not state one, in milliseconds. */
+const IDLE_DEFAULT_MS = 4000;
+/** Time that an idle connection is given up before the backend server closes it, in milliseconds: a request that crosses the close may be lost. */
+const IDLE_MARGIN_MS = 1500;
+/** Longest answer that is held, in bytes. */
+const ANSWER_MAX_BYTES = 64 * 1024 * 1024;
+const FIRST_FINAL_STATUS = 200;
+
+type Answer = {status: number; rawHeaders: string[]; chunks: Buffer[]; bytes: number; framed: boolean};
+
+const splitAddress = (address: string): {host: string; port: number} => {
+  const colon = address.lastIndexOf(':');
+  return {host: address.slice(0, colon), port: Number(address.slice(colon + 1))};
+};
+
+const headText = ({method, path, rawHeaders, body}: Exchange): string => {
+  let text = `${method} ${path} HTTP/1.1\r\n`;
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    text += `${rawHeaders[index]!}: ${rawHeaders[index + 1]!}\r\n`;
+  }
+
+  if (body.length > 0 || (method !== 'GET' && method !== 'HEAD')) {
+    text += `Content-Length: ${body.length}\r\n`;
+  }
+
+  return `${text}\r\n`;
+};
+
+const isFramed = (rawHeaders: readonly string[]): boolean =>
+  rawHeaders.some((name, index) => index % 2 === 0 && /^(?:content-length|transfer-encoding)$/iu.test(name));
+
+/** Opens a connection. */
+export const createBackendConnection = (options: BackendConnectionOptions): BackendConnection => {
+  const {dialect, now} = options;
+  const {host, port} = splitAddress(options.address);
+  let current: Exchange | undefined;
+  let answer: Answer | undefined;
+  let idleAt = now();
+  let keptMs = IDLE_DEFAULT_MS;
+  let connected = false;
+  let closed = false;
+  let closes = false;
+  let cause: string | undefined;
+  const socket: Socket = connect({host, port, noDelay: true});
+  let parser: HTTPParserJS;
+
+  const finish = (result: ExchangeResult): void => {
+    const exchange = current;
+    current = undefined;
+    answer = undefined;
+    exchange?.onEnd(result);
+  };
+
+  const destroy = (reason: string): void => {
+    cause ??= reason;
+    socket.destroy();
+  };
+
+  /** The answer to another request came first, late; the one that is waited for follows on the same connection. */
+  const skipForeign = (requestId: string | undefined): void => {
+    options.onReport('foreign-answer-skipped', requestId);
+    answer = undefined;
+  };
+
+  const complete = (): void => {
+    const exchange = current!;
+    const {status, rawHeaders, chunks} = answer!;
+    const statement = dialect.readBackend(status, rawHeaders);
+    const mayReuse = !closes && !statement.closes && socket.writableLength === 0 && !socket.destroyed;
+    keptMs = statement.idleMs === undefined ? IDLE_DEFAULT_MS : Math.max(0, statement.idleMs - IDLE_MARGIN_MS);
+    idleAt = now();
+    current = undefined;
+    answer = undefined;
+    if (mayReuse) {
+      options.onIdle(connection);
+    } else {
+      destroy('the backend server closes the connection');
+    }
+
+    exchange.onEnd({
+      kind: 'answered', status, rawHeaders, body: Buffer.concat(chunks),
+    });
+  };
+
+  const onComplete = (): void => {
+    if (answer === undefined || answer.status < FIRST_FINAL_STATUS) {
+      answer = undefined;
+      return;
+    }
+
+    if (current === undefined) {
+      destroy('the backend server sent an answer that nobody asked for');
+      return;
+    }
+
+    const {requestId} = dialect.readBackend(answer.status, answer.rawHeaders);
+    if (requestId !== undefined && requestId !== current.requestId) {
+      skipForeign(requestId);
+      return;
+    }
+
+    complete();
+  };
+
+  const createParser = (): HTTPParserJS => {
+    const created = new HTTPParser(HTTPParser.RESPONSE);
+    created[HTTPParser.kOnHeadersComplete] = info => {
+      const framed = isFramed(info.headers);
+      answer = {
+        status: info.statusCode, rawHeaders: info.headers, chunks: [], bytes: 0, framed,
+      };
+      closes = !info.shouldKeepAlive;
+      if (current === undefined) {
+        destroy('the backend server sent an answer that nobody asked for');
+      }
+
+      // The parser takes 1 as "there is no body", whatever the headers say.
+      return current?.method === 'HEAD' ? 1 : undefined;
+    };
+
+    created[HTTPParser.kOnBody] = (bytes, offset, length) => {
+      if (answer === undefined) {
+        return;
+      }
+
+      answer.bytes += length;
+      if (answer.bytes > ANSWER_MAX_BYTES) {
+        destroy(`the answer exceeds ${ANSWER_MAX_BYTES} bytes`);
+        return;
+      }
+
+      answer.chunks.push(Buffer.from(bytes.subarray(offset, offset + length)));
+    };
+
+    created[HTTPParser.kOnMessageComplete] = onComplete;
+    return created;
+  };
+
+  parser = createParser();
+
+  const onData = (chunk: Buffer): void => {
+    if (current === undefined) {
+      destroy('the backend server sent bytes that belong to no request');
+      return;
+    }
+
+    const outcome = parser.execute(chunk);
+    if (outcome instanceof Error) {
+      destroy(`the backend server sent bytes that are not an answer: ${outcome.message}`);
+    }
+  };
+
+  /** An answer without a length ends with an orderly end of its connection; a framed one that ends so is cut. */
+  const onEnd = (): void => {
+    if (answer !== undefined && !answer.framed && current !== undefined) {
+      closes = true;
+      onComplete();
+    }
+
+    destroy('the backend server closed the connection');
+  };
+
+  const connectTimer = setTimeout(() => {
+    if (!connected) {
+      destroy(`no connection within ${CONNECT_TIMEOUT_MS} ms`);
+    }
+  }, CONNECT_TIMEOUT_MS);
+
+  socket.on('connect', () => {
+    connected = true;
+    clearTimeout(connectTimer);
+    if (current !== undefined) {
+      write(current);
+    }
+  });
+  socket.on('data', onData);
+  socket.on('end', onEnd);
+  socket.on('error', error => {
+    cause ??= error.message;
+  });
+  socket.on('close', () => {
+    clearTimeout(connectTimer);
+    closed = true;
+    parser = undefined as unknown as HTTPParserJS;
+    options.onClosed(connection);
+    finish(connected
+      ? {kind: 'lost', cause: cause ?? 'the connection closed'}
+      : {kind: 'not-sent', cause: cause ?? 'the connection could not be opened'});
+  });
+
+  const write = (exchange: Exchange): void => {
+    socket.write(exchange.body.length === 0 ? headText(exchange) : Buffer.concat([Buffer.from(headText(exchange), 'latin1'), exchange.body]), 'latin1');
+  };
+
+  const connection: BackendConnection = {
+    send(exchange) {
+      if (closed || socket.destroyed) {
+        exchange.onEnd({kind: 'not-sent', cause: 'the connection is closed'});
+        return;
+      }
+
+      current = exchange;
+      if (connected) {
+        write(exchange);
+      }
+    },
+    destroy,
+    idleSince: () => idleAt,
+    usableUntil: () => idleAt + keptMs,
+  };
+  return connection;
+};
--- /dev/null
+++ b/src/mesh/entry.ts
@@ -0,0 +1,291 @@
+/** HTTP listener for the callers of this host: the clients and the backend server itself. */
+import {Buffer} from 'node:buffer';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {startRequest, type CallPathOptions, type Outcome} from './call-path.js';
+import type {DecisionLog} from './decision-log.js';
+import type {HttpDialect} from './protocol.js';
+import type {RouteTable} from './route-table.js';
+import type {Route} from './routing-configuration.js';
+
+/** The entry. */
+export type Entry = {
+  start: () => Promise<void>;
+  /** The process stops: from now on connections close behind their last answer. */
+  retire: () => void;
+  /** New requests of others than the backend server are refused. */
+  refuse: () => void;
+  inFlight: () => number;
+  close: () => void;
+};
+
+/** Options of the entry. */
+export type EntryOptions = CallPathOptions & {
+  address: string;
+  dialect: HttpDialect;
+  /** Name of the service on this host, stated to backend servers as the caller. */
+  callerService: string;
+  routes: () => RouteTable | undefined;
+  log: DecisionLog;
+  /** Bytes of bodies that the process holds at most. */
+  heldBytesMax: number;
+  /** Observes the time of a finished request, in milliseconds. */
+  onFinished: (route: Route, outcome: Outcome['kind'], milliseconds: number) => void;
+};
+
+/** Longest time for a request without a stated deadline and without a route's bound, in milliseconds. */
+const DEADLINE_DEFAULT_MS = 30_000;
+/** Time before the caller's deadline at which it gets the final answer, in milliseconds: the answer has to reach it. */
+const DEADLINE_MARGIN_MS = 20;
+const HEADER_MAX_BYTES = 64 * 1024;
+const IDLE_DEFAULT_MS = 15_000;
+/** Time to come back for a caller of a process that knows no configuration yet, in milliseconds. */
+const RETRY_AFTER_STARTING_MS = 200;
+/** Time to come back for a caller of a process that stops, in milliseconds; it is sent to another host meanwhile. */
+const RETRY_AFTER_STOPPING_MS = 100;
+const RETRY_AFTER_MEMORY_MS = 500;
+
+type Refusal = {status: number; reason: string; retryAfterMs?: number};
+type SocketState = {open: number};
+type RequestState = {heldBytes: number};
+
+const headerBytes = (rawHeaders: readonly string[]): number => {
+  let bytes = 0;
+  for (const text of rawHeaders) {
+    bytes += text.length + 2;
+  }
+
+  return bytes;
+};
+
+/** Creates the entry. */
+export const createEntry = (options: EntryOptions): Entry => {
+  const {dialect, log, now} = options;
+  const sockets = new Map<Socket, SocketState>();
+  let held = 0;
+  let inFlight = 0;
+  let retiring = false;
+  let refusing = false;
+
+  const ownAddress = options.address.slice(0, options.address.lastIndexOf(':'));
+
+  /** A connection may close only behind the last request that was read from it. */
+  const closesBehind = (request: IncomingMessage): boolean => retiring && (sockets.get(request.socket)?.open ?? 1) <= 1;
+
+  const writeOwn = (request: IncomingMessage, response: ServerResponse, requestId: string | undefined, {status, reason, retryAfterMs}: Refusal): void => {
+    if (response.destroyed || response.headersSent) {
+      return;
+    }
+
+    const body = Buffer.from(`${JSON.stringify({error: reason})}\n`);
+    const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
+    if (requestId !== undefined) {
+      headers.push(...dialect.requestIdHeaders(requestId));
+    }
+
+    if (retryAfterMs !== undefined) {
+      headers.push('Retry-After', (retryAfterMs / 1000).toFixed(3));
+    }
+
+    if (closesBehind(request) || !request.complete) {
+      headers.push('Connection', 'close');
+    }
+
+    log.count('refusals', reason);
+    response.writeHead(status, headers);
+    response.end(body);
+  };
+
+  const writeOutcome = (request: IncomingMessage, response: ServerResponse, requestId: string, outcome: Outcome): void => {
+    switch (outcome.kind) {
+      case 'answered': {
+        if (response.destroyed || response.headersSent) {
+          return;
+        }
+
+        const headers = dialect.answerHeaders(outcome.rawHeaders);
+        const isBodiless = request.method === 'HEAD' || outcome.status === 204 || outcome.status === 304;
+        if (!isBodiless) {
+          headers.push('Content-Length', String(outcome.body.length));
+        }
+
+        if (closesBehind(request)) {
+          headers.push('Connection', 'close');
+        }
+
+        response.writeHead(outcome.status, headers);
+        response.end(isBodiless ? undefined : outcome.body);
+        return;
+      }
+
+      case 'not-run': {
+        writeOwn(request, response, requestId, {status: 503, reason: outcome.reason, retryAfterMs: outcome.retryAfterMs});
+        return;
+      }
+
+      case 'unknown': {
+        writeOwn(request, response, requestId, {status: outcome.timedOut ? 504 : 502, reason: outcome.reason});
+      }
+    }
+  };
+
+  const readBody = async (request: IncomingMessage, state: RequestState, limit: number): Promise<Buffer | 'too-large' | 'memory-full' | 'gone'> =>
+    new Promise(resolve => {
+      const chunks: Buffer[] = [];
+      let bytes = 0;
+      request.on('data', (chunk: Buffer) => {
+        bytes += chunk.length;
+        held += chunk.length;
+        state.heldBytes += chunk.length;
+        if (bytes > limit) {
+          resolve('too-large');
+        } else if (held > options.heldBytesMax) {
+          resolve('memory-full');
+        } else {
+          chunks.push(chunk);
+        }
+      });
+      request.on('end', () => {
+        resolve(Buffer.concat(chunks));
+      });
+      request.on('close', () => {
+        resolve('gone');
+      });
+      request.on('error', () => {
+        resolve('gone');
+      });
+    });
+
+  const hasBody = (request: IncomingMessage): boolean =>
+    request.headers['transfer-encoding'] !== undefined || (request.headers['content-length'] ?? '0') !== '0';
+
+  const judge = (request: IncomingMessage, table: RouteTable | undefined, requestId: string | undefined): Route | Refusal => {
+    if (table === undefined) {
+      return {status: 503, reason: 'no-configuration', retryAfterMs: RETRY_AFTER_STARTING_MS};
+    }
+
+    if (refusing && request.socket.remoteAddress !== ownAddress) {
+      return {status: 503, reason: 'stopping', retryAfterMs: RETRY_AFTER_STOPPING_MS};
+    }
+
+    if (headerBytes(request.rawHeaders) > table.configuration.limits.headerBytes) {
+      return {status: 431, reason: 'headers-too-large'};
+    }
+
+    const route = table.find(request.headers.host ?? '', request.url ?? '/');
+    if (route === undefined) {
+      return {status: 404, reason: 'no-route'};
+    }
+
+    return requestId === undefined ? {status: 400, reason: 'request-id-missing'} : route;
+  };
+
+  const handle = async (request: IncomingMessage, response: ServerResponse, state: RequestState): Promise<void> => {
+    const arrivedAt = now();
+    const table = options.routes();
+    const {requestId, deadlineMs} = dialect.readCaller(request.headers);
+    const judged = judge(request, table, requestId);
+    if ('status' in judged) {
+      log.write('info', 'request-refused', {request: requestId, ...judged, version: table?.version});
+      request.resume();
+      writeOwn(request, response, requestId, judged);
+      return;
+    }
+
+    const route = judged;
+    const stated = deadlineMs ?? DEADLINE_DEFAULT_MS;
+    const deadlineAt = arrivedAt + Math.max(0, Math.min(stated - DEADLINE_MARGIN_MS, route.timeoutMs));
+    const body = hasBody(request) ? await readBody(request, state, table!.configuration.limits.bodyBytes) : Buffer.alloc(0);
+    if (body === 'gone') {
+      return;
+    }
+
+    if (body === 'too-large') {
+      writeOwn(request, response, requestId, {status: 413, reason: 'body-too-large'});
+      return;
+    }
+
+    if (body === 'memory-full') {
+      writeOwn(request, response, requestId, {status: 503, reason: 'memory-full', retryAfterMs: RETRY_AFTER_MEMORY_MS});
+      return;
+    }
+
+    if (response.destroyed) {
+      return;
+    }
+
+    const handleOfRequest = startRequest(options, {
+      requestId: requestId!,
+      route,
+      service: table!.pick(route),
+      method: request.method ?? 'GET',
+      path: request.url ?? '/',
+      rawHeaders: dialect.forwardedHeaders(request.rawHeaders, options.callerService),
+      body,
+      arrivedAt,
+      deadlineAt,
+    }, outcome => {
+      const milliseconds = now() - arrivedAt;
+      options.onFinished(route, outcome.kind, milliseconds);
+      log.write(outcome.kind === 'answered' && outcome.status < 500 ? 'debug' : 'info', 'request-ended', {
+        request: requestId, route: route.name, priority: route.priority, version: table!.version, outcome: outcome.kind, ...(outcome.kind === 'answered' ? {status: outcome.status} : {reason: outcome.reason}), ms: Math.round(milliseconds),
+      });
+      writeOutcome(request, response, requestId!, outcome);
+    });
+    response.on('close', () => {
+      if (!response.writableFinished) {
+        log.write('debug', 'caller-gone', {request: requestId});
+      }
+
+      handleOfRequest.cancel();
+    });
+  };
+
+  const onRequest = (request: IncomingMessage, response: ServerResponse): void => {
+    const socketState = sockets.get(request.socket) ?? {open: 0};
+    const state = {heldBytes: 0};
+    sockets.set(request.socket, socketState);
+    socketState.open++;
+    inFlight++;
+    response.on('close', () => {
+      socketState.open--;
+      inFlight--;
+      held -= state.heldBytes;
+    });
+    void handle(request, response, state);
+  };
+
+  const server = createServer({
+    maxHeaderSize: HEADER_MAX_BYTES, keepAliveTimeout: IDLE_DEFAULT_MS, noDelay: true, requestTimeout: 0, connectionsCheckingInterval: 1000,
+  }, onRequest);
+  server.on('connection', (socket: Socket) => {
+    sockets.set(socket, {open: 0});
+    socket.on('close', () => {
+      sockets.delete(socket);
+    });
+  });
+
+  return {
+    async start() {
+      const colon = options.address.lastIndexOf(':');
+      return new Promise((resolve, reject) => {
+        server.once('error', reject);
+        server.listen({host: options.address.slice(0, colon), port: Number(options.address.slice(colon + 1)), backlog: 1024}, () => {
+          server.off('error', reject);
+          resolve();
+        });
+      });
+    },
+    retire() {
+      retiring = true;
+    },
+    refuse() {
+      refusing = true;
+    },
+    inFlight: () => inFlight,
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+};
--- /dev/null
+++ b/src/mesh/follow.ts
@@ -0,0 +1,118 @@
+/** Follows a kind of objects in the store: list, then watches, and from the start again when the history is gone. */
+import type {Random} from '../shared/random.js';
+import type {DecisionLog} from './decision-log.js';
+import type {ObjectStore, StoredObject, StoreFault} from './object-store.js';
+
+/** Options of a follower. */
+export type FollowOptions = {
+  kind: string;
+  store: ObjectStore;
+  log: DecisionLog;
+  random: Random;
+  /** Called with all objects of the kind after each change. */
+  onObjects: (objects: ReadonlyMap<string, StoredObject>) => void;
+  sleep?: (milliseconds: number) => Promise<void>;
+};
+
+/** Longest wait of a watch, in milliseconds; the store allows 30 s, and a silent connection has to be found sooner than the history is dropped. */
+const WATCH_MS = 9000;
+const BACKOFF_MIN_MS = 100;
+/** Longest pause after a failure, in milliseconds: what the store holds has to be in force about two seconds after it is back. */
+const BACKOFF_MAX_MS = 1000;
+
+const pause = async (milliseconds: number): Promise<void> => new Promise(resolve => {
+  setTimeout(resolve, milliseconds);
+});
+
+/** Starts following; ends when `stop` is called. */
+export const follow = (options: FollowOptions): {stop: () => void; isCurrent: () => boolean} => {
+  const {kind, store, log, random} = options;
+  const sleep = options.sleep ?? pause;
+  const objects = new Map<string, StoredObject>();
+  let stopped = false;
+  let current = false;
+  let backoffMs = BACKOFF_MIN_MS;
+
+  const fail = async (fault: StoreFault, during: string): Promise<void> => {
+    if (current) {
+      log.write('warn', 'store-lost', {
+        kind, during, fault: fault.kind, cause: fault.message,
+      });
+    }
+
+    current = false;
+    log.count('store_faults', fault.kind);
+    await sleep(backoffMs * (0.5 + random()));
+    backoffMs = Math.min(BACKOFF_MAX_MS, backoffMs * 2);
+  };
+
+  const succeed = (): void => {
+    backoffMs = BACKOFF_MIN_MS;
+    if (!current) {
+      current = true;
+      log.write('info', 'store-reached', {kind});
+    }
+  };
+
+  const list = async (): Promise<number | undefined> => {
+    const listed = await store.list(kind);
+    if (listed.kind === 'error') {
+      await fail(listed.error, 'list');
+      return undefined;
+    }
+
+    succeed();
+    objects.clear();
+    for (const object of listed.value.objects) {
+      objects.set(object.name, object);
+    }
+
+    options.onObjects(objects);
+    return listed.value.revision;
+  };
+
+  const watch = async (revision: number): Promise<number | undefined> => {
+    const watched = await store.watch(kind, revision, WATCH_MS);
+    if (watched.kind === 'error') {
+      if (watched.error.kind === 'history-gone') {
+        log.write('info', 'store-history-gone', {kind, revision});
+        return undefined;
+      }
+
+      await fail(watched.error, 'watch');
+      return revision;
+    }
+
+    succeed();
+    for (const {kind: change, object} of watched.value.events) {
+      if (change === 'deleted') {
+        objects.delete(object.name);
+      } else {
+        objects.set(object.name, object);
+      }
+    }
+
+    if (watched.value.events.length > 0) {
+      options.onObjects(objects);
+    }
+
+    return watched.value.revision;
+  };
+
+  const run = async (): Promise<void> => {
+    let revision: number | undefined;
+    /* eslint-disable no-await-in-loop */
+    while (!stopped) {
+      revision = revision === undefined ? await list() : await watch(revision);
+    }
+    /* eslint-enable no-await-in-loop */
+  };
+
+  void run();
+  return {
+    stop() {
+      stopped = true;
+    },
+    isCurrent: () => current,
+  };
+};
--- /dev/null
+++ b/src/mesh/message.ts
@@ -0,0 +1,79 @@
+/** Messages between the processes of the fleet. */
+import type {RoutingConfiguration} from './routing-configuration.js';
+
+/** Address and place of a process. */
+export type Member = {
+  node: string;
+  /** Address of its peer listener, `ip:port`. */
+  address: string;
+  zone: string;
+};
+
+/** What a backend server can take, as the process beside it sees it. */
+export type BackendLoad = {
+  running: number;
+  queued: number;
+  /** Calls that it gets at most at the same time. */
+  limit: number;
+  /** Recent mean time of a call at the backend server, in milliseconds. */
+  serviceMs: number;
+};
+
+/** State of the backend server beside a process. */
+export type BackendState =
+  | {kind: 'absent'}
+  | {kind: 'ready' | 'draining'; service: string; instance: string; load: BackendLoad; coldMs: number};
+
+/** Why a call was refused by the process beside the backend server. */
+export type DoorRefusal =
+  | 'backend-absent'
+  | 'backend-draining'
+  | 'stopping'
+  | 'queue-full'
+  | 'queue-time'
+  | 'deadline-passed'
+  | 'memory-full'
+  | 'other-service'
+  /** No byte of the call was sent to the backend server. */
+  | 'backend-unreachable'
+  /** The backend server stated that it did not run the call. */
+  | 'backend-refused';
+
+/** How a call ended at the process beside the backend server. */
+export type DoorResult =
+  | {kind: 'answered'; status: number; rawHeaders: string[]}
+  /** The call has not run and will not. `arrived` tells that the backend server received it. */
+  | {kind: 'refused'; reason: DoorRefusal; arrived: boolean; retryAfterMs: number}
+  /** The call was sent and may have run. */
+  | {kind: 'lost'; cause: string};
+
+/** A call on its way to a backend server. */
+export type CallHead = {
+  requestId: string;
+  service: string;
+  method: string;
+  path: string;
+  rawHeaders: string[];
+  idempotent: boolean;
+  priority: number;
+  /** Route that selected the service. */
+  route: string;
+  /** Time that the caller still waits, in milliseconds. */
+  remainingMs: number;
+  /** Time after which the answer is worth less, in milliseconds. */
+  targetMs: number;
+};
+
+/** A message; the body of `call` and `result` follows the head. */
+export type Message =
+  | {type: 'hello'; member: Member; configurationVersion: number}
+  | {type: 'welcome'; member: Member; configurationVersion: number; state: BackendState}
+  | {type: 'state'; state: BackendState}
+  | {type: 'call'; id: number; sentAt: number; call: CallHead}
+  | {type: 'cancel'; id: number}
+  | {type: 'result'; id: number; result: DoorResult; load: BackendLoad | undefined}
+  | {type: 'ping'; sentAt: number; configurationVersion: number; memberCount: number}
+  | {type: 'pong'; configurationVersion: number}
+  | {type: 'configuration-wanted'}
+  | {type: 'configuration'; configuration: RoutingConfiguration}
+  | {type: 'members'; members: Member[]};
--- /dev/null
+++ b/src/mesh/node.ts
@@ -0,0 +1,200 @@
+/** One process on a backend server host: its parts, wired together. */
+import type {Random} from '../shared/random.js';
+import {createCallMetrics, type CallMetrics} from './call-metrics.js';
+import {createSuspendAwareClock} from './clock.js';
+import type {DecisionLog} from './decision-log.js';
+import {createDoor, type Door} from './door.js';
+import {createEntry} from './entry.js';
+import {createFleet} from './fleet.js';
+import {follow} from './follow.js';
+import type {BackendState, Member} from './message.js';
+import type {ObjectStore, StoredObject} from './object-store.js';
+import type {HttpDialect} from './protocol.js';
+import {createRegistration, MEMBER_KIND, readMember} from './registration.js';
+import {createRetryBudget} from './retry-budget.js';
+import {createRouteTable, type RouteTable} from './route-table.js';
+import type {RoutingConfiguration} from './routing-configuration.js';
+import type {HostSettings} from './settings.js';
+
+/** Options of a node. */
+export type NodeOptions = {
+  settings: HostSettings;
+  log: DecisionLog;
+  store: ObjectStore;
+  dialect: HttpDialect;
+  random: Random;
+  /** Kind under which the operator's configuration is stored. */
+  configurationKind: string;
+  /** Newest valid configuration among the objects of that kind. */
+  readConfiguration: (objects: ReadonlyMap<string, StoredObject>) => RoutingConfiguration | undefined;
+};
+
+/** One process. */
+export type HostNode = {
+  start: () => Promise<void>;
+  /** Graceful stop; resolves when the process may exit. */
+  stop: () => Promise<void>;
+  isReady: () => boolean;
+  door: Door;
+  metrics: CallMetrics;
+};
+
+/** Interval of the decisions that depend on time alone, in milliseconds. */
+const TICK_MS = 20;
+/** Time for which a stopping process takes new requests, in milliseconds: the platform asks for readiness every second and needs two refusals. */
+const STOP_ACCEPT_MS = 2700;
+/** Part of the time to stop that is left for closing, in milliseconds. */
+const STOP_MARGIN_MS = 400;
+const STOP_POLL_MS = 50;
+
+const sleep = async (milliseconds: number): Promise<void> => new Promise(resolve => {
+  setTimeout(resolve, milliseconds);
+});
+
+/** Creates a node; nothing listens before `start`. */
+export const createHostNode = (options: NodeOptions): HostNode => {
+  const {settings, log, store, random} = options;
+  const clock = createSuspendAwareClock();
+  const {now} = clock;
+  const self: Member = {node: settings.node, address: settings.listen.peer, zone: settings.zone};
+  const metrics = createCallMetrics();
+  let table: RouteTable | undefined;
+  let stopping = false;
+  let membersKnown = false;
+
+  const door = createDoor({
+    dialect: options.dialect,
+    now,
+    log,
+    drainMs: settings.bounds.drainMs,
+    announcementMs: settings.announcementMs,
+    onState(state: BackendState) {
+      fleet.publish(state);
+    },
+  });
+
+  const takeConfiguration = (configuration: RoutingConfiguration, from: string): void => {
+    if (configuration.version <= (table?.version ?? 0)) {
+      return;
+    }
+
+    table = createRouteTable(configuration);
+    log.write('info', 'configuration-in-force', {version: configuration.version, routes: configuration.routes.length, from});
+    fleet.configurationChanged();
+  };
+
+  const fleet = createFleet({
+    self, now, log, door, configuration: () => table?.configuration, onConfiguration: takeConfiguration,
+  });
+
+  const budget = createRetryBudget({
+    now, ratio: settings.bounds.retryRatio, windowMs: settings.bounds.retryWindowMs, slack: () => settings.bounds.retrySlack / Math.max(1, fleet.members().length),
+  });
+
+  const entry = createEntry({
+    address: settings.listen.entry,
+    dialect: options.dialect,
+    callerService: settings.service,
+    zone: settings.zone,
+    routes: () => table,
+    log,
+    now,
+    random,
+    fleet,
+    budget,
+    heldBytesMax: settings.heldBytesMax,
+    onFinished: metrics.record,
+  });
+
+  const registration = createRegistration({
+    self, store, log, random,
+  });
+  const followers: Array<{stop: () => void}> = [];
+  let ticker: NodeJS.Timeout | undefined;
+
+  const tick = (): void => {
+    const suspendedMs = clock.observe();
+    if (suspendedMs > 0) {
+      log.write('warn', 'suspended', {ms: Math.round(suspendedMs)});
+    }
+
+    fleet.tick();
+    door.tick();
+  };
+
+  const followStore = (): void => {
+    followers.push(
+      follow({
+        kind: options.configurationKind,
+        store,
+        log,
+        random,
+        onObjects(objects) {
+          const configuration = options.readConfiguration(objects);
+          if (configuration !== undefined) {
+            takeConfiguration(configuration, 'store');
+          }
+        },
+      }),
+      follow({
+        kind: MEMBER_KIND,
+        store,
+        log,
+        random,
+        onObjects(objects) {
+          membersKnown = true;
+          registration.check(objects);
+          fleet.replaceMembers([...objects.values()].map(object => readMember(object)).filter(member => member !== undefined));
+        },
+      }),
+    );
+  };
+
+  const settled = async (deadlineAt: number): Promise<void> => {
+    /* eslint-disable no-await-in-loop */
+    while (now() < deadlineAt && entry.inFlight() + door.inFlight() > 0) {
+      await sleep(STOP_POLL_MS);
+    }
+    /* eslint-enable no-await-in-loop */
+  };
+
+  return {
+    async start() {
+      await fleet.start();
+      await entry.start();
+      ticker = setInterval(tick, TICK_MS);
+      followStore();
+    },
+    async stop() {
+      if (stopping) {
+        return;
+      }
+
+      stopping = true;
+      const startedAt = now();
+      const deadlineAt = startedAt + settings.bounds.graceMs - STOP_MARGIN_MS;
+      door.stop();
+      entry.retire();
+      for (const follower of followers) {
+        follower.stop();
+      }
+
+      if (door.hasLeft()) {
+        await Promise.race([registration.remove(), sleep(STOP_MARGIN_MS)]);
+      }
+
+      await sleep(Math.max(0, startedAt + STOP_ACCEPT_MS - now()));
+      entry.refuse();
+      await settled(deadlineAt);
+      log.write('info', 'stopping', {entry: entry.inFlight(), door: door.inFlight(), ms: Math.round(now() - startedAt)});
+      clearInterval(ticker);
+      entry.close();
+      fleet.close();
+      door.close();
+      store.close();
+    },
+    isReady: () => !stopping && table !== undefined && (membersKnown || fleet.members().length > 1),
+    door,
+    metrics,
+  };
+};
--- /dev/null
+++ b/src/mesh/peer-link.ts
@@ -0,0 +1,253 @@
+/** Connection from this process to another one, over which calls are sent to the backend server there. */
+import {connect, type Socket} from 'node:net';
+import type {Buffer} from 'node:buffer';
+import type {DecisionLog} from './decision-log.js';
+import {createFrameReader, encodeFrame, type Frame} from './frame.js';
+import type {
+  BackendState, CallHead, DoorResult, Member, Message,
+} from './message.js';
+
+/** Result of a call that was sent over a link. */
+export type LinkResult =
+  | {result: DoorResult; body: Buffer}
+  /** The link closed before the result came; the call may have run. */
+  | undefined;
+
+/** A link. */
+export type PeerLink = {
+  address: string;
+  /** Member at the other end; undefined before its first message. */
+  member: () => Member | undefined;
+  state: () => BackendState;
+  /** Whether the other end has been heard within the last moments. */
+  isLive: () => boolean;
+  isOpen: () => boolean;
+  /** Calls that wait for their result. */
+  pending: () => number;
+  /** Calls sent since the last report of the load there. */
+  sentSinceReport: () => number;
+  call: (call: CallHead, body: Buffer, onResult: (result: LinkResult) => void) => {cancel: () => void};
+  send: (message: Message) => void;
+  tick: () => void;
+  close: () => void;
+  /** Time since which the other end could not be reached, in milliseconds of the clock. */
+  unreachableSince: () => number | undefined;
+};
+
+/** Options of a link. */
+export type PeerLinkOptions = {
+  address: string;
+  now: () => number;
+  log: DecisionLog;
+  hello: () => Message;
+  ping: () => Message;
+  /** A message that is not about a call. */
+  onMessage: (link: PeerLink, message: Message) => void;
+  onChange: (link: PeerLink) => void;
+};
+
+/** Interval of pings, in milliseconds: several fit into the time in which silence has to be noticed. */
+const PING_MS = 250;
+/** Time without any byte from the other end after which the connection is given up, in milliseconds; calls have deadlines of about a second. */
+const SILENT_MS = 1000;
+/** Time without any byte after which calls that must not run twice go elsewhere if they can, in milliseconds: two pings. */
+const LIVE_MS = 600;
+const CONNECT_TIMEOUT_MS = 700;
+const REDIAL_MIN_MS = 100;
+/** Longest pause between two dials, in milliseconds; a process that is back is reached within this time. */
+const REDIAL_MAX_MS = 1000;
+
+type Pending = {onResult: (result: LinkResult) => void};
+
+/** Creates a link and keeps it connected until it is closed. */
+export const createPeerLink = (options: PeerLinkOptions): PeerLink => {
+  const {now, log, address} = options;
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon);
+  const port = Number(address.slice(colon + 1));
+  const pending = new Map<number, Pending>();
+  let socket: Socket | undefined;
+  let open = false;
+  let closed = false;
+  let heardAt = now();
+  let pingedAt = 0;
+  let dialAt = now();
+  let dialedAt = 0;
+  let redialMs = REDIAL_MIN_MS;
+  let nextId = 1;
+  let sent = 0;
+  let member: Member | undefined;
+  let state: BackendState = {kind: 'absent'};
+  let failingSince: number | undefined = now();
+
+  const failPending = (): void => {
+    const lost = [...pending.values()];
+    pending.clear();
+    for (const {onResult} of lost) {
+      onResult(undefined);
+    }
+  };
+
+  const drop = (cause: string): void => {
+    const old = socket;
+    if (old === undefined) {
+      return;
+    }
+
+    socket = undefined;
+    old.destroy();
+    if (open) {
+      log.write('warn', 'link-lost', {
+        peer: member?.node ?? address, cause, pending: pending.size, silentMs: Math.round(now() - heardAt),
+      });
+      log.count('link_losses', cause);
+      failingSince = now();
+    }
+
+    open = false;
+    state = {kind: 'absent'};
+    dialAt = now() + redialMs;
+    redialMs = Math.min(REDIAL_MAX_MS, redialMs * 2);
+    failPending();
+    options.onChange(link);
+  };
+
+  const onFrame = ({message, body}: Frame): void => {
+    switch (message.type) {
+      case 'welcome': {
+        member = message.member;
+        state = message.state;
+        open = true;
+        failingSince = undefined;
+        redialMs = REDIAL_MIN_MS;
+        log.write('info', 'link-open', {peer: member.node, backend: state.kind});
+        options.onMessage(link, message);
+        options.onChange(link);
+        return;
+      }
+
+      case 'state': {
+        state = message.state;
+        sent = 0;
+        options.onChange(link);
+        return;
+      }
+
+      case 'result': {
+        if (message.load !== undefined && state.kind !== 'absent') {
+          state.load = message.load;
+          sent = 0;
+        }
+
+        const waiting = pending.get(message.id);
+        pending.delete(message.id);
+        waiting?.onResult({result: message.result, body});
+        return;
+      }
+
+      default: {
+        options.onMessage(link, message);
+      }
+    }
+  };
+
+  const dial = (): void => {
+    dialedAt = now();
+    const dialed = connect({host, port, noDelay: true});
+    socket = dialed;
+    const reader = createFrameReader(onFrame);
+    dialed.on('connect', () => {
+      heardAt = now();
+      dialed.write(encodeFrame(options.hello()));
+    });
+    dialed.on('data', chunk => {
+      if (socket !== dialed) {
+        return;
+      }
+
+      heardAt = now();
+      try {
+        reader.push(chunk);
+      } catch (error) {
+        log.write('error', 'link-protocol', {peer: address, cause: (error as Error).message});
+        drop('protocol');
+      }
+    });
+    dialed.on('error', error => {
+      if (socket === dialed) {
+        drop((error as NodeJS.ErrnoException).code ?? 'error');
+      }
+    });
+    dialed.on('close', () => {
+      if (socket === dialed) {
+        drop('closed');
+      }
+    });
+  };
+
+  const send = (message: Message, body?: Buffer): void => {
+    socket?.write(encodeFrame(message, body));
+  };
+
+  const link: PeerLink = {
+    address,
+    member: () => member,
+    state: () => state,
+    isLive: () => open && now() - heardAt < LIVE_MS,
+    isOpen: () => open,
+    pending: () => pending.size,
+    sentSinceReport: () => sent,
+    call(call, body, onResult) {
+      const id = nextId;
+      nextId++;
+      sent++;
+      pending.set(id, {onResult});
+      send({
+        type: 'call', id, sentAt: now(), call,
+      }, body);
+      return {
+        cancel() {
+          if (pending.delete(id)) {
+            send({type: 'cancel', id});
+          }
+        },
+      };
+    },
+    send,
+    tick() {
+      if (closed) {
+        return;
+      }
+
+      const at = now();
+      if (socket === undefined) {
+        if (at >= dialAt) {
+          dial();
+        }
+
+        return;
+      }
+
+      if (!open) {
+        if (at - dialedAt > CONNECT_TIMEOUT_MS) {
+          drop('connect-timeout');
+        }
+
+        return;
+      }
+
+      if (at - heardAt > SILENT_MS) {
+        drop('silent');
+      } else if (at - pingedAt >= PING_MS) {
+        pingedAt = at;
+        send(options.ping());
+      }
+    },
+    close() {
+      closed = true;
+      drop('closed-here');
+    },
+    unreachableSince: () => failingSince,
+  };
+  return link;
+};
--- /dev/null
+++ b/src/mesh/peer-server.ts
@@ -0,0 +1,209 @@
+/** Accepts links of other processes and passes their calls to the door. */
+import {createServer, type Server, type Socket} from 'node:net';
+import type {DecisionLog} from './decision-log.js';
+import type {Door} from './door.js';
+import {createFrameReader, encodeFrame, type Frame} from './frame.js';
+import type {BackendState, Member, Message} from './message.js';
+
+/** Server of the peer listener. */
+export type PeerServer = {
+  start: () => Promise<void>;
+  /** Tells all callers of a new state of the backend server. */
+  publish: (state: BackendState) => void;
+  close: () => void;
+  links: () => number;
+};
+
+/** A link from another process. */
+export type IncomingLink = {send: (message: Message) => void; member: () => Member | undefined};
+
+/** Options of the server. */
+export type PeerServerOptions = {
+  address: string;
+  now: () => number;
+  log: DecisionLog;
+  door: Door;
+  welcome: () => Message;
+  pong: () => Message;
+  /** Any message that is not about a call. */
+  onMessage: (link: IncomingLink, message: Message) => void;
+};
+
+/** Pings whose transit times are kept; together they cover about two seconds. */
+const TRANSIT_SAMPLES = 8;
+/** Time without any byte after which a link is given up, in milliseconds; its callers ping every quarter of a second. */
+const SILENT_MS = 2500;
+
+/** Estimates by how much a message is later than the fastest recent ones; the two clocks have no common start. */
+export const createTransitEstimate = (): {observe: (sentAt: number, receivedAt: number) => void; lateness: (sentAt: number, receivedAt: number) => number} => {
+  const samples: number[] = [];
+  return {
+    observe(sentAt, receivedAt) {
+      samples.push(receivedAt - sentAt);
+      if (samples.length > TRANSIT_SAMPLES) {
+        samples.shift();
+      }
+    },
+    lateness: (sentAt, receivedAt) => samples.length === 0 ? 0 : Math.max(0, receivedAt - sentAt - Math.min(...samples)),
+  };
+};
+
+type Accepted = IncomingLink & {socket: Socket; tick: () => void};
+
+/** Creates the server. */
+export const createPeerServer = (options: PeerServerOptions): PeerServer => {
+  const {door, now, log} = options;
+  const links = new Set<Accepted>();
+  let linkCount = 0;
+
+  const accept = (socket: Socket): void => {
+    linkCount++;
+    const prefix = `${linkCount}:`;
+    const transit = createTransitEstimate();
+    const keys = new Set<string>();
+    let heardAt = now();
+    let member: Member | undefined;
+    const send = (message: Message, body?: Parameters<typeof encodeFrame>[1]): void => {
+      if (!socket.destroyed) {
+        socket.write(encodeFrame(message, body));
+      }
+    };
+
+    const link: Accepted = {
+      socket,
+      send,
+      member: () => member,
+      tick() {
+        if (now() - heardAt > SILENT_MS) {
+          socket.destroy();
+        }
+      },
+    };
+
+    const takeCall = ({message, body}: {message: Extract<Message, {type: 'call'}>; body: Frame['body']}): void => {
+      const key = `${prefix}${message.id}`;
+      const lateMs = transit.lateness(message.sentAt, now());
+      keys.add(key);
+      door.offer({
+        key,
+        call: {...message.call, remainingMs: message.call.remainingMs - lateMs},
+        body,
+        onResult(result, answer) {
+          keys.delete(key);
+          send({
+            type: 'result', id: message.id, result, load: door.load(),
+          }, answer);
+        },
+      });
+    };
+
+    /** Calls of one chunk are offered after all of it has been read, so that cancellations right behind them count. */
+    let arrivals: Array<Parameters<typeof takeCall>[0]> = [];
+    const flush = (): void => {
+      const taken = arrivals;
+      arrivals = [];
+      for (const arrival of taken) {
+        takeCall(arrival);
+      }
+    };
+
+    const cancel = (id: number): void => {
+      const index = arrivals.findIndex(({message}) => message.id === id);
+      if (index === -1) {
+        keys.delete(`${prefix}${id}`);
+        door.cancel(`${prefix}${id}`);
+      } else {
+        arrivals.splice(index, 1);
+      }
+    };
+
+    const onFrame = ({message, body}: Frame): void => {
+      switch (message.type) {
+        case 'hello': {
+          member = message.member;
+          send(options.welcome());
+          options.onMessage(link, message);
+          return;
+        }
+
+        case 'call': {
+          arrivals.push({message, body});
+          return;
+        }
+
+        case 'cancel': {
+          cancel(message.id);
+          return;
+        }
+
+        case 'ping': {
+          transit.observe(message.sentAt, now());
+          send(options.pong());
+          options.onMessage(link, message);
+          return;
+        }
+
+        default: {
+          options.onMessage(link, message);
+        }
+      }
+    };
+
+    const reader = createFrameReader(onFrame);
+    socket.setNoDelay(true);
+    socket.on('data', chunk => {
+      heardAt = now();
+      try {
+        reader.push(chunk);
+      } catch (error) {
+        log.write('error', 'link-protocol', {peer: member?.node ?? socket.remoteAddress, cause: (error as Error).message});
+        socket.destroy();
+      }
+
+      flush();
+    });
+    socket.on('error', error => {
+      log.count('link_losses', (error as NodeJS.ErrnoException).code ?? 'error');
+    });
+    socket.on('close', () => {
+      links.delete(link);
+      for (const key of keys) {
+        door.cancel(key);
+      }
+    });
+    links.add(link);
+  };
+
+  const server: Server = createServer({noDelay: true}, accept);
+  const timer = setInterval(() => {
+    for (const link of links) {
+      link.tick();
+    }
+  }, SILENT_MS / 5);
+
+  return {
+    async start() {
+      const colon = options.address.lastIndexOf(':');
+      return new Promise((resolve, reject) => {
+        server.once('error', reject);
+        server.listen({host: options.address.slice(0, colon), port: Number(options.address.slice(colon + 1)), backlog: 512}, () => {
+          server.off('error', reject);
+          resolve();
+        });
+      });
+    },
+    publish(state) {
+      for (const link of links) {
+        link.send({type: 'state', state});
+      }
+    },
+    close() {
+      clearInterval(timer);
+      server.close();
+      for (const {socket} of links) {
+        socket.destroy();
+      }
+    },
+    links: () => links.size,
+  };
+};
--- /dev/null
+++ b/src/mesh/selection.ts
@@ -0,0 +1,62 @@
+/** Chooses the backend server for an attempt by expected time, with a price on other zones. */
+import type {Random} from '../shared/random.js';
+import type {BackendLoad} from './message.js';
+
+/** Backend server that an attempt can be sent to. */
+export type Candidate<Target> = {
+  target: Target;
+  node: string;
+  zone: string;
+  load: BackendLoad;
+  /** Calls sent there since the load was reported. */
+  sentSinceReport: number;
+  /** Whether the process there has been heard within the last moments. */
+  live: boolean;
+  /** Time for which the backend server stays slow, in milliseconds. */
+  coldMs: number;
+  /** Recent share of failed attempts from this process. */
+  failureShare: number;
+};
+
+/** What an attempt asks for. */
+export type Wish = {zone: string; targetMs: number; avoided: ReadonlySet<string>; needsLive: boolean};
+
+/** Expected time that a call to another zone has to save, as a share of its target time. */
+const OTHER_ZONE_SHARE = 0.1;
+/** Relative difference that is ignored, so that equal backend servers share the calls. */
+const INDIFFERENCE = 0.1;
+/** Factor on the expected time of a backend server that is still cold. */
+const COLD_FACTOR = 2;
+/** Weight of failures: at this factor a backend server that fails half of its calls counts as three times as slow. */
+const FAILURE_FACTOR = 4;
+/** Utilisation above which a backend server slows down. */
+const KNEE = 0.8;
+
+/** Expected time of a call, in milliseconds: its service time, and the wait for a slot. */
+export const expectedMs = ({load, sentSinceReport, coldMs, failureShare}: Candidate<unknown>): number => {
+  const limit = Math.max(1, load.limit);
+  const occupied = load.running + load.queued + sentSinceReport;
+  const waitMs = Math.max(0, occupied + 1 - limit) * load.serviceMs / limit;
+  const crowding = 1 + Math.max(0, Math.min(1, occupied / limit) - KNEE);
+  const slow = coldMs > 0 ? COLD_FACTOR : 1;
+  return ((load.serviceMs * crowding * slow) + waitMs) * (1 + (FAILURE_FACTOR * failureShare));
+};
+
+/** Chooses a candidate, or undefined when there is none outside of the avoided ones. */
+export const chooseCandidate = <Target>(candidates: ReadonlyArray<Candidate<Target>>, wish: Wish, random: Random): Candidate<Target> | undefined => {
+  const open = candidates.filter(({node}) => !wish.avoided.has(node));
+  const live = open.filter(candidate => candidate.live);
+  const pool = live.length > 0 || wish.needsLive ? live : open;
+  let best: Candidate<Target> | undefined;
+  let bestScore = Number.POSITIVE_INFINITY;
+  for (const candidate of pool) {
+    const price = candidate.zone === wish.zone ? 0 : wish.targetMs * OTHER_ZONE_SHARE;
+    const score = (expectedMs(candidate) * (1 + (random() * INDIFFERENCE))) + price;
+    if (score < bestScore) {
+      best = candidate;
+      bestScore = score;
+    }
+  }
+
+  return best;
+};
