--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 const config = {
-  files: ['src/**/__tests__/**/*.spec.ts'],
+  files: ['{src,platform}/**/__tests__/**/*.spec.ts'],
   extensions: {ts: 'module'},
   nodeArguments: ['--import=tsx'],
   workerThreads: false,
--- /dev/null
+++ b/src/mesh/__tests__/frame.spec.ts
@@ -0,0 +1,37 @@
+/** Guards against messages that are mixed up or cut when the bytes of several frames arrive in other pieces than they were sent. */
+import {Buffer} from 'node:buffer';
+import test from 'ava';
+import {createFrameReader, encodeFrame, type Frame} from '../frame.js';
+import type {Message} from '../message.js';
+
+const messages: Message[] = [
+  {type: 'cancel', id: 7},
+  {type: 'pong', configurationVersion: 3},
+  {type: 'members', members: [{node: 'à', address: '127.0.0.1:1', zone: 'z'}]},
+];
+
+const sizes = [1, 2, 7, 8, 9, 64, 100_000];
+
+for (const size of sizes) {
+  test(`frames arrive whole in pieces of ${size} bytes`, t => {
+    const body = Buffer.from('body with \r\n and more');
+    const bytes = Buffer.concat(messages.map((message, index) => encodeFrame(message, index === 1 ? body : undefined)));
+    const frames: Frame[] = [];
+    const reader = createFrameReader(frame => {
+      frames.push({message: frame.message, body: Buffer.from(frame.body)});
+    });
+    for (let start = 0; start < bytes.length; start += size) {
+      reader.push(bytes.subarray(start, start + size));
+    }
+
+    t.deepEqual(frames.map(({message}) => message), messages);
+    t.deepEqual(frames.map(frame => frame.body.toString()), ['', body.toString(), '']);
+  });
+}
+
+test('bytes of another protocol are an error, not an endless wait', t => {
+  const reader = createFrameReader(() => undefined);
+  t.throws(() => {
+    reader.push(Buffer.from('GET / HTTP/1.1\r\n\r\n'));
+  }, {message: /outside of the protocol/u});
+});
--- /dev/null
+++ b/src/mesh/__tests__/selection.spec.ts
@@ -0,0 +1,49 @@
+/** Guards against calls that go to a backend server which is full, failing or silent while another one has room. */
+import test from 'ava';
+import {createRandom} from '../../shared/random.js';
+import {chooseCandidate, type Candidate} from '../selection.js';
+
+const candidate = (node: string, changes: Partial<Candidate<string>> = {}): Candidate<string> => ({
+  target: node, node, zone: 'a', load: {
+    running: 0, queued: 0, limit: 10, serviceMs: 50,
+  }, sentSinceReport: 0, live: true, coldMs: 0, failureShare: 0, ...changes,
+});
+
+const load = (running: number, queued: number, serviceMs = 50) => ({
+  running, queued, limit: 10, serviceMs,
+});
+
+const cases: Array<{title: string; others: Partial<Candidate<string>>; preferred: number}> = [
+  {title: 'one with a queue', others: {load: load(10, 20)}, preferred: 0.9},
+  {title: 'one that many calls were just sent to', others: {sentSinceReport: 30}, preferred: 0.9},
+  {title: 'a slow one', others: {load: load(0, 0, 150)}, preferred: 0.9},
+  {title: 'one that fails half of its calls', others: {failureShare: 0.5}, preferred: 0.9},
+  {title: 'one in another zone', others: {zone: 'b'}, preferred: 0.7},
+  {title: 'a cold one', others: {coldMs: 1000}, preferred: 0.8},
+];
+
+const share = (candidates: Array<Candidate<string>>, node: string): number => {
+  const random = createRandom(3);
+  const wish = {
+    zone: 'a', targetMs: 200, avoided: new Set<string>(), needsLive: false,
+  };
+  const picks = Array.from({length: 2000}, () => chooseCandidate(candidates, wish, random)?.node);
+  return picks.filter(pick => pick === node).length / picks.length;
+};
+
+for (const {title, others, preferred} of cases) {
+  test(`${title} gets few calls, but some`, t => {
+    const got = share([candidate('good'), candidate('other', others)], 'good');
+    t.true(got >= preferred, `share ${got}`);
+    t.true(got < 1, `share ${got}`);
+  });
+}
+
+test('calls that must not run twice go to live processes only, the others to silent ones if there is no other', t => {
+  const random = createRandom(3);
+  const silent = [candidate('x', {live: false})];
+  const wish = {zone: 'a', targetMs: 200, avoided: new Set<string>()};
+  t.is(chooseCandidate(silent, {...wish, needsLive: true}, random), undefined);
+  t.is(chooseCandidate(silent, {...wish, needsLive: false}, random)?.node, 'x');
+  t.is(chooseCandidate(silent, {...wish, needsLive: false, avoided: new Set(['x'])}, random), undefined);
+});
--- a/src/mesh/door.ts
+++ b/src/mesh/door.ts
@@ -76,7 +76,7 @@
   offer: Offer;
   arrivedAt: number;
   deadlineAt: number;
-  run: {exchange: RunningExchange; startedAt: number} | undefined;
+  run: {exchange: RunningExchange | undefined; startedAt: number} | undefined;
   ended: boolean;
 };
 
@@ -135,14 +135,13 @@
     active.offer.onResult(result, body);
   };
 
-  
-
   const retryAfter = (): number => Math.max(RETRY_AFTER_MIN_MS, Math.round((queue.length + 1) * serviceMs / Math.max(1, limit())));
 
   const refuse = (active: Active, reason: DoorRefusal, arrived = false): void => {
     log.count('door_refusals', reason);
+    const {requestId, route, priority} = active.offer.call;
     log.write('info', 'door-refused', {
-      request: active.offer.call.requestId, reason, route: active.offer.call.route, priority: active.offer.call.priority, waitedMs: Math.round(now() - active.arrivedAt), remainingMs: Math.round(active.deadlineAt - now()), running, queued: queue.length, limit: limit(), serviceMs: Math.round(serviceMs),
+      request: requestId, reason, route, priority, waitedMs: Math.round(now() - active.arrivedAt), remainingMs: Math.round(active.deadlineAt - now()), running, queued: queue.length, limit: limit(), serviceMs: Math.round(serviceMs),
     });
     end(active, {
       kind: 'refused', reason, arrived, retryAfterMs: retryAfter(),
@@ -224,8 +223,7 @@
 
     running++;
     const {instance} = target();
-    const startedAt = now();
-    active.run = {startedAt, exchange: {cancel() {}}};
+    active.run = {startedAt: now(), exchange: undefined};
     active.run.exchange = pool.run({
       requestId: call.requestId,
       method: call.method,
@@ -344,7 +342,7 @@
       if (active.run === undefined) {
         removeQueued(queue, {priority: call.priority, requestKind: call.route}, key);
       } else {
-        active.run.exchange.cancel('the caller has gone');
+        active.run.exchange?.cancel('the caller has gone');
       }
     },
     announce(announcement) {
@@ -361,7 +359,9 @@
         }
 
         case 'draining': {
-          log.write('info', 'backend-draining', {instance: announcement.instance, sequence: announcement.sequence, running, queued: queue.length});
+          log.write('info', 'backend-draining', {
+            instance: announcement.instance, sequence: announcement.sequence, running, queued: queue.length,
+          });
           changed();
           break;
         }
@@ -381,7 +381,9 @@
     leave(instance) {
       const before = local;
       local = takeLeave(local, instance, now());
-      log.write('info', 'backend-left', {instance, known: local !== before, running, queued: queue.length});
+      log.write('info', 'backend-left', {
+        instance, known: local !== before, running, queued: queue.length,
+      });
       if (local !== before) {
         changed();
       }
--- a/src/mesh/entry.ts
+++ b/src/mesh/entry.ts
@@ -172,7 +172,7 @@
       return {status: 431, reason: 'headers-too-large'};
     }
 
-    const route = table.find(request.headers.host ?? '', request.url ?? '/');
+    const route = table.findRoute(request.headers.host ?? '', request.url ?? '/');
     if (route === undefined) {
       return {status: 404, reason: 'no-route'};
     }
--- a/src/mesh/fleet.ts
+++ b/src/mesh/fleet.ts
@@ -92,7 +92,7 @@
     members.set(member.node, member);
     log.write('info', 'member-added', {member: member.node, address: member.address, source});
     const link = createPeerLink({
-      address: member.address, now, log, hello, ping, onMessage: onLinkMessage, onChange() {},
+      address: member.address, now, log, hello, ping, onMessage: onLinkMessage,
     });
     links.set(member.address, link);
     link.tick();
@@ -140,7 +140,10 @@
         return;
       }
 
-      default: {
+      case 'call':
+      case 'cancel':
+      case 'result':
+      case 'state': {
         log.write('warn', 'message-unexpected', {type: message.type, from});
       }
     }
@@ -240,7 +243,7 @@
       }
 
       const names = new Set(listed.map(({node}) => node));
-      for (const member of [...members.values()]) {
+      for (const member of members.values()) {
         const link = links.get(member.address);
         if (member.node !== self.node && !names.has(member.node) && link !== undefined && !link.isOpen()) {
           members.delete(member.node);
--- a/src/mesh/follow.ts
+++ b/src/mesh/follow.ts
@@ -101,11 +101,11 @@
 
   const run = async (): Promise<void> => {
     let revision: number | undefined;
-    /* eslint-disable no-await-in-loop */
+    /* eslint-disable no-await-in-loop, no-unmodified-loop-condition */
     while (!stopped) {
       revision = revision === undefined ? await list() : await watch(revision);
     }
-    /* eslint-enable no-await-in-loop */
+    /* eslint-enable no-await-in-loop, no-unmodified-loop-condition */
   };
 
   void run();
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -34,7 +34,10 @@
   start: () => Promise<void>;
   /** Graceful stop; resolves when the process may exit. */
   stop: () => Promise<void>;
+  /** Ends everything at once. */
+  kill: () => void;
   isReady: () => boolean;
+  status: () => {links: number; incoming: number; configurationVersion: number};
   door: Door;
   metrics: CallMetrics;
 };
@@ -158,6 +161,18 @@
     /* eslint-enable no-await-in-loop */
   };
 
+  const kill = (): void => {
+    clearInterval(ticker);
+    for (const follower of followers) {
+      follower.stop();
+    }
+
+    entry.close();
+    fleet.close();
+    door.close();
+    store.close();
+  };
+
   return {
     async start() {
       await fleet.start();
@@ -175,10 +190,6 @@
       const deadlineAt = startedAt + settings.bounds.graceMs - STOP_MARGIN_MS;
       door.stop();
       entry.retire();
-      for (const follower of followers) {
-        follower.stop();
-      }
-
       if (door.hasLeft()) {
         await Promise.race([registration.remove(), sleep(STOP_MARGIN_MS)]);
       }
@@ -187,13 +198,11 @@
       entry.refuse();
       await settled(deadlineAt);
       log.write('info', 'stopping', {entry: entry.inFlight(), door: door.inFlight(), ms: Math.round(now() - startedAt)});
-      clearInterval(ticker);
-      entry.close();
-      fleet.close();
-      door.close();
-      store.close();
+      kill();
     },
+    kill,
     isReady: () => !stopping && table !== undefined && (membersKnown || fleet.members().length > 1),
+    status: () => ({...fleet.status(), configurationVersion: table?.version ?? 0}),
     door,
     metrics,
   };
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -43,7 +43,6 @@
   ping: () => Message;
   /** A message that is not about a call. */
   onMessage: (link: PeerLink, message: Message) => void;
-  onChange: (link: PeerLink) => void;
 };
 
 /** Interval of pings, in milliseconds: several fit into the time in which silence has to be noticed. */
@@ -109,7 +108,6 @@
     dialAt = now() + redialMs;
     redialMs = Math.min(REDIAL_MAX_MS, redialMs * 2);
     failPending();
-    options.onChange(link);
   };
 
   const onFrame = ({message, body}: Frame): void => {
@@ -122,14 +120,12 @@
         redialMs = REDIAL_MIN_MS;
         log.write('info', 'link-open', {peer: member.node, backend: state.kind});
         options.onMessage(link, message);
-        options.onChange(link);
         return;
       }
 
       case 'state': {
         state = message.state;
         sent = 0;
-        options.onChange(link);
         return;
       }
 
@@ -145,7 +141,14 @@
         return;
       }
 
-      default: {
+      case 'call':
+      case 'cancel':
+      case 'configuration':
+      case 'configuration-wanted':
+      case 'hello':
+      case 'members':
+      case 'ping':
+      case 'pong': {
         options.onMessage(link, message);
       }
     }
--- a/src/mesh/peer-server.ts
+++ b/src/mesh/peer-server.ts
@@ -143,7 +143,13 @@
           return;
         }
 
-        default: {
+        case 'configuration':
+        case 'configuration-wanted':
+        case 'members':
+        case 'pong':
+        case 'result':
+        case 'state':
+        case 'welcome': {
           options.onMessage(link, message);
         }
       }
--- a/src/mesh/route-table.ts
+++ b/src/mesh/route-table.ts
@@ -6,7 +6,7 @@
   version: number;
   configuration: RoutingConfiguration;
   /** Longest matching prefix among the routes of the host. */
-  find: (host: string, path: string) => Route | undefined;
+  findRoute: (host: string, path: string) => Route | undefined;
   /** Next target of the route; shares follow the weights exactly over any run of requests. */
   pick: (route: Route) => string;
 };
@@ -54,7 +54,7 @@
   return {
     version: configuration.version,
     configuration,
-    find(host, url) {
+    findRoute(host, url) {
       const path = pathOf(url);
       return byHost.get(normalizeHost(host))?.find(route => path.startsWith(route.pathPrefix));
     },
--- a/src/mesh/selection.ts
+++ b/src/mesh/selection.ts
@@ -23,8 +23,8 @@
 
 /** Expected time that a call to another zone has to save, as a share of its target time. */
 const OTHER_ZONE_SHARE = 0.1;
-/** Relative difference that is ignored, so that equal backend servers share the calls. */
-const INDIFFERENCE = 0.1;
+/** Power of the inverse score by which calls are shared: one that is twice as slow gets an eighth, so that each is used and measured. */
+const PREFERENCE = 3;
 /** Factor on the expected time of a backend server that is still cold. */
 const COLD_FACTOR = 2;
 /** Weight of failures: at this factor a backend server that fails half of its calls counts as three times as slow. */
@@ -47,16 +47,13 @@
   const open = candidates.filter(({node}) => !wish.avoided.has(node));
   const live = open.filter(candidate => candidate.live);
   const pool = live.length > 0 || wish.needsLive ? live : open;
-  let best: Candidate<Target> | undefined;
-  let bestScore = Number.POSITIVE_INFINITY;
-  for (const candidate of pool) {
+  const weights = pool.map(candidate => {
     const price = candidate.zone === wish.zone ? 0 : wish.targetMs * OTHER_ZONE_SHARE;
-    const score = (expectedMs(candidate) * (1 + (random() * INDIFFERENCE))) + price;
-    if (score < bestScore) {
-      best = candidate;
-      bestScore = score;
-    }
-  }
-
-  return best;
+    return (expectedMs(candidate) + price) ** -PREFERENCE;
+  });
+  let rest = random() * weights.reduce((total, weight) => total + weight, 0);
+  return pool.find((_, index) => {
+    rest -= weights[index]!;
+    return rest < 0;
+  }) ?? pool.at(-1);
 };
