fix(mesh): never make a cut answer look whole; repeat a failure only next to it

Ruled out: a reset taken for an orderly end; the connections were closed in order. An answer without a length now ends with the caller's connection, or is repeated if the request may be; a process tells with the answer that a call of its backend server failed meanwhile. Calls that must not run twice are sent only after a sign of life of the other end, and other zones get calls only when they are faster by more than the price.

--- a/src/mesh/backend-connection.ts
+++ b/src/mesh/backend-connection.ts
@@ -6,7 +6,8 @@
 
 /** How a call on a connection ended. */
 export type ExchangeResult =
-  | {kind: 'answered'; status: number; rawHeaders: string[]; body: Buffer}
+  /** `framed` tells that the answer states its length; the end of one that does not may be a cut. */
+  | {kind: 'answered'; status: number; rawHeaders: string[]; body: Buffer; framed: boolean}
   | {kind: 'not-sent'; cause: string}
   | {kind: 'lost'; cause: string};
 
@@ -110,7 +111,7 @@
 
   const complete = (): void => {
     const exchange = current!;
-    const {status, rawHeaders, chunks} = answer!;
+    const {status, rawHeaders, chunks, framed} = answer!;
     const statement = dialect.readBackend(status, rawHeaders);
     const mayReuse = !closes && !statement.closes && socket.writableLength === 0 && !socket.destroyed;
     keptMs = statement.idleMs === undefined ? IDLE_DEFAULT_MS : Math.max(0, statement.idleMs - IDLE_MARGIN_MS);
@@ -124,7 +125,7 @@
     }
 
     exchange.onEnd({
-      kind: 'answered', status, rawHeaders, body: Buffer.concat(chunks),
+      kind: 'answered', status, rawHeaders, body: Buffer.concat(chunks), framed,
     });
   };
 
@@ -199,6 +200,7 @@
   /** An answer without a length ends with an orderly end of its connection; a framed one that ends so is cut. */
   const onEnd = (): void => {
     if (answer !== undefined && !answer.framed && current !== undefined) {
+      options.onReport('unframed-answer', current.requestId);
       closes = true;
       onComplete();
     }
--- a/src/mesh/call-path.ts
+++ b/src/mesh/call-path.ts
@@ -21,7 +21,7 @@
 
 /** Final outcome of a request. */
 export type Outcome =
-  | {kind: 'answered'; status: number; rawHeaders: string[]; body: Buffer}
+  | {kind: 'answered'; status: number; rawHeaders: string[]; body: Buffer; framed: boolean}
   /** The request has not run and will not. */
   | {kind: 'not-run'; reason: FailureReason; retryAfterMs: number}
   /** The request may have run. */
@@ -138,11 +138,14 @@
 
   const onAnswered = (destination: Destination, result: Extract<DoorResult, {kind: 'answered'}>, body: Buffer): void => {
     const outcome: Outcome = {
-      kind: 'answered', status: result.status, rawHeaders: result.rawHeaders, body,
+      kind: 'answered', status: result.status, rawHeaders: result.rawHeaders, body, framed: result.framed,
     };
     const failed = result.status >= SERVER_ERROR;
-    destination.note(failed);
-    if (failed && route.idempotent) {
+    destination.note(failed && !result.failedBelow);
+    if (route.idempotent && !result.framed) {
+      mayHaveRun = true;
+      repeat('unframed', destination.node);
+    } else if (failed && route.idempotent && !result.failedBelow) {
       failedAnswer = outcome;
       mayHaveRun = true;
       repeat(`status-${result.status}`, destination.node);
--- a/src/mesh/door.ts
+++ b/src/mesh/door.ts
@@ -49,6 +49,8 @@
   drainMs: number;
   /** Interval at which the backend server announces itself, in milliseconds. */
   announcementMs: number;
+  /** Time at which a call of the backend server of this host failed last, in milliseconds of the clock. */
+  lastFailureBelow: () => number;
   /** Called whenever what callers should know of the backend server has changed. */
   onState: (state: BackendState) => void;
 };
@@ -183,7 +185,9 @@
         }
 
         serviceMs += SERVICE_SMOOTHING * ((now() - active.run!.startedAt) - serviceMs);
-        end(active, {kind: 'answered', status: result.status, rawHeaders: result.rawHeaders}, result.body);
+        end(active, {
+          kind: 'answered', status: result.status, rawHeaders: result.rawHeaders, framed: result.framed, failedBelow: options.lastFailureBelow() >= active.run!.startedAt,
+        }, result.body);
         break;
       }
 
--- a/src/mesh/entry.ts
+++ b/src/mesh/entry.ts
@@ -31,6 +31,8 @@
   heldBytesMax: number;
   /** Observes the time of a finished request, in milliseconds. */
   onFinished: (route: Route, outcome: Outcome['kind'], milliseconds: number) => void;
+  /** A call of the backend server of this host has failed. */
+  onBackendCallFailed: () => void;
 };
 
 /** Longest time for a request without a stated deadline and without a route's bound, in milliseconds. */
@@ -45,6 +47,8 @@
 const RETRY_AFTER_STOPPING_MS = 100;
 const RETRY_AFTER_MEMORY_MS = 500;
 
+const SERVER_ERROR = 500;
+
 type Refusal = {status: number; reason: string; retryAfterMs?: number};
 type SocketState = {open: number};
 type RequestState = {heldBytes: number};
@@ -69,6 +73,9 @@
 
   const ownAddress = options.address.slice(0, options.address.lastIndexOf(':'));
 
+  /** The backend server's own calls come from this host's address. */
+  const isFromBackend = (request: IncomingMessage): boolean => request.socket.remoteAddress === ownAddress;
+
   /** A connection may close only behind the last request that was read from it. */
   const closesBehind = (request: IncomingMessage): boolean => retiring && (sockets.get(request.socket)?.open ?? 1) <= 1;
 
@@ -105,11 +112,13 @@
 
         const headers = dialect.answerHeaders(outcome.rawHeaders);
         const isBodiless = request.method === 'HEAD' || outcome.status === 204 || outcome.status === 304;
-        if (!isBodiless) {
+        if (outcome.framed && !isBodiless) {
           headers.push('Content-Length', String(outcome.body.length));
         }
 
-        if (closesBehind(request)) {
+        // An answer whose end may be a cut must not look complete, so it ends with the connection here as well.
+        response.useChunkedEncodingByDefault = outcome.framed;
+        if (!outcome.framed || closesBehind(request)) {
           headers.push('Connection', 'close');
         }
 
@@ -164,7 +173,7 @@
       return {status: 503, reason: 'no-configuration', retryAfterMs: RETRY_AFTER_STARTING_MS};
     }
 
-    if (refusing && request.socket.remoteAddress !== ownAddress) {
+    if (refusing && !isFromBackend(request)) {
       return {status: 503, reason: 'stopping', retryAfterMs: RETRY_AFTER_STOPPING_MS};
     }
 
@@ -226,9 +235,14 @@
       deadlineAt,
     }, outcome => {
       const milliseconds = now() - arrivedAt;
+      const failed = outcome.kind !== 'answered' || outcome.status >= SERVER_ERROR;
       options.onFinished(route, outcome.kind, milliseconds);
-      log.write(outcome.kind === 'answered' && outcome.status < 500 ? 'debug' : 'info', 'request-ended', {
-        request: requestId, route: route.name, priority: route.priority, version: table!.version, outcome: outcome.kind, ...(outcome.kind === 'answered' ? {status: outcome.status} : {reason: outcome.reason}), ms: Math.round(milliseconds),
+      if (failed && isFromBackend(request)) {
+        options.onBackendCallFailed();
+      }
+
+      log.write(failed ? 'info' : 'debug', 'request-ended', {
+        request: requestId, from: isFromBackend(request) ? 'backend' : 'client', route: route.name, priority: route.priority, version: table!.version, outcome: outcome.kind, ...(outcome.kind === 'answered' ? {status: outcome.status} : {reason: outcome.reason}), ms: Math.round(milliseconds),
       });
       writeOutcome(request, response, requestId!, outcome);
     });
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -34,6 +34,8 @@
   | 'deadline-passed'
   | 'memory-full'
   | 'other-service'
+  /** The process there was not heard before the call was sent. */
+  | 'peer-silent'
   /** No byte of the call was sent to the backend server. */
   | 'backend-unreachable'
   /** The backend server stated that it did not run the call. */
@@ -41,7 +43,11 @@
 
 /** How a call ended at the process beside the backend server. */
 export type DoorResult =
-  | {kind: 'answered'; status: number; rawHeaders: string[]}
+  /**
+   * `framed` tells that the answer states its length; the end of one that does not may be a cut.
+   * `failedBelow` tells that a call of the backend server failed while it ran this one, where it has been repeated already.
+   */
+  | {kind: 'answered'; status: number; rawHeaders: string[]; framed: boolean; failedBelow: boolean}
   /** The call has not run and will not. `arrived` tells that the backend server received it. */
   | {kind: 'refused'; reason: DoorRefusal; arrived: boolean; retryAfterMs: number}
   /** The call was sent and may have run. */
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -64,6 +64,7 @@
   let table: RouteTable | undefined;
   let stopping = false;
   let membersKnown = false;
+  let failedBelowAt = Number.NEGATIVE_INFINITY;
 
   const door = createDoor({
     dialect: options.dialect,
@@ -71,6 +72,7 @@
     log,
     drainMs: settings.bounds.drainMs,
     announcementMs: settings.announcementMs,
+    lastFailureBelow: () => failedBelowAt,
     onState(state: BackendState) {
       fleet.publish(state);
     },
@@ -107,6 +109,9 @@
     budget,
     heldBytesMax: settings.heldBytesMax,
     onFinished: metrics.record,
+    onBackendCallFailed() {
+      failedBelowAt = now();
+    },
   });
 
   const registration = createRegistration({
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -1,6 +1,6 @@
 /** Connection from this process to another one, over which calls are sent to the backend server there. */
 import {connect, type Socket} from 'node:net';
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import type {DecisionLog} from './decision-log.js';
 import {createFrameReader, encodeFrame, type Frame} from './frame.js';
 import type {
@@ -52,11 +52,19 @@
 /** Time without any byte after which calls that must not run twice go elsewhere if they can, in milliseconds: two pings. */
 const LIVE_MS = 600;
 const CONNECT_TIMEOUT_MS = 700;
+const NO_BODY = Buffer.alloc(0);
 const REDIAL_MIN_MS = 100;
 /** Longest pause between two dials, in milliseconds; a process that is back is reached within this time. */
 const REDIAL_MAX_MS = 1000;
 
+/** Time within which the other end must have been heard before a call that must not run twice is sent, in milliseconds: a cut is then noticed while nothing is lost yet. */
+const CONFIRM_AGE_MS = 30;
+/** Time for the answer to a ping before such a call goes elsewhere, in milliseconds; many times the way to another zone and back. */
+const CONFIRM_WAIT_MS = 150;
+
 type Pending = {onResult: (result: LinkResult) => void};
+/** A call that waits for a sign of life of the other end. */
+type Unconfirmed = {id: number; waitUntil: number; send: () => void; onResult: (result: LinkResult) => void};
 
 /** Creates a link and keeps it connected until it is closed. */
 export const createPeerLink = (options: PeerLinkOptions): PeerLink => {
@@ -65,6 +73,7 @@
   const host = address.slice(0, colon);
   const port = Number(address.slice(colon + 1));
   const pending = new Map<number, Pending>();
+  let unconfirmed: Unconfirmed[] = [];
   let socket: Socket | undefined;
   let open = false;
   let closed = false;
@@ -79,7 +88,28 @@
   let state: BackendState = {kind: 'absent'};
   let failingSince: number | undefined = now();
 
+  const refuseUnconfirmed = (calls: readonly Unconfirmed[]): void => {
+    for (const {onResult} of calls) {
+      onResult({
+        result: {
+          kind: 'refused', reason: 'peer-silent', arrived: false, retryAfterMs: 0,
+        }, body: NO_BODY,
+      });
+    }
+  };
+
+  const sendConfirmed = (): void => {
+    const calls = unconfirmed;
+    unconfirmed = [];
+    for (const call of calls) {
+      call.send();
+    }
+  };
+
   const failPending = (): void => {
+    const waiting = unconfirmed;
+    unconfirmed = [];
+    refuseUnconfirmed(waiting);
     const lost = [...pending.values()];
     pending.clear();
     for (const {onResult} of lost) {
@@ -169,6 +199,7 @@
       }
 
       heardAt = now();
+      sendConfirmed();
       try {
         reader.push(chunk);
       } catch (error) {
@@ -204,12 +235,26 @@
       const id = nextId;
       nextId++;
       sent++;
-      pending.set(id, {onResult});
-      send({
-        type: 'call', id, sentAt: now(), call,
-      }, body);
+      const askedAt = now();
+      const sendNow = (): void => {
+        pending.set(id, {onResult});
+        send({
+          type: 'call', id, sentAt: now(), call: {...call, remainingMs: call.remainingMs - (now() - askedAt)},
+        }, body);
+      };
+
+      if (call.idempotent || now() - heardAt <= CONFIRM_AGE_MS) {
+        sendNow();
+      } else {
+        unconfirmed.push({
+          id, waitUntil: now() + CONFIRM_WAIT_MS, send: sendNow, onResult,
+        });
+        send(options.ping());
+      }
+
       return {
         cancel() {
+          unconfirmed = unconfirmed.filter(waiting => waiting.id !== id);
           if (pending.delete(id)) {
             send({type: 'cancel', id});
           }
@@ -239,6 +284,12 @@
         return;
       }
 
+      const late = unconfirmed.filter(({waitUntil}) => waitUntil <= at);
+      if (late.length > 0) {
+        unconfirmed = unconfirmed.filter(({waitUntil}) => waitUntil > at);
+        refuseUnconfirmed(late);
+      }
+
       if (at - heardAt > SILENT_MS) {
         drop('silent');
       } else if (at - pingedAt >= PING_MS) {
--- a/src/mesh/selection.ts
+++ b/src/mesh/selection.ts
@@ -47,13 +47,17 @@
   const open = candidates.filter(({node}) => !wish.avoided.has(node));
   const live = open.filter(candidate => candidate.live);
   const pool = live.length > 0 || wish.needsLive ? live : open;
-  const weights = pool.map(candidate => {
+  const scored = pool.map(candidate => {
     const price = candidate.zone === wish.zone ? 0 : wish.targetMs * OTHER_ZONE_SHARE;
-    return (expectedMs(candidate) + price) ** -PREFERENCE;
+    return {candidate, score: expectedMs(candidate) + price};
   });
+  const bestLocal = Math.min(...scored.filter(({candidate}) => candidate.zone === wish.zone).map(({score}) => score));
+  const useful = scored.filter(({candidate, score}) => candidate.zone === wish.zone || score < bestLocal);
+  const weights = useful.map(({score}) => score ** -PREFERENCE);
   let rest = random() * weights.reduce((total, weight) => total + weight, 0);
-  return pool.find((_, index) => {
+  const chosen = useful.find((_, index) => {
     rest -= weights[index]!;
     return rest < 0;
-  }) ?? pool.at(-1);
+  });
+  return (chosen ?? useful.at(-1))?.candidate;
 };
