feat(mesh): admit no more requests than the services below have room for

Ruled out: the lost answers of seconds 15 to 19, after which the failures went on. Sub-calls wait as long as they can still run.

--- a/src/mesh/call-path.ts
+++ b/src/mesh/call-path.ts
@@ -1,6 +1,7 @@
 /** Takes a request of a caller to a backend server: attempts, retries, deadline and the final answer. */
 import type {Buffer} from 'node:buffer';
 import type {Random} from '../shared/random.js';
+import type {Admission} from './admission.js';
 import type {DecisionLog} from './decision-log.js';
 import type {Destination, Fleet} from './fleet.js';
 import type {CallHead, DoorResult} from './message.js';
@@ -15,13 +16,15 @@
   /** Every backend server refused the call for lack of room. */
   | 'no-room'
   | 'deadline'
+  /** Requests of the kind fail further down for lack of room. */
+  | 'no-room-below'
   | 'attempts-spent'
   | 'retry-budget-spent'
   | 'outcome-unknown';
 
 /** Final outcome of a request. */
 export type Outcome =
-  | {kind: 'answered'; status: number; rawHeaders: string[]; body: Buffer; framed: boolean}
+  | {kind: 'answered'; status: number; rawHeaders: string[]; body: Buffer; framed: boolean; roomMissingBelow: boolean}
   /** The request has not run and will not. */
   | {kind: 'not-run'; reason: FailureReason; retryAfterMs: number}
   /** The request may have run. */
@@ -36,6 +39,10 @@
   path: string;
   rawHeaders: string[];
   body: Buffer;
+  /** Whether a client sent it; otherwise the backend server of this host. */
+  isRoot: boolean;
+  /** Whether the client seems to have sent it before. */
+  isReturn: boolean;
   /** Time at which the request arrived, in milliseconds of the clock. */
   arrivedAt: number;
   /** Time at which it gets its final answer at the latest. */
@@ -53,6 +60,7 @@
   fleet: Pick<Fleet, 'candidates'>;
   zone: string;
   budget: RetryBudget;
+  admission: Admission;
 };
 
 /** Backend servers that are asked for room before a request is refused. */
@@ -63,6 +71,8 @@
 const RETRY_AFTER_SPREAD = 1;
 /** Time to come back when no backend server is known, in milliseconds: one takes a restart or an announcement to appear. */
 const RETRY_AFTER_ABSENT_MS = 300;
+/** Part of the target time after which a request comes back that was refused because of the services below. */
+const RETURN_SHARE = 0.2;
 /** Time that is needed to run an attempt at all, in milliseconds. */
 const ATTEMPT_MIN_MS = 5;
 
@@ -89,9 +99,16 @@
     ended = true;
     clearTimeout(timer);
     current?.cancel();
+    noteAdmission(outcome);
     onOutcome(outcome);
   };
 
+  const noteAdmission = (outcome: Outcome): void => {
+    if (request.isRoot && outcome.kind === 'answered') {
+      options.admission.note(route.name, {overload: outcome.status >= SERVER_ERROR && outcome.roomMissingBelow, startedAt: request.arrivedAt});
+    }
+  };
+
   const spread = (milliseconds: number): number => Math.round(Math.max(RETRY_AFTER_MIN_MS, milliseconds) * (1 + (random() * RETRY_AFTER_SPREAD)));
 
   const fail = (reason: FailureReason): void => {
@@ -138,7 +155,7 @@
 
   const onAnswered = (destination: Destination, result: Extract<DoorResult, {kind: 'answered'}>, body: Buffer): void => {
     const outcome: Outcome = {
-      kind: 'answered', status: result.status, rawHeaders: result.rawHeaders, body, framed: result.framed,
+      kind: 'answered', status: result.status, rawHeaders: result.rawHeaders, body, framed: result.framed, roomMissingBelow: result.roomMissingBelow,
     };
     const failed = result.status >= SERVER_ERROR;
     destination.note(failed && !result.failedBelow);
@@ -227,6 +244,7 @@
       path: request.path,
       rawHeaders: request.rawHeaders,
       idempotent: route.idempotent,
+      isRoot: request.isRoot,
       priority: route.priority,
       route: route.name,
       remainingMs: request.deadlineAt - now(),
@@ -245,7 +263,13 @@
     }
   };
 
-  attempt();
+  if (request.isRoot && !options.admission.admit(route.name, request.isReturn, random)) {
+    retryAfterMs = route.targetMs * RETURN_SHARE;
+    fail('no-room-below');
+  } else {
+    attempt();
+  }
+
   return {
     cancel() {
       if (!ended) {
--- a/src/mesh/door.ts
+++ b/src/mesh/door.ts
@@ -40,6 +40,9 @@
   close: () => void;
 };
 
+/** Times at which a call of the backend server of this host failed last, for any reason and for lack of room; in milliseconds of the clock. */
+export type FailuresBelow = {failedAt: number; roomMissingAt: number};
+
 /** Options of the door. */
 export type DoorOptions = {
   dialect: HttpDialect;
@@ -49,8 +52,7 @@
   drainMs: number;
   /** Interval at which the backend server announces itself, in milliseconds. */
   announcementMs: number;
-  /** Time at which a call of the backend server of this host failed last, in milliseconds of the clock. */
-  lastFailureBelow: () => number;
+  below: () => FailuresBelow;
   /** Called whenever what callers should know of the backend server has changed. */
   onState: (state: BackendState) => void;
 };
@@ -65,6 +67,8 @@
 const SERVICE_DEFAULT_MS = 50;
 /** Part of the remaining time that a call may wait for a slot; the rest is needed to run it. */
 const WAIT_SHARE = 0.5;
+/** Time that a call of a request under way is left to run, in service times; it waits as long as it can, because its request fails without it. */
+const RUN_MARGIN = 1.5;
 /** Failed connects in a row after which the backend server counts as gone until it announces itself. */
 const CONNECT_FAILURES_MAX = 3;
 /** Time for which the ids of calls that must not run twice are kept, in milliseconds; longer than any caller waits. */
@@ -184,9 +188,10 @@
           break;
         }
 
+        const below = options.below();
         serviceMs += SERVICE_SMOOTHING * ((now() - active.run!.startedAt) - serviceMs);
         end(active, {
-          kind: 'answered', status: result.status, rawHeaders: result.rawHeaders, framed: result.framed, failedBelow: options.lastFailureBelow() >= active.run!.startedAt,
+          kind: 'answered', status: result.status, rawHeaders: result.rawHeaders, framed: result.framed, failedBelow: below.failedAt >= active.run!.startedAt, roomMissingBelow: below.roomMissingAt >= active.run!.startedAt,
         }, result.body);
         break;
       }
@@ -284,7 +289,8 @@
 
   const wait = (active: Active): void => {
     const {call, key} = active.offer;
-    const longestMs = Math.min((active.deadlineAt - now()) * WAIT_SHARE, Math.max(call.targetMs, 0) + serviceMs);
+    const remainingMs = active.deadlineAt - now();
+    const longestMs = call.isRoot ? Math.min(remainingMs * WAIT_SHARE, Math.max(call.targetMs, 0) + serviceMs) : remainingMs - (serviceMs * RUN_MARGIN);
     const expectedMs = (queuedAhead(call.priority) + 1) * serviceMs / Math.max(1, limit());
     if (expectedMs > longestMs) {
       refuse(active, 'queue-full');
--- a/src/mesh/entry.ts
+++ b/src/mesh/entry.ts
@@ -32,7 +32,7 @@
   /** Observes the time of a finished request, in milliseconds. */
   onFinished: (route: Route, outcome: Outcome['kind'], milliseconds: number) => void;
   /** A call of the backend server of this host has failed. */
-  onBackendCallFailed: () => void;
+  onBackendCallFailed: (roomMissing: boolean) => void;
 };
 
 /** Longest time for a request without a stated deadline and without a route's bound, in milliseconds. */
@@ -48,6 +48,22 @@
 const RETRY_AFTER_MEMORY_MS = 500;
 
 const SERVER_ERROR = 500;
+/** Difference of the stated time by which a request counts as sent again, in milliseconds. */
+const RETURN_MIN_MS = 10;
+
+/** Whether a call failed because there was no room for it or for one below it. */
+const isRoomMissing = (outcome: Outcome): boolean => {
+  switch (outcome.kind) {
+    case 'answered': {
+      return outcome.roomMissingBelow;
+    }
+
+    case 'not-run':
+    case 'unknown': {
+      return outcome.reason === 'no-room' || outcome.reason === 'deadline';
+    }
+  }
+};
 
 type Refusal = {status: number; reason: string; retryAfterMs?: number};
 type SocketState = {open: number};
@@ -66,6 +82,7 @@
 export const createEntry = (options: EntryOptions): Entry => {
   const {dialect, log, now} = options;
   const sockets = new Map<Socket, SocketState>();
+  const longestDeadlines = new Map<string, number>();
   let held = 0;
   let inFlight = 0;
   let retiring = false;
@@ -231,6 +248,8 @@
       path: request.url ?? '/',
       rawHeaders: dialect.forwardedHeaders(request.rawHeaders, options.callerService),
       body,
+      isRoot: !isFromBackend(request),
+      isReturn: isReturn(route.name, stated),
       arrivedAt,
       deadlineAt,
     }, outcome => {
@@ -238,7 +257,7 @@
       const failed = outcome.kind !== 'answered' || outcome.status >= SERVER_ERROR;
       options.onFinished(route, outcome.kind, milliseconds);
       if (failed && isFromBackend(request)) {
-        options.onBackendCallFailed();
+        options.onBackendCallFailed(isRoomMissing(outcome));
       }
 
       log.write(failed ? 'info' : 'debug', 'request-ended', {
@@ -255,6 +274,13 @@
     });
   };
 
+  /** A client that sends a request again has less time left than one that sends it for the first time. */
+  const isReturn = (route: string, stated: number): boolean => {
+    const longest = Math.max(longestDeadlines.get(route) ?? 0, stated);
+    longestDeadlines.set(route, longest);
+    return stated < longest - RETURN_MIN_MS;
+  };
+
   const onRequest = (request: IncomingMessage, response: ServerResponse): void => {
     const socketState = sockets.get(request.socket) ?? {open: 0};
     const state = {heldBytes: 0};
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -45,9 +45,10 @@
 export type DoorResult =
   /**
    * `framed` tells that the answer states its length; the end of one that does not may be a cut.
-   * `failedBelow` tells that a call of the backend server failed while it ran this one, where it has been repeated already.
+   * `failedBelow` tells that a call of the backend server failed while it ran this one, where it has been repeated already;
+   * `roomMissingBelow`, that one failed because a service below lacked room.
    */
-  | {kind: 'answered'; status: number; rawHeaders: string[]; framed: boolean; failedBelow: boolean}
+  | {kind: 'answered'; status: number; rawHeaders: string[]; framed: boolean; failedBelow: boolean; roomMissingBelow: boolean}
   /** The call has not run and will not. `arrived` tells that the backend server received it. */
   | {kind: 'refused'; reason: DoorRefusal; arrived: boolean; retryAfterMs: number}
   /** The call was sent and may have run. */
@@ -61,6 +62,8 @@
   path: string;
   rawHeaders: string[];
   idempotent: boolean;
+  /** Whether the call began at a client; others belong to a request that is already under way. */
+  isRoot: boolean;
   priority: number;
   /** Route that selected the service. */
   route: string;
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -1,9 +1,10 @@
 /** One process on a backend server host: its parts, wired together. */
 import type {Random} from '../shared/random.js';
+import {createAdmission} from './admission.js';
 import {createCallMetrics, type CallMetrics} from './call-metrics.js';
 import {createSuspendAwareClock} from './clock.js';
 import type {DecisionLog} from './decision-log.js';
-import {createDoor, type Door} from './door.js';
+import {createDoor, type Door, type FailuresBelow} from './door.js';
 import {createEntry} from './entry.js';
 import {createFleet} from './fleet.js';
 import {follow} from './follow.js';
@@ -64,7 +65,7 @@
   let table: RouteTable | undefined;
   let stopping = false;
   let membersKnown = false;
-  let failedBelowAt = Number.NEGATIVE_INFINITY;
+  const below: FailuresBelow = {failedAt: Number.NEGATIVE_INFINITY, roomMissingAt: Number.NEGATIVE_INFINITY};
 
   const door = createDoor({
     dialect: options.dialect,
@@ -72,7 +73,7 @@
     log,
     drainMs: settings.bounds.drainMs,
     announcementMs: settings.announcementMs,
-    lastFailureBelow: () => failedBelowAt,
+    below: () => below,
     onState(state: BackendState) {
       fleet.publish(state);
     },
@@ -107,10 +108,12 @@
     random,
     fleet,
     budget,
+    admission: createAdmission(now),
     heldBytesMax: settings.heldBytesMax,
     onFinished: metrics.record,
-    onBackendCallFailed() {
-      failedBelowAt = now();
+    onBackendCallFailed(roomMissing) {
+      below.failedAt = now();
+      below.roomMissingAt = roomMissing ? now() : below.roomMissingAt;
     },
   });
 
