--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -17,24 +17,33 @@
   share: (route: string) => number;
 };
 
-/** Factor on the admitted share when a request fails for lack of room; once for all requests that started before the last decrease. */
-const DECREASE = 0.85;
+/** Weight of the newest request in the failed share; the last seven or so decide. */
+const FAILED_SMOOTHING = 0.15;
+/** Failed share above which fewer requests are admitted. */
+const FAILED_HIGH = 0.1;
+/** Failed share below which more requests are admitted. */
+const FAILED_LOW = 0.05;
+/** Part of the failed share by which the admitted share is lowered: requests that fail early use less room than those that end well. */
+const CORRECTION = 0.7;
 /** Growth of the admitted share, in parts of the whole per second: a share that was halved is whole again after some seconds. */
-const GROWTH_PER_S = 0.12;
+const GROWTH_PER_S = 0.08;
 /** Lowest admitted share: some requests have to find out whether there is room again. */
 const SHARE_MIN = 0.1;
 const SECOND_MS = 1000;
 
-type Share = {value: number; at: number; decreasedAt: number};
+type Share = {value: number; failed: number; at: number; decreasedAt: number};
 
 /** Creates an admission that admits everything. */
 export const createAdmission = (now: () => number): Admission => {
   const shares = new Map<string, Share>();
 
   const grown = (route: string): Share => {
-    const share = shares.get(route) ?? {value: 1, at: now(), decreasedAt: Number.NEGATIVE_INFINITY};
+    const share = shares.get(route) ?? {
+      value: 1, failed: 0, at: now(), decreasedAt: Number.NEGATIVE_INFINITY,
+    };
     shares.set(route, share);
-    share.value = Math.min(1, share.value + (GROWTH_PER_S * (now() - share.at) / SECOND_MS));
+    const growth = share.failed < FAILED_LOW ? GROWTH_PER_S * (now() - share.at) / SECOND_MS : 0;
+    share.value = Math.min(1, share.value + growth);
     share.at = now();
     return share;
   };
@@ -46,8 +55,13 @@
     },
     note(route, {overload, startedAt}) {
       const share = grown(route);
-      if (overload && startedAt >= share.decreasedAt) {
-        share.value = Math.max(SHARE_MIN, share.value * DECREASE);
+      if (startedAt < share.decreasedAt) {
+        return;
+      }
+
+      share.failed += FAILED_SMOOTHING * ((overload ? 1 : 0) - share.failed);
+      if (overload && share.failed > FAILED_HIGH) {
+        share.value = Math.max(SHARE_MIN, share.value * (1 - (share.failed * CORRECTION)));
         share.decreasedAt = now();
       }
     },
