fix(mesh): treat calls of clients and of the backend server alike

Admission by route now holds at each level. A stopping process takes requests as long as the longest one can still end.

--- a/src/mesh/__tests__/admission.spec.ts
+++ b/src/mesh/__tests__/admission.spec.ts
@@ -23,7 +23,7 @@
 const play = ({demand, room, seconds, admits}: {demand: number; room: number; seconds: number; admits: boolean}): Result => {
   const random = createRandom(5);
   const clock = createManualClock();
-  const processes: Admission[] = Array.from({length: PROCESSES}, () => createAdmission(clock.now));
+  const processes: Admission[] = Array.from({length: PROCESSES}, () => createAdmission(() => clock.now()));
   let active: Started[] = [];
   let served = 0;
   let started = 0;
--- a/src/mesh/__tests__/peer-link.spec.ts
+++ b/src/mesh/__tests__/peer-link.spec.ts
@@ -14,7 +14,7 @@
 });
 
 const call = (idempotent: boolean): CallHead => ({
-  requestId: 'r', service: 's', method: 'GET', path: '/', rawHeaders: [], idempotent, isRoot: true, priority: 0, route: 'r', remainingMs: 1000, targetMs: 1000,
+  requestId: 'r', service: 's', method: 'GET', path: '/', rawHeaders: [], idempotent, priority: 0, route: 'r', remainingMs: 1000, targetMs: 1000,
 });
 
 const start = async (t: ExecutionContext, answers: (message: Message) => Message | undefined) => {
--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -1,5 +1,5 @@
 /**
-Limits how many requests of a route start at this process while the services below it lack room.
+Limits how many calls of a route start at this process while the services below it lack room.
 
 A request that fails far down its chain has used up the room of all services above; refused at its start it costs nothing and can come back.
 */
@@ -8,7 +8,7 @@
 /** How an admitted request ended. `overload` tells that it failed because a service below lacked room. Times are in milliseconds of the clock. */
 export type AdmittedEnd = {overload: boolean; startedAt: number};
 
-/** Admission of the requests that clients start here. */
+/** Admission of the calls that start here, by clients or by the backend server. */
 export type Admission = {
   /** Whether a request may start. One that comes back after a refusal is preferred to a new one. */
   admit: (route: string, isReturn: boolean, random: Random) => boolean;
--- a/src/mesh/call-path.ts
+++ b/src/mesh/call-path.ts
@@ -39,8 +39,6 @@
   path: string;
   rawHeaders: string[];
   body: Buffer;
-  /** Whether a client sent it; otherwise the backend server of this host. */
-  isRoot: boolean;
   /** Whether the client seems to have sent it before. */
   isReturn: boolean;
   /** Time at which the request arrived, in milliseconds of the clock. */
@@ -104,7 +102,7 @@
   };
 
   const noteAdmission = (outcome: Outcome): void => {
-    if (request.isRoot && outcome.kind === 'answered') {
+    if (outcome.kind === 'answered') {
       options.admission.note(route.name, {overload: outcome.status >= SERVER_ERROR && outcome.roomMissingBelow, startedAt: request.arrivedAt});
     }
   };
@@ -244,7 +242,6 @@
       path: request.path,
       rawHeaders: request.rawHeaders,
       idempotent: route.idempotent,
-      isRoot: request.isRoot,
       priority: route.priority,
       route: route.name,
       remainingMs: request.deadlineAt - now(),
@@ -263,11 +260,11 @@
     }
   };
 
-  if (request.isRoot && !options.admission.admit(route.name, request.isReturn, random)) {
+  if (options.admission.admit(route.name, request.isReturn, random)) {
+    attempt();
+  } else {
     retryAfterMs = route.targetMs * RETURN_SHARE;
     fail('no-room-below');
-  } else {
-    attempt();
   }
 
   return {
--- a/src/mesh/door.ts
+++ b/src/mesh/door.ts
@@ -67,8 +67,6 @@
 const SERVICE_DEFAULT_MS = 50;
 /** Part of the remaining time that a call may wait for a slot; the rest is needed to run it. */
 const WAIT_SHARE = 0.5;
-/** Time that a call of a request under way is left to run, in service times; it waits as long as it can, because its request fails without it. */
-const RUN_MARGIN = 1.5;
 /** Failed connects in a row after which the backend server counts as gone until it announces itself. */
 const CONNECT_FAILURES_MAX = 3;
 /** Time for which the ids of calls that must not run twice are kept, in milliseconds; longer than any caller waits. */
@@ -290,7 +288,7 @@
   const wait = (active: Active): void => {
     const {call, key} = active.offer;
     const remainingMs = active.deadlineAt - now();
-    const longestMs = call.isRoot ? Math.min(remainingMs * WAIT_SHARE, Math.max(call.targetMs, 0) + serviceMs) : remainingMs - (serviceMs * RUN_MARGIN);
+    const longestMs = Math.min(remainingMs * WAIT_SHARE, Math.max(call.targetMs, 0) + serviceMs);
     const expectedMs = (queuedAhead(call.priority) + 1) * serviceMs / Math.max(1, limit());
     if (expectedMs > longestMs) {
       refuse(active, 'queue-full');
--- a/src/mesh/entry.ts
+++ b/src/mesh/entry.ts
@@ -13,7 +13,7 @@
   start: () => Promise<void>;
   /** The process stops: from now on connections close behind their last answer. */
   retire: () => void;
-  /** New requests of others than the backend server are refused. */
+  /** New requests are refused. */
   refuse: () => void;
   inFlight: () => number;
   close: () => void;
@@ -31,8 +31,8 @@
   heldBytesMax: number;
   /** Observes the time of a finished request, in milliseconds. */
   onFinished: (route: Route, outcome: Outcome['kind'], milliseconds: number) => void;
-  /** A call of the backend server of this host has failed. */
-  onBackendCallFailed: (roomMissing: boolean) => void;
+  /** A call from this host has failed; it may be one of its backend server, whose calls cannot be told from those of clients. */
+  onCallFailed: (roomMissing: boolean) => void;
 };
 
 /** Longest time for a request without a stated deadline and without a route's bound, in milliseconds. */
@@ -88,11 +88,6 @@
   let retiring = false;
   let refusing = false;
 
-  const ownAddress = options.address.slice(0, options.address.lastIndexOf(':'));
-
-  /** The backend server's own calls come from this host's address. */
-  const isFromBackend = (request: IncomingMessage): boolean => request.socket.remoteAddress === ownAddress;
-
   /** A connection may close only behind the last request that was read from it. */
   const closesBehind = (request: IncomingMessage): boolean => retiring && (sockets.get(request.socket)?.open ?? 1) <= 1;
 
@@ -190,7 +185,7 @@
       return {status: 503, reason: 'no-configuration', retryAfterMs: RETRY_AFTER_STARTING_MS};
     }
 
-    if (refusing && !isFromBackend(request)) {
+    if (refusing) {
       return {status: 503, reason: 'stopping', retryAfterMs: RETRY_AFTER_STOPPING_MS};
     }
 
@@ -248,7 +243,6 @@
       path: request.url ?? '/',
       rawHeaders: dialect.forwardedHeaders(request.rawHeaders, options.callerService),
       body,
-      isRoot: !isFromBackend(request),
       isReturn: isReturn(route.name, stated),
       arrivedAt,
       deadlineAt,
@@ -256,12 +250,12 @@
       const milliseconds = now() - arrivedAt;
       const failed = outcome.kind !== 'answered' || outcome.status >= SERVER_ERROR;
       options.onFinished(route, outcome.kind, milliseconds);
-      if (failed && isFromBackend(request)) {
-        options.onBackendCallFailed(isRoomMissing(outcome));
+      if (failed) {
+        options.onCallFailed(isRoomMissing(outcome));
       }
 
       log.write(failed ? 'info' : 'debug', 'request-ended', {
-        request: requestId, from: isFromBackend(request) ? 'backend' : 'client', route: route.name, priority: route.priority, version: table!.version, outcome: outcome.kind, ...(outcome.kind === 'answered' ? {status: outcome.status} : {reason: outcome.reason}), ms: Math.round(milliseconds),
+        request: requestId, route: route.name, priority: route.priority, version: table!.version, outcome: outcome.kind, ...(outcome.kind === 'answered' ? {status: outcome.status} : {reason: outcome.reason}), ms: Math.round(milliseconds),
       });
       writeOutcome(request, response, requestId!, outcome);
     });
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -62,8 +62,6 @@
   path: string;
   rawHeaders: string[];
   idempotent: boolean;
-  /** Whether the call began at a client; others belong to a request that is already under way. */
-  isRoot: boolean;
   priority: number;
   /** Route that selected the service. */
   route: string;
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -45,8 +45,8 @@
 
 /** Interval of the decisions that depend on time alone, in milliseconds. */
 const TICK_MS = 20;
-/** Time for which a stopping process takes new requests, in milliseconds: the platform asks for readiness every second and needs two refusals. */
-const STOP_ACCEPT_MS = 2700;
+/** Shortest time for which a stopping process takes new requests, in milliseconds: the platform asks for readiness every second and needs two refusals. */
+const STOP_ACCEPT_MIN_MS = 2700;
 /** Part of the time to stop that is left for closing, in milliseconds. */
 const STOP_MARGIN_MS = 400;
 const STOP_POLL_MS = 50;
@@ -111,7 +111,7 @@
     admission: createAdmission(now),
     heldBytesMax: settings.heldBytesMax,
     onFinished: metrics.record,
-    onBackendCallFailed(roomMissing) {
+    onCallFailed(roomMissing) {
       below.failedAt = now();
       below.roomMissingAt = roomMissing ? now() : below.roomMissingAt;
     },
@@ -161,6 +161,9 @@
     );
   };
 
+  /** Requests that are taken in must end before the process does. */
+  const longestRequestMs = (): number => Math.max(0, ...(table?.configuration.routes.map(({timeoutMs}) => timeoutMs) ?? []));
+
   const settled = async (deadlineAt: number): Promise<void> => {
     /* eslint-disable no-await-in-loop */
     while (now() < deadlineAt && entry.inFlight() + door.inFlight() > 0) {
@@ -202,7 +205,8 @@
         await Promise.race([registration.remove(), sleep(STOP_MARGIN_MS)]);
       }
 
-      await sleep(Math.max(0, startedAt + STOP_ACCEPT_MS - now()));
+      await sleep(Math.max(0, startedAt + STOP_ACCEPT_MIN_MS - now()));
+      await settled(deadlineAt - longestRequestMs());
       entry.refuse();
       await settled(deadlineAt);
       log.write('info', 'stopping', {entry: entry.inFlight(), door: door.inFlight(), ms: Math.round(now() - startedAt)});
