--- a/src/mesh/backend-connection.ts
+++ b/src/mesh/backend-connection.ts
@@ -140,7 +140,13 @@
       return;
     }
 
-    const {requestId} = dialect.readBackend(answer.status, answer.rawHeaders);
+    const {requestId, isGenuine} = dialect.readBackend(answer.status, answer.rawHeaders);
+    if (!isGenuine) {
+      options.onReport('answer-not-genuine', current.requestId);
+      destroy('the backend server sent a success without its proof');
+      return;
+    }
+
     if (requestId !== undefined && requestId !== current.requestId) {
       skipForeign(requestId);
       return;
--- a/src/mesh/protocol.ts
+++ b/src/mesh/protocol.ts
@@ -8,6 +8,8 @@
 /** What a backend server states in its headers. */
 export type BackendStatement = {
   requestId: string | undefined;
+  /** Whether the answer bears what proves that the backend server made it; a success without it is none. */
+  isGenuine: boolean;
   /** Whether it states that it did not run the call. */
   notRun: boolean;
   /** Time for which it keeps an idle connection, in milliseconds. */
