--- a/src/daemon/early-rejection.ts
+++ b/src/daemon/early-rejection.ts
@@ -18,6 +18,9 @@
   headers?: Headers;
 };
 
+/** Time after which a caller of a process without a configuration may come back, in milliseconds: a read of the platform or of a peer takes less. */
+const CONFIGURATION_WAIT_MS = 200;
+
 /** Creates the replies of a listener's rejections; each one is counted and can be explained. */
 export const createEarlyRejection = ({metrics, eventLog}: {metrics: Metrics; eventLog: EventLog}) =>
   ({reason, service, call, detail, headers}: EarlyRejection): Reply => {
@@ -29,6 +32,6 @@
       part: 'entry', requestId: call?.requestId ?? '', ...labels, group: call?.group ?? '', reason, outcome: 'not-run', fraction: 1, remedy,
     });
     return rejectionReply({
-      status, reason, outcome: 'not-run', explainId, message: remedy, retryAfterMs: 0, fraction: 1, retryBudget: 0,
+      status, reason, outcome: 'not-run', explainId, message: remedy, retryAfterMs: reason === 'no-configuration' ? CONFIGURATION_WAIT_MS : 0, fraction: 1, retryBudget: 0,
     }, headers);
   };
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -34,6 +34,8 @@
 export type EntryOptions = {
   fleetKey: string;
   policy: () => Policy;
+  /** Whether a configuration is in effect; until then nothing can be said of any service. */
+  isConfigured: () => boolean;
   sender: Sender;
   replayBytesPerCall: number;
   replayBudget: ReplayBudget;
@@ -150,6 +152,10 @@
   };
 
   const check = (request: IncomingMessage, target: Target): Checked | EarlyRejection => {
+    if (!options.isConfigured()) {
+      return refused('no-configuration');
+    }
+
     const policy = options.policy();
     if (!policy.treatments.has(target.service)) {
       return refused('unknown-service');
--- a/src/daemon/fleet-part.ts
+++ b/src/daemon/fleet-part.ts
@@ -23,7 +23,7 @@
   setDraining: () => void;
   /** Whether a configuration is in effect. */
   ready: () => boolean;
-  status: () => unknown;
+  status: () => Record<string, unknown>;
 };
 
 /** Options of the fleet part. */
--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -153,6 +153,7 @@
   };
   const entryHandler = createEntry({
     ...context,
+    isConfigured: () => fleet.ready(),
     fleetKey: settings.fleetKey,
     ticketRequest: createTicketRequests({
       fleetKey: settings.fleetKey, host: settings.host, incarnation, policy: () => policy, sender, receiver, peers,
@@ -189,7 +190,7 @@
     inFlight: receiver.inFlight(),
     clientConnections: entry.connections(),
     parts: supervisor.states(),
-    fleet: fleet.status(),
+    fleet: {...fleet.status(), sequence: configuration.sequence},
   });
 
   const stopped = async (isDone: () => boolean, deadlineAt: number) => {
--- a/src/daemon/remedies.ts
+++ b/src/daemon/remedies.ts
@@ -5,6 +5,7 @@
 /** Reason of a rejection by a process itself, before any decision about load. */
 export type EntryRejection =
   | 'malformed-request'
+  | 'no-configuration'
   | 'unknown-service'
   | 'unknown-request-kind'
   | 'malformed-ticket'
@@ -21,6 +22,7 @@
 
 const REMEDIES: Readonly<Record<RejectionReason, Remedy>> = {
   'malformed-request': {status: 400, message: 'the request is malformed; correct the named header and send it again'},
+  'no-configuration': {status: 503, message: 'this process has just started and knows no configuration yet; try again after the stated time'},
   'unknown-service': {status: 404, message: 'no service of that name is declared; use the service name as the first path segment'},
   'unknown-request-kind': {status: 404, message: 'no request kind of the service matches the method and path; declare one or correct the path'},
   'malformed-ticket': {status: 400, message: 'the ticket is malformed; repeat it exactly as it was issued'},
