--- /dev/null
+++ b/src/cli/__tests__/story.spec.ts
@@ -0,0 +1,64 @@
+/** Guards against a wrong cause read from the logs: lines out of order, of other requests, or lost because another line was cut. */
+import test from 'ava';
+import {readStory, renderStory} from '../story.js';
+
+const line = (time: string, node: string, event: string, fields: Record<string, unknown> = {}): string =>
+  JSON.stringify({
+    time: `2026-05-01T10:00:${time}Z`, level: 'info', node, event, request: 'r1', ...fields,
+  });
+
+const refused = [
+  line('00.000', 'entry', 'request-sent', {to: 'door', sends: 1}),
+  line('00.010', 'door', 'door-refused', {reason: 'queue-full', queued: 80, limit: 25}),
+  line('00.020', 'entry', 'request-ended', {outcome: 'not-run', reason: 'no-room'}),
+];
+
+const killed = [
+  line('00.000', 'entry', 'request-sent', {to: 'door', sends: 1}),
+  line('00.300', 'entry', 'request-ended', {outcome: 'unknown', reason: 'outcome-unknown'}),
+];
+
+const drained = [
+  line('00.000', 'entry', 'request-sent', {to: 'door', sends: 1}),
+  line('00.001', 'door', 'door-refused', {reason: 'backend-draining'}),
+  line('00.004', 'entry', 'request-ended', {outcome: 'not-run', reason: 'no-backend-server'}),
+];
+
+const cases: Array<{title: string; texts: string[]; events: string[]; cause: RegExp}> = [
+  {
+    title: 'refused for lack of room', texts: [refused.join('\n')], events: ['request-sent', 'door-refused', 'request-ended'], cause: /queue-full queued=80 limit=25/u,
+  },
+  {
+    title: 'ended unknown with its process', texts: [killed.join('\n')], events: ['request-sent', 'request-ended'], cause: /outcome-unknown/u,
+  },
+  {
+    title: 'sent to a leaving backend server', texts: [drained.join('\n')], events: ['request-sent', 'door-refused', 'request-ended'], cause: /backend-draining/u,
+  },
+  {
+    title: 'logs in other order, one file a process', texts: [refused[1]!, `${refused[0]!}\n${refused[2]!}`], events: ['request-sent', 'door-refused', 'request-ended'], cause: /no-room/u,
+  },
+  {
+    title: 'a clock two seconds behind',
+    texts: [`${refused[0]!}\n${refused[2]!}`, refused[1]!.replace('10:00:00.010', '09:59:58.010')],
+    events: ['request-sent', 'door-refused', 'request-ended'],
+    cause: /queue-full/u,
+  },
+  {
+    title: 'lines with a prefix of the collector', texts: [refused.map(text => `  12.5 host-1 ${text}`).join('\n')], events: ['request-sent', 'door-refused', 'request-ended'], cause: /queue-full/u,
+  },
+];
+
+for (const {title, texts, events, cause} of cases) {
+  test(title, t => {
+    const story = readStory('r1', texts);
+    t.deepEqual(story.lines.map(({event}) => event), events);
+    t.regex(renderStory(story), cause);
+  });
+}
+
+test('cut lines and lines of other requests are passed over and counted', t => {
+  const story = readStory('r1', [`${refused[0]!}\n${refused[1]!.slice(0, 30)}\nnot a line\n${refused[2]!.replace('r1', 'r2')}`]);
+  t.is(story.lines.length, 1);
+  t.is(story.unreadable, 2);
+  t.regex(renderStory(story), /2 unreadable lines/u);
+});
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -11,6 +11,7 @@
 import {GetCommand} from './commands/get.js';
 import {StatusCommand} from './commands/status.js';
 import {TokenCommand} from './commands/token.js';
+import {TraceCommand} from './commands/trace.js';
 import {ValidateCommand} from './commands/validate.js';
 import {WatchCommand} from './commands/watch.js';
 import {EXIT_CODES} from './fault.js';
@@ -30,6 +31,7 @@
   GetCommand,
   StatusCommand,
   TokenCommand,
+  TraceCommand,
   ValidateCommand,
   WatchCommand,
   Builtins.HelpCommand,
--- /dev/null
+++ b/src/cli/commands/trace.ts
@@ -0,0 +1,42 @@
+/** `jujubewell trace`. */
+import {readFile} from 'node:fs/promises';
+import {text} from 'node:stream/consumers';
+import {Command, Option} from 'clipanion';
+import {fail, ok, type Result} from '../../shared/result.js';
+import {OutputCommand} from '../command.js';
+import {commandFault, type CommandFault} from '../fault.js';
+import type {Output} from '../output.js';
+import {readStory, renderStory} from '../story.js';
+
+/** Prints what the logs of several processes say of one request. */
+export class TraceCommand extends OutputCommand {
+  static override paths = [['trace']];
+
+  static override usage = Command.Usage({
+    category: 'Processes',
+    description: 'Follow a request through the logs.',
+    details: 'Reads log files of any number of processes, or standard input, and prints the lines about the request in their order. The clocks of the hosts may differ by seconds.',
+    examples: [['Follow a request', '$0 trace 9c41d07be2a35f68 *.log']],
+  });
+
+  requestId = Option.String({name: 'request-id'});
+  files = Option.Rest({name: 'file'});
+
+  protected async run(): Promise<Result<Output, CommandFault>> {
+    const texts: string[] = [];
+    try {
+      texts.push(...await Promise.all(this.files.map(async file => readFile(file, 'utf8'))));
+    } catch (error) {
+      return fail(commandFault('invalid', `a log file cannot be read (${(error as Error).message}); name readable files`));
+    }
+
+    if (this.files.length === 0) {
+      texts.push(await text(this.context.stdin));
+    }
+
+    const story = readStory(this.requestId, texts);
+    return story.lines.length === 0
+      ? fail(commandFault('failed', `no line names the request ${this.requestId}; check the id, add the logs of more hosts, or look for log-lines-dropped`))
+      : ok({data: story, text: renderStory(story)});
+  }
+}
--- a/src/mesh/call-path.ts
+++ b/src/mesh/call-path.ts
@@ -41,6 +41,8 @@
   body: Buffer;
   /** Whether the client seems to have sent it before. */
   isReturn: boolean;
+  /** Version of the configuration that chose the route. */
+  configurationVersion: number;
   /** Time at which the request arrived, in milliseconds of the clock. */
   arrivedAt: number;
   /** Time at which it gets its final answer at the latest. */
@@ -98,9 +100,28 @@
     clearTimeout(timer);
     current?.cancel();
     noteAdmission(outcome);
+    logEnd(outcome);
     onOutcome(outcome);
   };
 
+  const logEnd = (outcome: Outcome): void => {
+    const failed = outcome.kind !== 'answered' || outcome.status >= SERVER_ERROR;
+    log.write(failed ? 'info' : 'debug', 'request-ended', {
+      request: request.requestId,
+      route: route.name,
+      service: request.service,
+      priority: route.priority,
+      version: request.configurationVersion,
+      outcome: outcome.kind,
+      ...(outcome.kind === 'answered' ? {status: outcome.status, roomMissingBelow: outcome.roomMissingBelow} : {reason: outcome.reason}),
+      tried: [...avoided],
+      sends,
+      refusals,
+      admittedShare: options.admission.share(route.name),
+      ms: Math.round(now() - request.arrivedAt),
+    });
+  };
+
   const noteAdmission = (outcome: Outcome): void => {
     if (outcome.kind === 'answered') {
       options.admission.note(route.name, {overload: outcome.status >= SERVER_ERROR && outcome.roomMissingBelow, startedAt: request.arrivedAt});
--- a/src/mesh/entry.ts
+++ b/src/mesh/entry.ts
@@ -244,6 +244,7 @@
       rawHeaders: dialect.forwardedHeaders(request.rawHeaders, options.callerService),
       body,
       isReturn: isReturn(route.name, stated),
+      configurationVersion: table!.version,
       arrivedAt,
       deadlineAt,
     }, outcome => {
@@ -254,9 +255,6 @@
         options.onCallFailed(isRoomMissing(outcome));
       }
 
-      log.write(failed ? 'info' : 'debug', 'request-ended', {
-        request: requestId, route: route.name, priority: route.priority, version: table!.version, outcome: outcome.kind, ...(outcome.kind === 'answered' ? {status: outcome.status} : {reason: outcome.reason}), ms: Math.round(milliseconds),
-      });
       writeOutcome(request, response, requestId!, outcome);
     });
     response.on('close', () => {
