fix(mesh): survive a standstill of the process, and see a backend server that stops answering

A process that stood still took all links for silent, because it looked at the clock before it had read what had arrived. Loads now count the age of running calls and travel with each pong; two failed connects take a backend server out until it announces itself.

--- a/src/mesh/__tests__/admission.spec.ts
+++ b/src/mesh/__tests__/admission.spec.ts
@@ -27,7 +27,7 @@
   let active: Started[] = [];
   let served = 0;
   let started = 0;
-  for (; clock.now() < seconds * 1000; clock.advance(STEP_MS)) {
+  while (clock.now() < seconds * 1000) {
     const now = clock.now();
     for (let index = 0; index < demand; index++) {
       const process = Math.floor(random() * PROCESSES);
@@ -51,6 +51,8 @@
         active = active.filter(other => other !== request);
       }
     }
+
+    clock.advance(STEP_MS);
   }
 
   return {served, started, shares: processes.map(admission => admission.share('r'))};
--- a/src/mesh/__tests__/frame.spec.ts
+++ b/src/mesh/__tests__/frame.spec.ts
@@ -6,7 +6,7 @@
 
 const messages: Message[] = [
   {type: 'cancel', id: 7},
-  {type: 'pong', configurationVersion: 3},
+  {type: 'configuration-wanted'},
   {type: 'members', members: [{node: 'à', address: '127.0.0.1:1', zone: 'z'}]},
 ];
 
--- a/src/mesh/__tests__/peer-link.spec.ts
+++ b/src/mesh/__tests__/peer-link.spec.ts
@@ -70,7 +70,13 @@
 
 const silence = () => undefined;
 
-const pong = (message: Message): Message | undefined => message.type === 'ping' ? {type: 'pong', configurationVersion: 0} : undefined;
+const pong = (message: Message): Message | undefined => message.type === 'ping'
+  ? {
+    type: 'pong', configurationVersion: 0, load: {
+      running: 0, queued: 0, limit: 1, serviceMs: 1,
+    },
+  }
+  : undefined;
 
 const cases: Array<{title: string; answers: (message: Message) => Message | undefined; idempotent: boolean; sent: boolean; result: string}> = [
   {
--- a/src/mesh/door.ts
+++ b/src/mesh/door.ts
@@ -33,6 +33,8 @@
   /** The process stops: no new calls of others. */
   stop: () => void;
   tick: () => void;
+  /** This process stood still: announcements of that time have not been read yet. */
+  resume: () => void;
   state: () => BackendState;
   load: () => BackendLoad;
   inFlight: () => number;
@@ -68,7 +70,7 @@
 /** Part of the remaining time that a call may wait for a slot; the rest is needed to run it. */
 const WAIT_SHARE = 0.5;
 /** Failed connects in a row after which the backend server counts as gone until it announces itself. */
-const CONNECT_FAILURES_MAX = 3;
+const CONNECT_FAILURES_MAX = 2;
 /** Time for which the ids of calls that must not run twice are kept, in milliseconds; longer than any caller waits. */
 const RUN_RECORD_MS = 60_000;
 const RUN_RECORDS_MAX = 50_000;
@@ -90,6 +92,8 @@
   let local: LocalBackend = {kind: 'none'};
   let stopping = false;
   let running = 0;
+  /** Sum of the start times of the running calls. */
+  let startedSum = 0;
   let serviceMs = SERVICE_DEFAULT_MS;
   let connectFailures = 0;
   const queue = createQueue();
@@ -106,8 +110,11 @@
 
   const announced = (): Announcement | undefined => local.kind === 'announced' ? local.announcement : undefined;
   const limit = (): number => (announced() ?? (local.kind === 'left' ? local.previous : undefined))?.slots ?? 0;
+  /** Mean time that the running calls have taken so far: a backend server that has stopped answering shows here, and in no answer. */
+  const meanAgeMs = (): number => running === 0 ? 0 : now() - (startedSum / running);
+
   const load = (): BackendLoad => ({
-    running, queued: queue.length, limit: limit(), serviceMs: Math.round(serviceMs * 10) / 10,
+    running, queued: queue.length, limit: limit(), serviceMs: Math.round(Math.max(serviceMs, meanAgeMs()) * 10) / 10,
   });
 
   const state = (): BackendState => {
@@ -175,6 +182,7 @@
 
   const settle = (active: Active, result: ExchangeResult): void => {
     running--;
+    startedSum -= active.run!.startedAt;
     const {call} = active.offer;
     switch (result.kind) {
       case 'answered': {
@@ -228,9 +236,11 @@
       ran.set(call.requestId, now());
     }
 
+    const startedAt = now();
     running++;
+    startedSum += startedAt;
     const {instance} = target();
-    active.run = {startedAt: now(), exchange: undefined};
+    active.run = {startedAt, exchange: undefined};
     active.run.exchange = pool.run({
       requestId: call.requestId,
       method: call.method,
@@ -416,6 +426,11 @@
       pool.sweep();
       dispatchNext();
     },
+    resume() {
+      if (local.kind === 'announced') {
+        local = {...local, heardAt: now()};
+      }
+    },
     state,
     load,
     inFlight: () => calls.size,
--- a/src/mesh/fleet.ts
+++ b/src/mesh/fleet.ts
@@ -30,6 +30,8 @@
   publish: (state: BackendState) => void;
   configurationChanged: () => void;
   tick: () => void;
+  /** This process stood still. */
+  resume: () => void;
   close: () => void;
   status: () => {links: number; incoming: number};
 };
@@ -161,7 +163,7 @@
     welcome: () => ({
       type: 'welcome', member: self, configurationVersion: version(), state: door.state(),
     }),
-    pong: () => ({type: 'pong', configurationVersion: version()}),
+    pong: () => ({type: 'pong', configurationVersion: version(), load: door.load()}),
     onMessage(link: IncomingLink, message) {
       onMessage(link, message, link.member()?.node ?? 'unknown');
     },
@@ -267,6 +269,13 @@
         link.tick();
       }
     },
+    resume() {
+      for (const link of links.values()) {
+        link.resume();
+      }
+
+      server.resume();
+    },
     close() {
       for (const link of links.values()) {
         link.close();
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -80,7 +80,7 @@
   | {type: 'cancel'; id: number}
   | {type: 'result'; id: number; result: DoorResult; load: BackendLoad | undefined}
   | {type: 'ping'; sentAt: number; configurationVersion: number; memberCount: number}
-  | {type: 'pong'; configurationVersion: number}
+  | {type: 'pong'; configurationVersion: number; load: BackendLoad}
   | {type: 'configuration-wanted'}
   | {type: 'configuration'; configuration: RoutingConfiguration}
   | {type: 'members'; members: Member[]};
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -50,6 +50,8 @@
 /** Part of the time to stop that is left for closing, in milliseconds. */
 const STOP_MARGIN_MS = 400;
 const STOP_POLL_MS = 50;
+/** Time without a tick after which the process counts as having stood still, in milliseconds: several ticks, and less than the silence that ends a link. */
+const STANDSTILL_MS = 300;
 
 const sleep = async (milliseconds: number): Promise<void> => new Promise(resolve => {
   setTimeout(resolve, milliseconds);
@@ -122,13 +124,19 @@
   });
   const followers: Array<{stop: () => void}> = [];
   let ticker: NodeJS.Timeout | undefined;
+  let tickedAt = now();
 
   const tick = (): void => {
     const suspendedMs = clock.observe();
-    if (suspendedMs > 0) {
-      log.write('warn', 'suspended', {ms: Math.round(suspendedMs)});
+    const stillMs = now() - tickedAt;
+    if (stillMs > STANDSTILL_MS) {
+      log.write('warn', 'suspended', {ms: Math.round(stillMs), hostMs: Math.round(suspendedMs)});
+      fleet.resume();
+      door.resume();
     }
 
+    tickedAt = now();
+
     fleet.tick();
     door.tick();
   };
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -4,7 +4,7 @@
 import type {DecisionLog} from './decision-log.js';
 import {createFrameReader, encodeFrame, type Frame} from './frame.js';
 import type {
-  BackendState, CallHead, DoorResult, Member, Message,
+  BackendLoad, BackendState, CallHead, DoorResult, Member, Message,
 } from './message.js';
 
 /** Result of a call that was sent over a link. */
@@ -29,6 +29,8 @@
   call: (call: CallHead, body: Buffer, onResult: (result: LinkResult) => void) => {cancel: () => void};
   send: (message: Message) => void;
   tick: () => void;
+  /** This process stood still: what the other end has sent meanwhile has not been read yet. */
+  resume: () => void;
   close: () => void;
   /** Time since which the other end could not be reached, in milliseconds of the clock. */
   unreachableSince: () => number | undefined;
@@ -140,6 +142,13 @@
     failPending();
   };
 
+  const noteLoad = (load: BackendLoad): void => {
+    if (state.kind !== 'absent') {
+      state.load = load;
+      sent = 0;
+    }
+  };
+
   const onFrame = ({message, body}: Frame): void => {
     switch (message.type) {
       case 'welcome': {
@@ -160,9 +169,8 @@
       }
 
       case 'result': {
-        if (message.load !== undefined && state.kind !== 'absent') {
-          state.load = message.load;
-          sent = 0;
+        if (message.load !== undefined) {
+          noteLoad(message.load);
         }
 
         const waiting = pending.get(message.id);
@@ -171,14 +179,19 @@
         return;
       }
 
+      case 'pong': {
+        noteLoad(message.load);
+        options.onMessage(link, message);
+        return;
+      }
+
       case 'call':
       case 'cancel':
       case 'configuration':
       case 'configuration-wanted':
       case 'hello':
       case 'members':
-      case 'ping':
-      case 'pong': {
+      case 'ping': {
         options.onMessage(link, message);
       }
     }
@@ -297,6 +310,9 @@
         send(options.ping());
       }
     },
+    resume() {
+      heardAt = now();
+    },
     close() {
       closed = true;
       drop('closed-here');
--- a/src/mesh/peer-server.ts
+++ b/src/mesh/peer-server.ts
@@ -10,6 +10,8 @@
   start: () => Promise<void>;
   /** Tells all callers of a new state of the backend server. */
   publish: (state: BackendState) => void;
+  /** This process stood still: what the callers have sent meanwhile has not been read yet. */
+  resume: () => void;
   close: () => void;
   links: () => number;
 };
@@ -48,7 +50,7 @@
   };
 };
 
-type Accepted = IncomingLink & {socket: Socket; tick: () => void};
+type Accepted = IncomingLink & {socket: Socket; tick: () => void; resume: () => void};
 
 /** Creates the server. */
 export const createPeerServer = (options: PeerServerOptions): PeerServer => {
@@ -78,6 +80,9 @@
           socket.destroy();
         }
       },
+      resume() {
+        heardAt = now();
+      },
     };
 
     const takeCall = ({message, body}: {message: Extract<Message, {type: 'call'}>; body: Frame['body']}): void => {
@@ -203,6 +208,11 @@
         link.send({type: 'state', state});
       }
     },
+    resume() {
+      for (const link of links) {
+        link.resume();
+      }
+    },
     close() {
       clearInterval(timer);
       server.close();
