fix(mesh): refuse for lack of room below only what clients start

A route counts as one of clients when it arrives twice where the backend server runs nothing; the processes tell each other.

--- a/src/mesh/__tests__/peer-link.spec.ts
+++ b/src/mesh/__tests__/peer-link.spec.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
+import {createManualClock} from '../../shared/clock.js';
 import {createDecisionLog} from '../decision-log.js';
 import {createFrameReader, encodeFrame, type Frame} from '../frame.js';
 import type {CallHead, Message} from '../message.js';
@@ -18,6 +19,7 @@
 });
 
 const start = async (t: ExecutionContext, answers: (message: Message) => Message | undefined) => {
+  const clock = createManualClock();
   const received: Message[] = [];
   const server = createServer((socket: Socket) => {
     const reader = createFrameReader(({message}: Frame) => {
@@ -41,7 +43,7 @@
   });
   const link: PeerLink = createPeerLink({
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-    now: () => performance.now(),
+    now: clock.now,
     log,
     hello: () => ({type: 'hello', member: {node: 'n', address: 'n', zone: 'z'}, configurationVersion: 0}),
     ping: () => ({
@@ -51,23 +53,26 @@
       received.length += 0;
     },
   });
-  const ticker = setInterval(link.tick, 10);
   t.teardown(() => {
-    clearInterval(ticker);
     link.close();
     server.close();
   });
-  while (!link.isOpen()) {
-    await sleep(10); // eslint-disable-line no-await-in-loop
-  }
-
-  return {link, received};
+  link.tick();
+  await until(() => link.isOpen());
+  return {link, received, clock};
 };
 
-const sleep = async (milliseconds: number) => new Promise(resolve => {
-  setTimeout(resolve, milliseconds);
+const turn = async () => new Promise(resolve => {
+  setTimeout(resolve, 5);
 });
 
+/** Waits in real time; the link's clock stands still meanwhile. */
+const until = async (condition: () => boolean) => {
+  for (let turns = 0; turns < 2000 && !condition(); turns++) {
+    await turn(); // eslint-disable-line no-await-in-loop
+  }
+};
+
 const silence = () => undefined;
 
 const pong = (message: Message): Message | undefined => message.type === 'ping'
@@ -92,17 +97,20 @@
 
 for (const {title, answers, idempotent, sent, result} of cases) {
   test(title, async t => {
-    const {link, received} = await start(t, answers);
-    await sleep(50);
+    const {link, received, clock} = await start(t, answers);
+    clock.advance(50);
     const results: LinkResult[] = [];
-    let ended = false;
     link.call(call(idempotent), Buffer.alloc(0), outcome => {
-      ended = true;
       results.push(outcome);
     });
-    await sleep(result === 'lost' ? 1500 : 400);
+    await until(() => received.some(({type}) => type === (sent ? 'call' : 'ping')));
+    if (result !== 'pending') {
+      clock.advance(result === 'lost' ? 1500 : 200);
+      link.tick();
+    }
+
     t.is(received.some(({type}) => type === 'call'), sent);
-    const [outcome] = results;
-    t.is(ended ? outcome?.result.kind ?? 'lost' : 'pending', result);
+    t.is(results.length, result === 'pending' ? 0 : 1);
+    t.is(results.length === 0 ? 'pending' : results[0]?.result.kind ?? 'lost', result);
   });
 }
--- a/src/mesh/call-path.ts
+++ b/src/mesh/call-path.ts
@@ -61,6 +61,8 @@
   zone: string;
   budget: RetryBudget;
   admission: Admission;
+  /** Whether clients use the route; calls of requests under way are not refused because of the services below. */
+  isClientRoute: (route: string) => boolean;
 };
 
 /** Backend servers that are asked for room before a request is refused. */
@@ -281,7 +283,7 @@
     }
   };
 
-  if (options.admission.admit(route.name, request.isReturn, random)) {
+  if (!options.isClientRoute(route.name) || options.admission.admit(route.name, request.isReturn, random)) {
     attempt();
   } else {
     retryAfterMs = route.targetMs * RETURN_SHARE;
--- a/src/mesh/door.ts
+++ b/src/mesh/door.ts
@@ -39,6 +39,8 @@
   load: () => BackendLoad;
   inFlight: () => number;
   hasLeft: () => boolean;
+  /** Whether the backend server has run nothing for a while. */
+  isIdle: () => boolean;
   close: () => void;
 };
 
@@ -75,6 +77,8 @@
 const RUN_RECORD_MS = 60_000;
 const RUN_RECORDS_MAX = 50_000;
 const RETRY_AFTER_MIN_MS = 50;
+/** Time without a running call after which no call of the backend server is on its way any more, in milliseconds. */
+const IDLE_MIN_MS = 300;
 
 const noBytes = Buffer.alloc(0);
 
@@ -96,6 +100,7 @@
   let startedSum = 0;
   let serviceMs = SERVICE_DEFAULT_MS;
   let connectFailures = 0;
+  let idleSince = now();
   const queue = createQueue();
   const calls = new Map<string, Active>();
   const ran = new Map<string, number>();
@@ -182,6 +187,7 @@
 
   const settle = (active: Active, result: ExchangeResult): void => {
     running--;
+    idleSince = now();
     startedSum -= active.run!.startedAt;
     const {call} = active.offer;
     switch (result.kind) {
@@ -434,6 +440,7 @@
     state,
     load,
     inFlight: () => calls.size,
+    isIdle: () => running === 0 && now() - idleSince > IDLE_MIN_MS,
     hasLeft: () => local.kind === 'left',
     close: pool.close,
   };
--- a/src/mesh/entry.ts
+++ b/src/mesh/entry.ts
@@ -29,6 +29,8 @@
   log: DecisionLog;
   /** Bytes of bodies that the process holds at most. */
   heldBytesMax: number;
+  /** A request for a route arrived. */
+  onArrived: (route: string) => void;
   /** Observes the time of a finished request, in milliseconds. */
   onFinished: (route: Route, outcome: Outcome['kind'], milliseconds: number) => void;
   /** A call from this host has failed; it may be one of its backend server, whose calls cannot be told from those of clients. */
@@ -214,6 +216,7 @@
     }
 
     const route = judged;
+    options.onArrived(route.name);
     const stated = deadlineMs ?? DEADLINE_DEFAULT_MS;
     const deadlineAt = arrivedAt + Math.max(0, Math.min(stated - DEADLINE_MARGIN_MS, route.timeoutMs));
     const body = hasBody(request) ? await readBody(request, state, table!.configuration.limits.bodyBytes) : Buffer.alloc(0);
--- a/src/mesh/fleet.ts
+++ b/src/mesh/fleet.ts
@@ -1,5 +1,6 @@
 /** The other processes: links to them, what they can take, and what is passed on between them. */
 import type {Buffer} from 'node:buffer';
+import type {ClientRoutes} from './client-routes.js';
 import type {DecisionLog} from './decision-log.js';
 import type {Door} from './door.js';
 import type {
@@ -29,6 +30,8 @@
   members: () => Member[];
   publish: (state: BackendState) => void;
   configurationChanged: () => void;
+  /** Tells the others of a route that clients use. */
+  publishClientRoutes: (routes: string[]) => void;
   tick: () => void;
   /** This process stood still. */
   resume: () => void;
@@ -44,6 +47,7 @@
   door: Door;
   configuration: () => RoutingConfiguration | undefined;
   onConfiguration: (configuration: RoutingConfiguration, from: string) => void;
+  clientRoutes: Pick<ClientRoutes, 'merge' | 'list'>;
 };
 
 /** Weight of the newest attempt in the share of failures. */
@@ -130,10 +134,16 @@
         return;
       }
 
+      case 'client-routes': {
+        options.clientRoutes.merge(message.routes);
+        return;
+      }
+
       case 'hello': {
         addMember(message.member, 'hello');
         compareVersion(speaker, message.configurationVersion);
         speaker.send(listMembers());
+        speaker.send({type: 'client-routes', routes: options.clientRoutes.list()});
         return;
       }
 
@@ -257,6 +267,11 @@
     },
     members: () => [...members.values()],
     publish: server.publish,
+    publishClientRoutes(routes) {
+      for (const link of links.values()) {
+        link.send({type: 'client-routes', routes});
+      }
+    },
     configurationChanged() {
       for (const link of links.values()) {
         if (link.isOpen()) {
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -83,4 +83,5 @@
   | {type: 'pong'; configurationVersion: number; load: BackendLoad}
   | {type: 'configuration-wanted'}
   | {type: 'configuration'; configuration: RoutingConfiguration}
-  | {type: 'members'; members: Member[]};
+  | {type: 'members'; members: Member[]}
+  | {type: 'client-routes'; routes: string[]};
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -2,6 +2,7 @@
 import type {Random} from '../shared/random.js';
 import {createAdmission} from './admission.js';
 import {createCallMetrics, type CallMetrics} from './call-metrics.js';
+import {createClientRoutes} from './client-routes.js';
 import {createSuspendAwareClock} from './clock.js';
 import type {DecisionLog} from './decision-log.js';
 import {createDoor, type Door, type FailuresBelow} from './door.js';
@@ -69,6 +70,11 @@
   let membersKnown = false;
   const below: FailuresBelow = {failedAt: Number.NEGATIVE_INFINITY, roomMissingAt: Number.NEGATIVE_INFINITY};
 
+  const clientRoutes = createClientRoutes(route => {
+    log.write('info', 'client-route-learnt', {route});
+    fleet.publishClientRoutes([route]);
+  });
+
   const door = createDoor({
     dialect: options.dialect,
     now,
@@ -92,7 +98,7 @@
   };
 
   const fleet = createFleet({
-    self, now, log, door, configuration: () => table?.configuration, onConfiguration: takeConfiguration,
+    self, now, log, door, configuration: () => table?.configuration, onConfiguration: takeConfiguration, clientRoutes,
   });
 
   const budget = createRetryBudget({
@@ -111,6 +117,10 @@
     fleet,
     budget,
     admission: createAdmission(now),
+    isClientRoute: clientRoutes.has,
+    onArrived(route) {
+      clientRoutes.observe(route, door.isIdle());
+    },
     heldBytesMax: settings.heldBytesMax,
     onFinished: metrics.record,
     onCallFailed(roomMissing) {
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -187,6 +187,7 @@
 
       case 'call':
       case 'cancel':
+      case 'client-routes':
       case 'configuration':
       case 'configuration-wanted':
       case 'hello':
--- a/src/mesh/peer-server.ts
+++ b/src/mesh/peer-server.ts
@@ -148,6 +148,7 @@
           return;
         }
 
+        case 'client-routes':
         case 'configuration':
         case 'configuration-wanted':
         case 'members':
