--- a/src/daemon/__tests__/deployment.ts
+++ b/src/daemon/__tests__/deployment.ts
@@ -66,15 +66,24 @@
   };
 
   await announce();
-  const timer = setInterval(announce, 1000);
-  return async () => {
-    clearInterval(timer);
-    server.closeAllConnections();
-    return new Promise<void>(resolve => {
-      server.close(() => {
-        resolve();
+  let announcing: Promise<void> = Promise.resolve();
+  const timer = setInterval(() => {
+    announcing = announce();
+  }, 1000);
+  return {
+    /** Ends the announcements and waits for the last one: the process would reset its connection when it stops. */
+    async stopAnnouncing() {
+      clearInterval(timer);
+      await announcing;
+    },
+    async close() {
+      server.closeAllConnections();
+      return new Promise<void>(resolve => {
+        server.close(() => {
+          resolve();
+        });
       });
-    });
+    },
   };
 };
 
@@ -131,9 +140,9 @@
     const settings = parsed.value;
     const node = createNode({settings, log: silentLog, platform: createPlatformClient({address: platformAddress})});
     await node.start();
-    const stopBackend = await startBackend(backend, index, settings.local);
+    const running = await startBackend(backend, index, settings.local);
     return {
-      node, settings, entry: settings.entry, stopBackend,
+      node, settings, entry: settings.entry, backend: running,
     };
   }));
   await eventually(async () => {
@@ -148,8 +157,9 @@
     hosts,
     platform: platformAddress,
     async stop() {
+      await Promise.all(hosts.map(async host => host.backend.stopAnnouncing()));
       await Promise.all(hosts.map(async host => host.node.stop()));
-      await Promise.all(hosts.map(async host => host.stopBackend()));
+      await Promise.all(hosts.map(async host => host.backend.close()));
       await operator.close();
       await platform.stop();
     },
