--- a/src/daemon/__tests__/deployment.ts
+++ b/src/daemon/__tests__/deployment.ts
@@ -14,7 +14,10 @@
 export type Backend = {service: string; slots?: number; handle: (request: IncomingMessage, response: ServerResponse, body: Buffer, localAddress: string) => void};
 
 /** Host of a deployment. */
-export type Host = {node: Node; settings: Settings; entry: string; stopBackend: () => Promise<void>};
+export type Host = {node: Node; settings: Settings; entry: string; backend: RunningBackend};
+
+/** Backend server of a host. */
+export type RunningBackend = {stopAnnouncing: () => Promise<void>; close: () => Promise<void>};
 
 /** Running deployment. */
 export type Deployment = {
@@ -41,7 +44,7 @@
   return ports;
 };
 
-const startBackend = async (backend: Backend, index: number, local: string) => {
+const startBackend = async (backend: Backend, index: number, local: string): Promise<RunningBackend> => {
   const server = createServer(async (incoming, response) => {
     const chunks: Buffer[] = [];
     for await (const chunk of incoming as AsyncIterable<Buffer>) {
