fix(mesh): keep the backend server of a stopping process in use

Ruled out: slow backend servers and cut links. The door now stays open until the longest request could no longer end.

--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -217,12 +217,14 @@
       stopping = true;
       const startedAt = now();
       const deadlineAt = startedAt + settings.bounds.graceMs - STOP_MARGIN_MS;
-      door.stop();
       entry.retire();
       if (door.hasLeft()) {
         await Promise.race([registration.remove(), sleep(STOP_MARGIN_MS)]);
       }
 
+      // The backend server runs on, so its calls go on as long as they can end before this process does.
+      await sleep(Math.max(0, STOP_ACCEPT_MIN_MS - longestRequestMs()));
+      door.stop();
       await sleep(Math.max(0, startedAt + STOP_ACCEPT_MIN_MS - now()));
       await settled(deadlineAt - longestRequestMs());
       entry.refuse();
