feat(mesh): follow the configuration's limits for connections, headers and idle time

Connections of clients were kept for 15 s whatever the configuration said, and a backend server's bound on connections was read and not used. Removes fields that nothing read.

--- a/src/mesh/backend-connection.ts
+++ b/src/mesh/backend-connection.ts
@@ -26,8 +26,6 @@
   send: (exchange: Exchange) => void;
   /** Closes the connection; a call on it ends as lost. */
   destroy: (cause: string) => void;
-  /** Time at which the connection became idle, in milliseconds of the clock. */
-  idleSince: () => number;
   /** Time until which an idle connection may be used. */
   usableUntil: () => number;
 };
@@ -259,7 +257,6 @@
       }
     },
     destroy,
-    idleSince: () => idleAt,
     usableUntil: () => idleAt + keptMs,
   };
   return connection;
--- a/src/mesh/door.ts
+++ b/src/mesh/door.ts
@@ -57,6 +57,8 @@
   /** Interval at which the backend server announces itself, in milliseconds. */
   announcementMs: number;
   below: () => FailuresBelow;
+  /** Connections that a backend server of a service accepts. */
+  connections: (service: string) => number;
   /** Called whenever what callers should know of the backend server has changed. */
   onState: (state: BackendState) => void;
 };
@@ -114,7 +116,11 @@
   });
 
   const announced = (): Announcement | undefined => local.kind === 'announced' ? local.announcement : undefined;
-  const limit = (): number => (announced() ?? (local.kind === 'left' ? local.previous : undefined))?.slots ?? 0;
+  const limit = (): number => {
+    const backend = announced() ?? (local.kind === 'left' ? local.previous : undefined);
+    return backend === undefined ? 0 : Math.min(backend.slots, options.connections(backend.service));
+  };
+
   /** Mean time that the running calls have taken so far: a backend server that has stopped answering shows here, and in no answer. */
   const meanAgeMs = (): number => running === 0 ? 0 : now() - (startedSum / running);
 
@@ -251,7 +257,7 @@
       requestId: call.requestId,
       method: call.method,
       path: call.path,
-      rawHeaders: [...call.rawHeaders, ...dialect.backendHeaders(call, instance, remainingMs)],
+      rawHeaders: [...call.rawHeaders, ...dialect.backendHeaders(instance, remainingMs)],
       body,
       onEnd(result) {
         settle(active, result);
--- a/src/mesh/entry.ts
+++ b/src/mesh/entry.ts
@@ -6,7 +6,7 @@
 import type {DecisionLog} from './decision-log.js';
 import type {HttpDialect} from './protocol.js';
 import type {RouteTable} from './route-table.js';
-import type {Route} from './routing-configuration.js';
+import type {ClientLimits, Route} from './routing-configuration.js';
 
 /** The entry. */
 export type Entry = {
@@ -15,6 +15,8 @@
   retire: () => void;
   /** New requests are refused. */
   refuse: () => void;
+  /** Takes over the limits of a configuration for connections and headers. */
+  setLimits: (limits: ClientLimits) => void;
   inFlight: () => number;
   close: () => void;
 };
@@ -317,6 +319,10 @@
     refuse() {
       refusing = true;
     },
+    setLimits({headerTimeoutMs, idleTimeoutMs}) {
+      server.headersTimeout = headerTimeoutMs;
+      server.keepAliveTimeout = idleTimeoutMs;
+    },
     inFlight: () => inFlight,
     close() {
       server.close();
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -82,6 +82,7 @@
     drainMs: settings.bounds.drainMs,
     announcementMs: settings.announcementMs,
     below: () => below,
+    connections: service => table?.configuration.services.find(limits => limits.service === service)?.connections ?? Number.POSITIVE_INFINITY,
     onState(state: BackendState) {
       fleet.publish(state);
     },
@@ -94,6 +95,7 @@
 
     table = createRouteTable(configuration);
     log.write('info', 'configuration-in-force', {version: configuration.version, routes: configuration.routes.length, from});
+    entry.setLimits(configuration.limits);
     fleet.configurationChanged();
   };
 
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -22,8 +22,6 @@
   /** Whether the other end has been heard within the last moments. */
   isLive: () => boolean;
   isOpen: () => boolean;
-  /** Calls that wait for their result. */
-  pending: () => number;
   /** Calls sent since the last report of the load there. */
   sentSinceReport: () => number;
   call: (call: CallHead, body: Buffer, onResult: (result: LinkResult) => void) => {cancel: () => void};
@@ -32,8 +30,6 @@
   /** This process stood still: what the other end has sent meanwhile has not been read yet. */
   resume: () => void;
   close: () => void;
-  /** Time since which the other end could not be reached, in milliseconds of the clock. */
-  unreachableSince: () => number | undefined;
 };
 
 /** Options of a link. */
@@ -88,7 +84,6 @@
   let sent = 0;
   let member: Member | undefined;
   let state: BackendState = {kind: 'absent'};
-  let failingSince: number | undefined = now();
 
   const refuseUnconfirmed = (calls: readonly Unconfirmed[]): void => {
     for (const {onResult} of calls) {
@@ -132,7 +127,6 @@
         peer: member?.node ?? address, cause, pending: pending.size, silentMs: Math.round(now() - heardAt),
       });
       log.count('link_losses', cause);
-      failingSince = now();
     }
 
     open = false;
@@ -155,7 +149,6 @@
         member = message.member;
         state = message.state;
         open = true;
-        failingSince = undefined;
         redialMs = REDIAL_MIN_MS;
         log.write('info', 'link-open', {peer: member.node, backend: state.kind});
         options.onMessage(link, message);
@@ -243,7 +236,6 @@
     state: () => state,
     isLive: () => open && now() - heardAt < LIVE_MS,
     isOpen: () => open,
-    pending: () => pending.size,
     sentSinceReport: () => sent,
     call(call, body, onResult) {
       const id = nextId;
@@ -318,7 +310,6 @@
       closed = true;
       drop('closed-here');
     },
-    unreachableSince: () => failingSince,
   };
   return link;
 };
--- a/src/mesh/protocol.ts
+++ b/src/mesh/protocol.ts
@@ -1,6 +1,5 @@
 /** What the call path needs to know of the HTTP dialect that callers and backend servers speak; the adapter provides it. */
 import type {IncomingHttpHeaders} from 'node:http';
-import type {CallHead} from './message.js';
 
 /** What a caller states in its headers. */
 export type CallerStatement = {requestId: string | undefined; deadlineMs: number | undefined};
@@ -24,7 +23,7 @@
   /** Headers that travel to the backend server, those that the system sets itself excluded. */
   forwardedHeaders: (rawHeaders: readonly string[], callerService: string) => string[];
   /** Headers that are added for the backend server: the instance that is meant and the time that is left. */
-  backendHeaders: (call: CallHead, instance: string, remainingMs: number) => string[];
+  backendHeaders: (instance: string, remainingMs: number) => string[];
   readBackend: (status: number, rawHeaders: readonly string[]) => BackendStatement;
   /** Headers of an answer that travel to the caller. */
   answerHeaders: (rawHeaders: readonly string[]) => string[];
--- a/src/mesh/registration.ts
+++ b/src/mesh/registration.ts
@@ -7,6 +7,9 @@
 /** Kind of the entries of processes. */
 export const MEMBER_KIND = 'jujubewell-members';
 
+/** Pause before a failed write is tried again, in milliseconds: the entry has to be back about two seconds after the store is. */
+const RETRY_MS = 500;
+
 /** Entry of this process. */
 export type Registration = {
   /** Compares what the store lists with what it should, and writes the difference. */
@@ -80,6 +83,3 @@
     },
   };
 };
-
-/** Pause before a failed write is tried again, in milliseconds. */
-const RETRY_MS = 500;
