refactor(mesh): use the product's own name for a route's prefix

The platform's field name stood outside the adapter. No change of behaviour; types, lint, the bundle and the 76 tests of the path and the table pass.

--- a/src/mesh/__tests__/route-table.spec.ts
+++ b/src/mesh/__tests__/route-table.spec.ts
@@ -3,8 +3,8 @@
 import {createRouteTable} from '../route-table.js';
 import type {Route, RoutingConfiguration} from '../routing-configuration.js';
 
-const route = (name: string, pathPrefix: string, targets: Route['targets'], host = 'a.example'): Route => ({
-  name, host, pathPrefix, idempotent: true, timeoutMs: 1000, targetMs: 100, priority: 0, attemptsMax: 2, targets,
+const route = (name: string, prefix: string, targets: Route['targets'], host = 'a.example'): Route => ({
+  name, host, prefix, idempotent: true, timeoutMs: 1000, targetMs: 100, priority: 0, attemptsMax: 2, targets,
 });
 
 const configurationOf = (routes: Route[]): RoutingConfiguration => ({
--- a/src/mesh/route-table.ts
+++ b/src/mesh/route-table.ts
@@ -47,7 +47,7 @@
   }
 
   for (const routes of byHost.values()) {
-    routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    routes.sort((a, b) => b.prefix.length - a.prefix.length);
   }
 
   const credits = new Map<string, Credit[]>();
@@ -56,7 +56,7 @@
     configuration,
     findRoute(host, url) {
       const path = pathOf(url);
-      return byHost.get(normalizeHost(host))?.find(route => path.startsWith(route.pathPrefix));
+      return byHost.get(normalizeHost(host))?.find(route => path.startsWith(route.prefix));
     },
     pick(route) {
       if (route.targets.length === 1) {
--- a/src/mesh/routing-configuration.ts
+++ b/src/mesh/routing-configuration.ts
@@ -8,7 +8,7 @@
   name: string;
   host: string;
   /** Begins and ends with a slash. */
-  pathPrefix: string;
+  prefix: string;
   /** Whether a request may run more than once. */
   idempotent: boolean;
   /** Longest time until the final answer, in milliseconds. */
