perf(mesh): ping links that are not in use once a second only

Change: the liveness of a link is a module of its own. A link in use is asked after 250 ms without a sign of life, another one each second, and silence is counted from the first unanswered ping, so a link in use is given up as soon as before. A call over a link that has not been heard for long sends a ping with it.

--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -3,6 +3,7 @@
 import {Buffer} from 'node:buffer';
 import type {DecisionLog} from './decision-log.js';
 import {createFrameReader, encodeFrame, type Frame} from './frame.js';
+import {createLinkLiveness} from './link-liveness.js';
 import type {
   BackendLoad, BackendState, CallHead, DoorResult, Member, Message,
 } from './message.js';
@@ -43,12 +44,6 @@
   onMessage: (link: PeerLink, message: Message) => void;
 };
 
-/** Interval of pings, in milliseconds: several fit into the time in which silence has to be noticed. */
-const PING_MS = 250;
-/** Time without any byte from the other end after which the connection is given up, in milliseconds; calls have deadlines of about a second. */
-const SILENT_MS = 1000;
-/** Time without any byte after which calls that must not run twice go elsewhere if they can, in milliseconds: two pings. */
-const LIVE_MS = 600;
 const CONNECT_TIMEOUT_MS = 700;
 const NO_BODY = Buffer.alloc(0);
 const REDIAL_MIN_MS = 100;
@@ -75,8 +70,7 @@
   let socket: Socket | undefined;
   let open = false;
   let closed = false;
-  let heardAt = now();
-  let pingedAt = 0;
+  const liveness = createLinkLiveness(now);
   let dialAt = now();
   let dialedAt = 0;
   let redialMs = REDIAL_MIN_MS;
@@ -124,7 +118,7 @@
     old.destroy();
     if (open) {
       log.write('warn', 'link-lost', {
-        peer: member?.node ?? address, cause, pending: pending.size, silentMs: Math.round(now() - heardAt),
+        peer: member?.node ?? address, cause, pending: pending.size, silentMs: Math.round(liveness.silentMs()),
       });
       log.count('link_losses', cause);
     }
@@ -197,7 +191,7 @@
     socket = dialed;
     const reader = createFrameReader(onFrame);
     dialed.on('connect', () => {
-      heardAt = now();
+      liveness.reset();
       dialed.write(encodeFrame(options.hello()));
     });
     dialed.on('data', chunk => {
@@ -205,7 +199,7 @@
         return;
       }
 
-      heardAt = now();
+      liveness.heard();
       sendConfirmed();
       try {
         reader.push(chunk);
@@ -230,17 +224,23 @@
     socket?.write(encodeFrame(message, body));
   };
 
+  const sendPing = (): void => {
+    liveness.pinged();
+    send(options.ping());
+  };
+
   const link: PeerLink = {
     address,
     member: () => member,
     state: () => state,
-    isLive: () => open && now() - heardAt < LIVE_MS,
+    isLive: () => open && liveness.isLive(),
     isOpen: () => open,
     sentSinceReport: () => sent,
     call(call, body, onResult) {
       const id = nextId;
       nextId++;
       sent++;
+      liveness.used();
       const askedAt = now();
       const sendNow = (): void => {
         pending.set(id, {onResult});
@@ -249,13 +249,17 @@
         }, body);
       };
 
-      if (call.idempotent || now() - heardAt <= CONFIRM_AGE_MS) {
+      const isConfirmed = call.idempotent || liveness.silentMs() <= CONFIRM_AGE_MS;
+      if (!isConfirmed || liveness.pingDue()) {
+        sendPing();
+      }
+
+      if (isConfirmed) {
         sendNow();
       } else {
         unconfirmed.push({
           id, waitUntil: now() + CONFIRM_WAIT_MS, send: sendNow, onResult,
         });
-        send(options.ping());
       }
 
       return {
@@ -296,16 +300,13 @@
         refuseUnconfirmed(late);
       }
 
-      if (at - heardAt > SILENT_MS) {
+      if (liveness.isSilent()) {
         drop('silent');
-      } else if (at - pingedAt >= PING_MS) {
-        pingedAt = at;
-        send(options.ping());
+      } else if (liveness.pingDue()) {
+        sendPing();
       }
     },
-    resume() {
-      heardAt = now();
-    },
+    resume: liveness.reset,
     close() {
       closed = true;
       drop('closed-here');
--- a/src/mesh/peer-server.ts
+++ b/src/mesh/peer-server.ts
@@ -31,10 +31,10 @@
   onMessage: (link: IncomingLink, message: Message) => void;
 };
 
-/** Pings whose transit times are kept; together they cover about two seconds. */
+/** Pings whose transit times are kept; together they cover several seconds. */
 const TRANSIT_SAMPLES = 8;
-/** Time without any byte after which a link is given up, in milliseconds; its callers ping every quarter of a second. */
-const SILENT_MS = 2500;
+/** Time without any byte after which a link is given up, in milliseconds; its caller pings every second at least, and gives up sooner itself. */
+const SILENT_MS = 3500;
 
 /** Estimates by how much a message is later than the fastest recent ones; the two clocks have no common start. */
 export const createTransitEstimate = (): {observe: (sentAt: number, receivedAt: number) => void; lateness: (sentAt: number, receivedAt: number) => number} => {
