feat(mesh): admit clients' requests by the queues of the services below their route

Cause: admission followed failures of requests. After all processes had been killed, admission did nothing at all: routes of clients were learnt only at a backend server that ran nothing for 300 ms, which never happens in an overload.

Change: each process reads the queues of all doors of a service and lowers or raises the refused share by them; less urgent routes first. Which services a route depends on is learnt from requests that failed because one of them lacked room, whose names now travel upwards with the answers, and is told to the others. Routes of clients are those that arrive at hosts of each service. A door tells its load four times a second while calls wait.

--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -1,71 +1,109 @@
 /**
-Limits how many calls of a route start at this process while the services below it lack room.
+Limits how many requests of clients start at this process while a service below their route lacks room.
 
 A request that fails far down its chain has used up the room of all services above; refused at its start it costs nothing and can come back.
+Each process judges by the queues that all doors of the service report, so all of them come to about the same share without talking about it.
 */
 import type {Random} from '../shared/random.js';
+import type {Dependencies} from './dependencies.js';
 
-/** How an admitted request ended. `overload` tells that it failed because a service below lacked room. Times are in milliseconds of the clock. */
-export type AdmittedEnd = {overload: boolean; startedAt: number};
+/** Room at all backend servers of a service that this process can reach. */
+export type ServiceRoom = {
+  /** Backend servers that take calls; without one there is no room. */
+  backends: number;
+  running: number;
+  queued: number;
+  /** Calls that all of them get at most at the same time. */
+  limit: number;
+};
 
-/** Admission of the calls that start here, by clients or by the backend server. */
+/** Admission of the requests that clients start here. */
 export type Admission = {
   /** Whether a request may start. One that comes back after a refusal is preferred to a new one. */
-  admit: (route: string, isReturn: boolean, random: Random) => boolean;
-  note: (route: string, end: AdmittedEnd) => void;
+  admit: (route: AdmittedRoute, isReturn: boolean, random: Random) => boolean;
+  /** Looks at the room of the services that routes depend on; call it often. */
+  observe: () => void;
   /** Admitted share of a route. */
-  share: (route: string) => number;
+  share: (route: AdmittedRoute) => number;
+};
+
+/** What the admission needs to know of a route. */
+export type AdmittedRoute = {name: string; priority: number};
+
+/** Options of the admission. */
+export type AdmissionOptions = {
+  now: () => number;
+  dependencies: Pick<Dependencies, 'servicesOf' | 'prioritiesOn'>;
+  room: (service: string) => ServiceRoom;
 };
 
-/** Weight of the newest request in the failed share; the last seven or so decide. */
-const FAILED_SMOOTHING = 0.15;
-/** Failed share above which fewer requests are admitted. */
-const FAILED_HIGH = 0.1;
-/** Part of the failed share by which the admitted share is lowered: requests that fail early use less room than those that end well. */
-const CORRECTION = 0.7;
-/** Gain of the growth of the admitted share for each second without an overload: slow while failures go on, and whole again some seconds after their end. */
-const GROWTH_GAIN_PER_S = 0.06;
-/** Fastest growth of the admitted share, in parts of the whole per second. */
-const GROWTH_MAX_PER_S = 0.3;
-/** Lowest admitted share: some requests have to find out whether there is room again. */
-const SHARE_MIN = 0.1;
+/** Waiting calls per running one above which fewer requests are admitted: a call then waits for about as long as it runs. */
+const QUEUE_HIGH = 0.8;
+/** Waiting calls per running one below which more requests are admitted. */
+const QUEUE_LOW = 0.4;
+/** Growth of the refused share per second and unit of queue above the bound; a queue of two service times turns away most requests within a second. */
+const GROWTH_PER_S = 0.6;
+const GROWTH_MAX_PER_S = 1;
+/** Fall of the refused share per second while no calls wait. */
+const FALL_PER_S = 0.15;
+/** Idle part of the limit from which the refused share falls faster, in proportion to it. */
+const IDLE_MIN = 0.1;
+const IDLE_FALL_FACTOR = 10;
+/** Part of the refused share that applies to routes one rank more urgent. */
+const RANK_FACTOR = 0.7;
+/** Lowest admitted share: a kind of request must not starve, and some have to find out whether there is room again. */
+const SHARE_MIN = 0.2;
+/** Highest level; the routes three ranks above the least urgent one are then turned away as well. */
+const LEVEL_MAX = 2;
+/** Longest time that one look accounts for, in milliseconds: after a standstill the room of that time is not known. */
+const LOOK_MAX_MS = 500;
 const SECOND_MS = 1000;
 
-type Share = {value: number; failed: number; at: number; decreasedAt: number; overloadAt: number};
+/** Change of the refused share per second. */
+const slopeOf = ({backends, running, queued, limit}: ServiceRoom): number => {
+  if (backends === 0 || limit === 0) {
+    return GROWTH_MAX_PER_S;
+  }
+
+  const queue = queued / limit;
+  if (queue > QUEUE_HIGH) {
+    return Math.min(GROWTH_MAX_PER_S, GROWTH_PER_S * (queue - QUEUE_HIGH));
+  }
+
+  const idle = 1 - (running / limit);
+  const factor = idle > IDLE_MIN ? 1 + (IDLE_FALL_FACTOR * idle) : 1;
+  return queue < QUEUE_LOW ? -FALL_PER_S * factor : 0;
+};
 
 /** Creates an admission that admits everything. */
-export const createAdmission = (now: () => number): Admission => {
-  const shares = new Map<string, Share>();
+export const createAdmission = ({now, dependencies, room}: AdmissionOptions): Admission => {
+  /** Refused share of the least urgent routes that depend on a service. */
+  const levels = new Map<string, number>();
+  let lookedAt = now();
 
-  const grown = (route: string): Share => {
-    const share = shares.get(route) ?? {
-      value: 1, failed: 0, at: now(), decreasedAt: Number.NEGATIVE_INFINITY, overloadAt: Number.NEGATIVE_INFINITY,
-    };
-    shares.set(route, share);
-    const growthPerS = Math.min(GROWTH_MAX_PER_S, GROWTH_GAIN_PER_S * (now() - share.overloadAt) / SECOND_MS);
-    share.value = Math.min(1, share.value + (growthPerS * (now() - share.at) / SECOND_MS));
-    share.at = now();
-    return share;
+  const refusedBy = (service: string, priority: number): number => {
+    const lessUrgent = dependencies.prioritiesOn(service).filter(other => other > priority).length;
+    return (levels.get(service) ?? 0) * (RANK_FACTOR ** lessUrgent);
   };
 
-  return {
-    admit(route, isReturn, random) {
-      const {value} = grown(route);
-      return random() < (isReturn ? Math.sqrt(value) : value);
-    },
-    note(route, {overload, startedAt}) {
-      const share = grown(route);
-      share.overloadAt = overload ? now() : share.overloadAt;
-      if (startedAt < share.decreasedAt) {
-        return;
-      }
+  const share = ({name, priority}: AdmittedRoute): number => {
+    const refused = Math.max(0, ...dependencies.servicesOf(name).map(service => refusedBy(service, priority)));
+    return Math.max(SHARE_MIN, 1 - refused);
+  };
 
-      share.failed += FAILED_SMOOTHING * ((overload ? 1 : 0) - share.failed);
-      if (overload && share.failed > FAILED_HIGH) {
-        share.value = Math.max(SHARE_MIN, share.value * (1 - (share.failed * CORRECTION)));
-        share.decreasedAt = now();
+  return {
+    observe() {
+      const seconds = Math.min(LOOK_MAX_MS, now() - lookedAt) / SECOND_MS;
+      lookedAt = now();
+      for (const service of dependencies.servicesOf()) {
+        const level = (levels.get(service) ?? 0) + (slopeOf(room(service)) * seconds);
+        levels.set(service, Math.max(0, Math.min(LEVEL_MAX, level)));
       }
     },
-    share: route => grown(route).value,
+    admit(route, isReturn, random) {
+      const admitted = share(route);
+      return random() < (isReturn ? Math.sqrt(admitted) : admitted);
+    },
+    share,
   };
 };
--- a/src/mesh/call-path.ts
+++ b/src/mesh/call-path.ts
@@ -3,6 +3,7 @@
 import type {Random} from '../shared/random.js';
 import type {Admission} from './admission.js';
 import type {DecisionLog} from './decision-log.js';
+import type {Dependencies} from './dependencies.js';
 import type {Destination, Fleet} from './fleet.js';
 import type {CallHead, DoorResult} from './message.js';
 import type {RetryBudget} from './retry-budget.js';
@@ -24,7 +25,7 @@
 
 /** Final outcome of a request. */
 export type Outcome =
-  | {kind: 'answered'; status: number; rawHeaders: string[]; body: Buffer; framed: boolean; roomMissingBelow: boolean}
+  | {kind: 'answered'; status: number; rawHeaders: string[]; body: Buffer; framed: boolean; lackingBelow: string[]}
   /** The request has not run and will not. */
   | {kind: 'not-run'; reason: FailureReason; retryAfterMs: number}
   /** The request may have run. */
@@ -60,7 +61,8 @@
   fleet: Pick<Fleet, 'candidates'>;
   zone: string;
   budget: RetryBudget;
-  admission: Admission;
+  admission: Pick<Admission, 'admit' | 'share'>;
+  dependencies: Pick<Dependencies, 'note'>;
   /** Whether clients use the route; calls of requests under way are not refused because of the services below. */
   isClientRoute: (route: string) => boolean;
 };
@@ -101,7 +103,7 @@
     ended = true;
     clearTimeout(timer);
     current?.cancel();
-    noteAdmission(outcome);
+    noteDependencies(outcome);
     logEnd(outcome);
     onOutcome(outcome);
   };
@@ -115,18 +117,18 @@
       priority: route.priority,
       version: request.configurationVersion,
       outcome: outcome.kind,
-      ...(outcome.kind === 'answered' ? {status: outcome.status, roomMissingBelow: outcome.roomMissingBelow} : {reason: outcome.reason}),
+      ...(outcome.kind === 'answered' ? {status: outcome.status, lackingBelow: outcome.lackingBelow} : {reason: outcome.reason}),
       tried: [...avoided],
       sends,
       refusals,
-      admittedShare: options.admission.share(route.name),
+      admittedShare: options.admission.share(route),
       ms: Math.round(now() - request.arrivedAt),
     });
   };
 
-  const noteAdmission = (outcome: Outcome): void => {
-    if (outcome.kind === 'answered') {
-      options.admission.note(route.name, {overload: outcome.status >= SERVER_ERROR && outcome.roomMissingBelow, startedAt: request.arrivedAt});
+  const noteDependencies = (outcome: Outcome): void => {
+    if (outcome.kind === 'answered' && options.isClientRoute(route.name)) {
+      options.dependencies.note({route: route.name, priority: route.priority, lacking: outcome.status >= SERVER_ERROR ? outcome.lackingBelow : []});
     }
   };
 
@@ -176,7 +178,7 @@
 
   const onAnswered = (destination: Destination, result: Extract<DoorResult, {kind: 'answered'}>, body: Buffer): void => {
     const outcome: Outcome = {
-      kind: 'answered', status: result.status, rawHeaders: result.rawHeaders, body, framed: result.framed, roomMissingBelow: result.roomMissingBelow,
+      kind: 'answered', status: result.status, rawHeaders: result.rawHeaders, body, framed: result.framed, lackingBelow: result.lackingBelow,
     };
     const failed = result.status >= SERVER_ERROR;
     destination.note(failed && !result.failedBelow);
@@ -283,7 +285,7 @@
     }
   };
 
-  if (!options.isClientRoute(route.name) || options.admission.admit(route.name, request.isReturn, random)) {
+  if (!options.isClientRoute(route.name) || options.admission.admit(route, request.isReturn, random)) {
     attempt();
   } else {
     retryAfterMs = route.targetMs * RETURN_SHARE;
--- a/src/mesh/client-routes.ts
+++ b/src/mesh/client-routes.ts
@@ -1,48 +1,68 @@
 /**
-Learns which routes clients use.
+Tells routes that clients use from routes that only backend servers call.
 
-Requests of clients and calls of the backend server come from the same address. While the backend server of a host runs nothing it makes no calls,
-so what arrives at that host then comes from a client.
+Requests of clients and calls of the backend server come from the same address. Clients of every host use all of their routes, while calls come from the hosts
+of the services that make them; so a route that arrives at hosts of each service is one of clients.
 */
 
-/** Routes that clients use. */
+/** A route that arrived at a host of a service. */
+export type RouteOrigin = {route: string; service: string};
+
+/** Origins of routes. */
 export type ClientRoutes = {
-  /** Takes in that a request arrived; `backendIdle` tells that the backend server of this host has run nothing for a while. */
-  observe: (route: string, backendIdle: boolean) => void;
-  /** Takes in what another process has learnt. */
-  merge: (routes: readonly string[]) => void;
+  /** Takes in that a request arrived at this host. */
+  observe: (route: string) => void;
+  /** Takes in what another process has seen. */
+  merge: (origins: readonly RouteOrigin[]) => void;
+  /** Whether clients use a route. */
   has: (route: string) => boolean;
-  list: () => string[];
+  list: () => RouteOrigin[];
+};
+
+/** Options. */
+export type ClientRoutesOptions = {
+  /** Service of this host. */
+  service: string;
+  /** Services of the backend servers that can be reached, this host's included. */
+  services: () => ReadonlySet<string>;
+  /** Called with each origin that was not known before this process saw it. */
+  onSeen: (origin: RouteOrigin) => void;
 };
 
-/** Requests that have to arrive at an idle backend server's host before a route counts; one may be a call that was already on its way. */
-const OBSERVATIONS_MIN = 2;
-/** Routes that are kept; more are not learnt. */
+/** Routes that are kept; more are not looked at. */
 const ROUTES_MAX = 10_000;
 
-/** Creates an empty set. `onLearnt` is called with each new route that this process has learnt by itself. */
-export const createClientRoutes = (onLearnt: (route: string) => void): ClientRoutes => {
-  const observations = new Map<string, number>();
-  const known = new Set<string>();
-  return {
-    observe(route, backendIdle) {
-      if (!backendIdle || known.has(route) || known.size >= ROUTES_MAX) {
-        return;
-      }
+/** Creates an empty set. */
+export const createClientRoutes = ({service: own, services, onSeen}: ClientRoutesOptions): ClientRoutes => {
+  const origins = new Map<string, Set<string>>();
 
-      const count = (observations.get(route) ?? 0) + 1;
-      observations.set(route, count);
-      if (count >= OBSERVATIONS_MIN) {
-        known.add(route);
-        onLearnt(route);
+  const add = ({route, service}: RouteOrigin): boolean => {
+    const known = origins.get(route) ?? new Set<string>();
+    if (known.has(service) || (known.size === 0 && origins.size >= ROUTES_MAX)) {
+      return false;
+    }
+
+    origins.set(route, known);
+    known.add(service);
+    return true;
+  };
+
+  return {
+    observe(route) {
+      const origin = {route, service: own};
+      if (add(origin)) {
+        onSeen(origin);
       }
     },
-    merge(routes) {
-      for (const route of routes) {
-        known.add(route);
+    merge(seen) {
+      for (const origin of seen) {
+        add(origin);
       }
     },
-    has: route => known.has(route),
-    list: () => [...known],
+    has(route) {
+      const known = origins.get(route);
+      return known !== undefined && [...services()].every(service => known.has(service));
+    },
+    list: () => [...origins].flatMap(([route, known]) => [...known].map(service => ({route, service}))),
   };
 };
--- /dev/null
+++ b/src/mesh/dependencies.ts
@@ -0,0 +1,101 @@
+/** Learns on which services below the requests of a client route depend, from requests that failed because one of them lacked room. */
+
+/** End of a request of a client route. */
+export type RouteEnd = {
+  route: string;
+  priority: number;
+  /** Services below that lacked room while the request failed; empty when it ended well or failed for another reason. */
+  lacking: readonly string[];
+};
+
+/** One dependency of a route. */
+export type Dependency = {route: string; priority: number; service: string};
+
+/** Dependencies of routes. */
+export type Dependencies = {
+  note: (end: RouteEnd) => void;
+  /** Takes in what another process has learnt. */
+  merge: (dependencies: readonly Dependency[]) => void;
+  /** Services that a route depends on; without a route, those of all routes. */
+  servicesOf: (route?: string) => string[];
+  /** Priorities of the routes that depend on a service, each once. */
+  prioritiesOn: (service: string) => number[];
+  list: () => Dependency[];
+};
+
+/** Options. */
+export type DependenciesOptions = {
+  now: () => number;
+  /** Called with each dependency that this process has learnt by itself. */
+  onLearnt: (dependency: Dependency) => void;
+};
+
+/** Failed requests after which a dependency counts; one alone may coincide with a failure of another route on the same host. */
+const FAILURES_MIN = 3;
+/** Part of a route's recent requests that has to fail so: requests that fail by themselves beside others that lack room are fewer. */
+const FAILED_SHARE_MIN = 0.05;
+/** Weight of the newest request in the failed share; the last forty or so decide. */
+const SMOOTHING = 0.025;
+/** Time for which a dependency counts without a further failure, in milliseconds; routes and programs change rarely. */
+const KEPT_MS = 60_000;
+
+type Evidence = {failures: number; share: number};
+type Learnt = Dependency & {confirmedAt: number};
+
+/** Creates an empty set. */
+export const createDependencies = ({now, onLearnt}: DependenciesOptions): Dependencies => {
+  const evidence = new Map<string, Map<string, Evidence>>();
+  const learnt = new Map<string, Map<string, Learnt>>();
+
+  const keep = (dependency: Dependency): boolean => {
+    const services = learnt.get(dependency.route) ?? new Map<string, Learnt>();
+    learnt.set(dependency.route, services);
+    const isNew = !services.has(dependency.service);
+    services.set(dependency.service, {...dependency, confirmedAt: now()});
+    return isNew;
+  };
+
+  const current = (route: string): Learnt[] => {
+    const services = learnt.get(route);
+    if (services === undefined) {
+      return [];
+    }
+
+    for (const [service, {confirmedAt}] of services) {
+      if (now() - confirmedAt > KEPT_MS) {
+        services.delete(service);
+      }
+    }
+
+    return [...services.values()];
+  };
+
+  const all = (): Learnt[] => [...learnt.keys()].flatMap(route => current(route));
+
+  return {
+    note({route, priority, lacking}) {
+      const services = evidence.get(route) ?? new Map<string, Evidence>();
+      evidence.set(route, services);
+      for (const service of lacking) {
+        services.set(service, services.get(service) ?? {failures: 0, share: 0});
+      }
+
+      for (const [service, seen] of services) {
+        const isLacking = lacking.includes(service);
+        seen.failures += isLacking ? 1 : 0;
+        seen.share += SMOOTHING * ((isLacking ? 1 : 0) - seen.share);
+        if (isLacking && seen.failures >= FAILURES_MIN && seen.share >= FAILED_SHARE_MIN && keep({route, priority, service})) {
+          onLearnt({route, priority, service});
+        }
+      }
+    },
+    merge(dependencies) {
+      for (const dependency of dependencies) {
+        keep(dependency);
+      }
+    },
+    servicesOf: route => route === undefined ? [...new Set(all().map(({service}) => service))] : current(route).map(({service}) => service),
+    prioritiesOn: service => [...new Set(all().filter(dependency => dependency.service === service).map(({priority}) => priority))],
+    list: () => all().map(({route, priority, service}) => ({route, priority, service})),
+  };
+};
--- a/src/mesh/door.ts
+++ b/src/mesh/door.ts
@@ -39,13 +39,16 @@
   load: () => BackendLoad;
   inFlight: () => number;
   hasLeft: () => boolean;
-  /** Whether the backend server has run nothing for a while. */
-  isIdle: () => boolean;
   close: () => void;
 };
 
-/** Times at which a call of the backend server of this host failed last, for any reason and for lack of room; in milliseconds of the clock. */
-export type FailuresBelow = {failedAt: number; roomMissingAt: number};
+/** Failed calls of the backend server of this host. */
+export type FailuresBelow = {
+  /** Time of the last one, in milliseconds of the clock. */
+  failedAt: number;
+  /** Times of the last ones that failed because a service lacked room, by that service. */
+  lackingAt: Map<string, number>;
+};
 
 /** Options of the door. */
 export type DoorOptions = {
@@ -79,8 +82,6 @@
 const RUN_RECORD_MS = 60_000;
 const RUN_RECORDS_MAX = 50_000;
 const RETRY_AFTER_MIN_MS = 50;
-/** Time without a running call after which no call of the backend server is on its way any more, in milliseconds. */
-const IDLE_MIN_MS = 300;
 
 const noBytes = Buffer.alloc(0);
 
@@ -92,6 +93,9 @@
   ended: boolean;
 };
 
+const lackingSince = ({lackingAt}: FailuresBelow, startedAt: number): string[] =>
+  [...lackingAt].filter(([, at]) => at >= startedAt).map(([service]) => service);
+
 /** Creates the door. */
 export const createDoor = (options: DoorOptions): Door => {
   const {now, log, dialect} = options;
@@ -102,7 +106,6 @@
   let startedSum = 0;
   let serviceMs = SERVICE_DEFAULT_MS;
   let connectFailures = 0;
-  let idleSince = now();
   const queue = createQueue();
   const calls = new Map<string, Active>();
   const ran = new Map<string, number>();
@@ -193,7 +196,6 @@
 
   const settle = (active: Active, result: ExchangeResult): void => {
     running--;
-    idleSince = now();
     startedSum -= active.run!.startedAt;
     const {call} = active.offer;
     switch (result.kind) {
@@ -209,7 +211,7 @@
         const below = options.below();
         serviceMs += SERVICE_SMOOTHING * ((now() - active.run!.startedAt) - serviceMs);
         end(active, {
-          kind: 'answered', status: result.status, rawHeaders: result.rawHeaders, framed: result.framed, failedBelow: below.failedAt >= active.run!.startedAt, roomMissingBelow: below.roomMissingAt >= active.run!.startedAt,
+          kind: 'answered', status: result.status, rawHeaders: result.rawHeaders, framed: result.framed, failedBelow: below.failedAt >= active.run!.startedAt, lackingBelow: lackingSince(below, active.run!.startedAt),
         }, result.body);
         break;
       }
@@ -446,7 +448,6 @@
     state,
     load,
     inFlight: () => calls.size,
-    isIdle: () => running === 0 && now() - idleSince > IDLE_MIN_MS,
     hasLeft: () => local.kind === 'left',
     close: pool.close,
   };
--- a/src/mesh/entry.ts
+++ b/src/mesh/entry.ts
@@ -36,7 +36,7 @@
   /** Observes the time of a finished request, in milliseconds. */
   onFinished: (route: Route, outcome: Outcome['kind'], milliseconds: number) => void;
   /** A call from this host has failed; it may be one of its backend server, whose calls cannot be told from those of clients. */
-  onCallFailed: (roomMissing: boolean) => void;
+  onCallFailed: (lacking: readonly string[]) => void;
 };
 
 /** Longest time for a request without a stated deadline and without a route's bound, in milliseconds. */
@@ -55,16 +55,16 @@
 /** Difference of the stated time by which a request counts as sent again, in milliseconds. */
 const RETURN_MIN_MS = 10;
 
-/** Whether a call failed because there was no room for it or for one below it. */
-const isRoomMissing = (outcome: Outcome): boolean => {
+/** Services that lacked room for a failed call to `service` or for one below it. */
+const lackingServices = (outcome: Outcome, service: string): readonly string[] => {
   switch (outcome.kind) {
     case 'answered': {
-      return outcome.roomMissingBelow;
+      return outcome.lackingBelow;
     }
 
     case 'not-run':
     case 'unknown': {
-      return outcome.reason === 'no-room' || outcome.reason === 'deadline';
+      return outcome.reason === 'no-room' || outcome.reason === 'deadline' ? [service] : [];
     }
   }
 };
@@ -240,10 +240,11 @@
       return;
     }
 
+    const service = table!.pick(route);
     const handleOfRequest = startRequest(options, {
       requestId: requestId!,
       route,
-      service: table!.pick(route),
+      service,
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       rawHeaders: dialect.forwardedHeaders(request.rawHeaders, options.callerService),
@@ -257,7 +258,7 @@
       const failed = outcome.kind !== 'answered' || outcome.status >= SERVER_ERROR;
       options.onFinished(route, outcome.kind, milliseconds);
       if (failed) {
-        options.onCallFailed(isRoomMissing(outcome));
+        options.onCallFailed(lackingServices(outcome, service));
       }
 
       writeOutcome(request, response, requestId!, outcome);
--- a/src/mesh/fleet.ts
+++ b/src/mesh/fleet.ts
@@ -1,7 +1,9 @@
 /** The other processes: links to them, what they can take, and what is passed on between them. */
 import type {Buffer} from 'node:buffer';
-import type {ClientRoutes} from './client-routes.js';
+import type {ServiceRoom} from './admission.js';
+import type {ClientRoutes, RouteOrigin} from './client-routes.js';
 import type {DecisionLog} from './decision-log.js';
+import type {Dependencies, Dependency} from './dependencies.js';
 import type {Door} from './door.js';
 import type {
   BackendState, CallHead, DoorResult, Member, Message,
@@ -30,8 +32,13 @@
   members: () => Member[];
   publish: (state: BackendState) => void;
   configurationChanged: () => void;
-  /** Tells the others of a route that clients use. */
-  publishClientRoutes: (routes: string[]) => void;
+  /** Tells the others at which service's host a route has arrived. */
+  publishOrigin: (origin: RouteOrigin) => void;
+  publishDependency: (dependency: Dependency) => void;
+  /** Room at the backend servers of a service that can be reached. */
+  room: (service: string) => ServiceRoom;
+  /** Services of the backend servers that can be reached, the one of this host included. */
+  services: () => ReadonlySet<string>;
   tick: () => void;
   /** This process stood still. */
   resume: () => void;
@@ -41,19 +48,23 @@
 
 /** Options of the fleet. */
 export type FleetOptions = {
-  self: Member;
+  /** This process; `service` is the one of its host. */
+  self: Member & {service: string};
   now: () => number;
   log: DecisionLog;
   door: Door;
   configuration: () => RoutingConfiguration | undefined;
   onConfiguration: (configuration: RoutingConfiguration, from: string) => void;
   clientRoutes: Pick<ClientRoutes, 'merge' | 'list'>;
+  dependencies: Pick<Dependencies, 'merge' | 'list'>;
 };
 
 /** Weight of the newest attempt in the share of failures. */
 const FAILURE_SMOOTHING = 0.1;
 /** Time in which the share of failures halves without attempts, in milliseconds, so that a backend server is tried again. */
 const FAILURE_HALF_LIFE_MS = 2000;
+/** Interval at which the load is told while calls wait, in milliseconds; the admission follows it within about a second. */
+const LOAD_INTERVAL_MS = 250;
 /** Pause between two requests for a configuration over the same link, in milliseconds. */
 const CONFIGURATION_PAUSE_MS = 200;
 
@@ -63,14 +74,17 @@
 /** Creates the fleet. */
 export const createFleet = (options: FleetOptions): Fleet => {
   const {self, now, log, door} = options;
-  const members = new Map<string, Member>([[self.node, self]]);
+  const member: Member = {node: self.node, address: self.address, zone: self.zone};
+  const members = new Map<string, Member>([[self.node, member]]);
   const links = new Map<string, PeerLink>();
   const failures = new Map<string, Failures>();
   let wantedAt = Number.NEGATIVE_INFINITY;
   let localSequence = 0;
+  let loadToldAt = Number.NEGATIVE_INFINITY;
+  let queuedAtLast = 0;
 
   const version = (): number => options.configuration()?.version ?? 0;
-  const hello = (): Message => ({type: 'hello', member: self, configurationVersion: version()});
+  const hello = (): Message => ({type: 'hello', member, configurationVersion: version()});
   const ping = (): Message => ({
     type: 'ping', sentAt: now(), configurationVersion: version(), memberCount: members.size,
   });
@@ -134,8 +148,13 @@
         return;
       }
 
-      case 'client-routes': {
-        options.clientRoutes.merge(message.routes);
+      case 'route-origins': {
+        options.clientRoutes.merge(message.origins);
+        return;
+      }
+
+      case 'dependencies': {
+        options.dependencies.merge(message.dependencies);
         return;
       }
 
@@ -143,7 +162,8 @@
         addMember(message.member, 'hello');
         compareVersion(speaker, message.configurationVersion);
         speaker.send(listMembers());
-        speaker.send({type: 'client-routes', routes: options.clientRoutes.list()});
+        speaker.send({type: 'route-origins', origins: options.clientRoutes.list()});
+        speaker.send({type: 'dependencies', dependencies: options.dependencies.list()});
         return;
       }
 
@@ -154,6 +174,7 @@
 
       case 'call':
       case 'cancel':
+      case 'load':
       case 'result':
       case 'state': {
         log.write('warn', 'message-unexpected', {type: message.type, from});
@@ -171,7 +192,7 @@
     log,
     door,
     welcome: () => ({
-      type: 'welcome', member: self, configurationVersion: version(), state: door.state(),
+      type: 'welcome', member, configurationVersion: version(), state: door.state(),
     }),
     pong: () => ({type: 'pong', configurationVersion: version(), load: door.load()}),
     onMessage(link: IncomingLink, message) {
@@ -246,6 +267,49 @@
     return found;
   };
 
+  const tellAll = (message: Message): void => {
+    for (const link of links.values()) {
+      if (link.isOpen()) {
+        link.send(message);
+      }
+    }
+  };
+
+  /** States of the backend servers that can be reached. */
+  const states = (): BackendState[] => {
+    const open = [...links.values()].filter(link => link.isOpen());
+    return [door.state(), ...open.map(link => link.state())];
+  };
+
+  const room = (service: string): ServiceRoom => {
+    const total: ServiceRoom = {
+      backends: 0, running: 0, queued: 0, limit: 0,
+    };
+    for (const state of states()) {
+      if (state.kind === 'ready' && state.service === service) {
+        total.backends++;
+        total.running += state.load.running;
+        total.queued += state.load.queued;
+        total.limit += state.load.limit;
+      }
+    }
+
+    return total;
+  };
+
+  const services = (): ReadonlySet<string> =>
+    new Set([self.service, ...states().flatMap(state => state.kind === 'ready' ? [state.service] : [])]);
+
+  /** Processes that send no calls here learn by this that calls wait, and once more when none does. */
+  const publishLoad = (): void => {
+    const load = door.load();
+    if ((load.queued > 0 || queuedAtLast > 0) && now() - loadToldAt >= LOAD_INTERVAL_MS) {
+      loadToldAt = now();
+      queuedAtLast = load.queued;
+      server.publish({type: 'load', load});
+    }
+  };
+
   return {
     start: server.start,
     candidates,
@@ -266,23 +330,26 @@
       }
     },
     members: () => [...members.values()],
-    publish: server.publish,
-    publishClientRoutes(routes) {
-      for (const link of links.values()) {
-        link.send({type: 'client-routes', routes});
-      }
+    publish(state) {
+      server.publish({type: 'state', state});
     },
+    publishOrigin(origin) {
+      tellAll({type: 'route-origins', origins: [origin]});
+    },
+    publishDependency(dependency) {
+      tellAll({type: 'dependencies', dependencies: [dependency]});
+    },
+    room,
+    services,
     configurationChanged() {
-      for (const link of links.values()) {
-        if (link.isOpen()) {
-          link.send(ping());
-        }
-      }
+      tellAll(ping());
     },
     tick() {
       for (const link of links.values()) {
         link.tick();
       }
+
+      publishLoad();
     },
     resume() {
       for (const link of links.values()) {
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -1,4 +1,6 @@
 /** Messages between the processes of the fleet. */
+import type {RouteOrigin} from './client-routes.js';
+import type {Dependency} from './dependencies.js';
 import type {RoutingConfiguration} from './routing-configuration.js';
 
 /** Address and place of a process. */
@@ -46,9 +48,9 @@
   /**
    * `framed` tells that the answer states its length; the end of one that does not may be a cut.
    * `failedBelow` tells that a call of the backend server failed while it ran this one, where it has been repeated already;
-   * `roomMissingBelow`, that one failed because a service below lacked room.
+   * `lackingBelow` names the services for whose lack of room one failed.
    */
-  | {kind: 'answered'; status: number; rawHeaders: string[]; framed: boolean; failedBelow: boolean; roomMissingBelow: boolean}
+  | {kind: 'answered'; status: number; rawHeaders: string[]; framed: boolean; failedBelow: boolean; lackingBelow: string[]}
   /** The call has not run and will not. `arrived` tells that the backend server received it. */
   | {kind: 'refused'; reason: DoorRefusal; arrived: boolean; retryAfterMs: number}
   /** The call was sent and may have run. */
@@ -84,4 +86,7 @@
   | {type: 'configuration-wanted'}
   | {type: 'configuration'; configuration: RoutingConfiguration}
   | {type: 'members'; members: Member[]}
-  | {type: 'client-routes'; routes: string[]};
+  /** Load of the backend server, told unasked while calls wait for it. */
+  | {type: 'load'; load: BackendLoad}
+  | {type: 'route-origins'; origins: RouteOrigin[]}
+  | {type: 'dependencies'; dependencies: Dependency[]};
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -5,6 +5,7 @@
 import {createClientRoutes} from './client-routes.js';
 import {createSuspendAwareClock} from './clock.js';
 import type {DecisionLog} from './decision-log.js';
+import {createDependencies} from './dependencies.js';
 import {createDoor, type Door, type FailuresBelow} from './door.js';
 import {createEntry} from './entry.js';
 import {createFleet} from './fleet.js';
@@ -68,11 +69,23 @@
   let table: RouteTable | undefined;
   let stopping = false;
   let membersKnown = false;
-  const below: FailuresBelow = {failedAt: Number.NEGATIVE_INFINITY, roomMissingAt: Number.NEGATIVE_INFINITY};
+  const below: FailuresBelow = {failedAt: Number.NEGATIVE_INFINITY, lackingAt: new Map()};
 
-  const clientRoutes = createClientRoutes(route => {
-    log.write('info', 'client-route-learnt', {route});
-    fleet.publishClientRoutes([route]);
+  const clientRoutes = createClientRoutes({
+    service: settings.service,
+    services: () => fleet.services(),
+    onSeen(origin) {
+      log.write('debug', 'route-origin-seen', {...origin});
+      fleet.publishOrigin(origin);
+    },
+  });
+
+  const dependencies = createDependencies({
+    now,
+    onLearnt(dependency) {
+      log.write('info', 'dependency-learnt', {...dependency});
+      fleet.publishDependency(dependency);
+    },
   });
 
   const door = createDoor({
@@ -100,13 +113,15 @@
   };
 
   const fleet = createFleet({
-    self, now, log, door, configuration: () => table?.configuration, onConfiguration: takeConfiguration, clientRoutes,
+    self: {...self, service: settings.service}, now, log, door, configuration: () => table?.configuration, onConfiguration: takeConfiguration, clientRoutes, dependencies,
   });
 
   const budget = createRetryBudget({
     now, ratio: settings.bounds.retryRatio, windowMs: settings.bounds.retryWindowMs, slack: () => settings.bounds.retrySlack / Math.max(1, fleet.members().length),
   });
 
+  const admission = createAdmission({now, dependencies, room: service => fleet.room(service)});
+
   const entry = createEntry({
     address: settings.listen.entry,
     dialect: options.dialect,
@@ -118,16 +133,17 @@
     random,
     fleet,
     budget,
-    admission: createAdmission(now),
+    admission,
+    dependencies,
     isClientRoute: clientRoutes.has,
-    onArrived(route) {
-      clientRoutes.observe(route, door.isIdle());
-    },
+    onArrived: clientRoutes.observe,
     heldBytesMax: settings.heldBytesMax,
     onFinished: metrics.record,
-    onCallFailed(roomMissing) {
+    onCallFailed(lacking) {
       below.failedAt = now();
-      below.roomMissingAt = roomMissing ? now() : below.roomMissingAt;
+      for (const service of lacking) {
+        below.lackingAt.set(service, now());
+      }
     },
   });
 
@@ -151,6 +167,7 @@
 
     fleet.tick();
     door.tick();
+    admission.observe();
   };
 
   const followStore = (): void => {
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -166,6 +166,11 @@
         return;
       }
 
+      case 'load': {
+        noteLoad(message.load);
+        return;
+      }
+
       case 'pong': {
         noteLoad(message.load);
         options.onMessage(link, message);
@@ -174,12 +179,13 @@
 
       case 'call':
       case 'cancel':
-      case 'client-routes':
       case 'configuration':
       case 'configuration-wanted':
+      case 'dependencies':
       case 'hello':
       case 'members':
-      case 'ping': {
+      case 'ping':
+      case 'route-origins': {
         options.onMessage(link, message);
       }
     }
--- a/src/mesh/peer-server.ts
+++ b/src/mesh/peer-server.ts
@@ -3,13 +3,13 @@
 import type {DecisionLog} from './decision-log.js';
 import type {Door} from './door.js';
 import {createFrameReader, encodeFrame, type Frame} from './frame.js';
-import type {BackendState, Member, Message} from './message.js';
+import type {Member, Message} from './message.js';
 
 /** Server of the peer listener. */
 export type PeerServer = {
   start: () => Promise<void>;
-  /** Tells all callers of a new state of the backend server. */
-  publish: (state: BackendState) => void;
+  /** Tells all callers, such as a new state of the backend server. */
+  publish: (message: Message) => void;
   /** This process stood still: what the callers have sent meanwhile has not been read yet. */
   resume: () => void;
   close: () => void;
@@ -148,7 +148,9 @@
           return;
         }
 
-        case 'client-routes':
+        case 'dependencies':
+        case 'load':
+        case 'route-origins':
         case 'configuration':
         case 'configuration-wanted':
         case 'members':
@@ -204,9 +206,9 @@
         });
       });
     },
-    publish(state) {
+    publish(message) {
       for (const link of links) {
-        link.send({type: 'state', state});
+        link.send(message);
       }
     },
     resume() {
