fix(emulator): answer a request at its deadline even if the timer fires early

A timer may fire up to a millisecond early; the work then counted as cancelled and the request got no answer at all.

The abort carries its reason now. Ruled out: slots that stay taken (the loop before it passes) and lost aborts. Before: the new test, 400 requests with a deadline of 5 ms, ended without an answer; after: all get 504.

--- a/src/emulator/backend-server/__tests__/backend-server.spec.ts
+++ b/src/emulator/backend-server/__tests__/backend-server.spec.ts
@@ -72,6 +72,16 @@
   await emulator.stop();
 });
 
+test('a request whose deadline passes is answered, also when the timer fires a little before the clock shows it', async t => {
+  const emulator = createBackendServerEmulator(settings(60_000, {slots: 400, connections: 500}));
+  const {address} = await emulator.start();
+  const agent = new Agent({headersTimeout: 5000});
+  const late = await Promise.all(Array.from({length: 400}, async () => post(agent, address, undefined, {'jujubewell-deadline-ms': '5'})));
+  t.deepEqual([...new Set(late.map(({statusCode}) => statusCode))], [504]);
+  await agent.destroy();
+  await emulator.stop();
+});
+
 test('it announces itself to its process and withdraws when it leaves', async t => {
   const seen: string[] = [];
   const host = createServer((request, response) => {
--- a/src/emulator/backend-server/backend-server.ts
+++ b/src/emulator/backend-server/backend-server.ts
@@ -88,6 +88,9 @@
   }
 };
 
+/** Reason with which work is aborted at its deadline; a timer may fire a little before the clock reaches it, so the clock cannot tell. */
+const DEADLINE_REASON = 'deadline';
+
 type WorkEnd = Extract<RunEnd, 'completed' | 'cancelled' | 'deadline' | 'sub-call-failed'>;
 
 /** Identity and time of one request. */
@@ -125,7 +128,7 @@
 
   const endOf = (outcome: SubCallOutcome | 'aborted', work: Work): WorkEnd => {
     if (outcome === 'aborted' || work.signal.aborted) {
-      return performance.now() >= work.deadlineAt ? 'deadline' : 'cancelled';
+      return work.signal.reason === DEADLINE_REASON ? 'deadline' : 'cancelled';
     }
 
     return outcome.kind === 'failed' ? 'sub-call-failed' : 'completed';
@@ -233,7 +236,7 @@
     const deadlineMs = Number(singleHeader(request, DEADLINE_HEADER) ?? DEFAULT_DEADLINE_MS);
     const deadlineAt = performance.now() + deadlineMs;
     const timer = setTimeout(() => {
-      aborted.abort();
+      aborted.abort(DEADLINE_REASON);
     }, deadlineMs);
     try {
       const acceptDelayMs = (readyAt.get(request.socket) ?? 0) - performance.now();
