feat(mesh): choose backend servers by the time of the call's own route, and share the retry budget

The retry budget was split by process, so urgent calls, which come from all hosts, had none left while hosts with many calls did not use theirs.

Changes: doors report mean times by route, of answers that are no failures; a backend server that would miss the target now and then costs the part of the time beyond it, a failing one the target time; another zone has to gain a fifth of the target. Doors count first and further sends of the window and tell them with their load; urgent calls may use half of the bound, others 0.4. The lowest admitted share is 0.1, and a queue of half a service time is enough to lower it.

A test found on the way that fast failures would attract calls: failures no longer count as service times.

--- a/src/mesh/__tests__/peer-link.spec.ts
+++ b/src/mesh/__tests__/peer-link.spec.ts
@@ -15,7 +15,7 @@
 });
 
 const call = (idempotent: boolean): CallHead => ({
-  requestId: 'r', service: 's', method: 'GET', path: '/', rawHeaders: [], idempotent, priority: 0, route: 'r', remainingMs: 1000, targetMs: 1000,
+  requestId: 'r', service: 's', method: 'GET', path: '/', rawHeaders: [], idempotent, isRepeat: false, priority: 0, route: 'r', remainingMs: 1000, targetMs: 1000,
 });
 
 const start = async (t: ExecutionContext, answers: (message: Message) => Message | undefined) => {
@@ -78,7 +78,7 @@
 const pong = (message: Message): Message | undefined => message.type === 'ping'
   ? {
     type: 'pong', configurationVersion: 0, load: {
-      running: 0, queued: 0, limit: 1, serviceMs: 1,
+      running: 0, queued: 0, limit: 1, serviceMs: 1, routes: [], counted: {requests: 0, repeats: 0},
     },
   }
   : undefined;
--- a/src/mesh/__tests__/selection.spec.ts
+++ b/src/mesh/__tests__/selection.spec.ts
@@ -5,12 +5,12 @@
 
 const candidate = (node: string, changes: Partial<Candidate<string>> = {}): Candidate<string> => ({
   target: node, node, zone: 'a', load: {
-    running: 0, queued: 0, limit: 10, serviceMs: 50,
+    running: 0, queued: 0, limit: 10, serviceMs: 50, routes: [], counted: {requests: 0, repeats: 0},
   }, sentSinceReport: 0, live: true, coldMs: 0, failureShare: 0, ...changes,
 });
 
 const load = (running: number, queued: number, serviceMs = 50) => ({
-  running, queued, limit: 10, serviceMs,
+  running, queued, limit: 10, serviceMs, routes: [], counted: {requests: 0, repeats: 0},
 });
 
 const cases: Array<{title: string; others: Partial<Candidate<string>>; preferred: number}> = [
@@ -18,13 +18,14 @@
   {title: 'one that many calls were just sent to', others: {sentSinceReport: 30}, preferred: 0.9},
   {title: 'a slow one', others: {load: load(0, 0, 150)}, preferred: 0.9},
   {title: 'one that fails half of its calls', others: {failureShare: 0.5}, preferred: 0.9},
+  {title: 'one that fails most of its calls at once', others: {failureShare: 0.8, load: load(0, 0, 2)}, preferred: 0.8},
   {title: 'a cold one', others: {coldMs: 1000}, preferred: 0.8},
 ];
 
 const share = (candidates: Array<Candidate<string>>, node: string): number => {
   const random = createRandom(3);
   const wish = {
-    zone: 'a', targetMs: 200, avoided: new Set<string>(), needsLive: false,
+    zone: 'a', route: 'r', targetMs: 200, avoided: new Set<string>(), needsLive: false,
   };
   const picks = Array.from({length: 2000}, () => chooseCandidate(candidates, wish, random)?.node);
   return picks.filter(pick => pick === node).length / picks.length;
@@ -52,10 +53,37 @@
   });
 }
 
+const times: Array<{title: string; routes: Array<{route: string; serviceMs: number}>; otherRoutes: Array<{route: string; serviceMs: number}>; least: number}> = [
+  {
+    title: 'the time of its own route decides', routes: [{route: 'r', serviceMs: 20}], otherRoutes: [{route: 'r', serviceMs: 60}], least: 0.9,
+  },
+  {
+    title: 'times of other routes do not', routes: [{route: 'q', serviceMs: 20}], otherRoutes: [{route: 'q', serviceMs: 60}], least: 0.4,
+  },
+  {
+    title: 'one whose time is not known is tried', routes: [], otherRoutes: [{route: 'r', serviceMs: 20}], least: 0.4,
+  },
+  {
+    title: 'a slower one that misses the target now and then is left to calls with more time', routes: [{route: 'r', serviceMs: 70}], otherRoutes: [{route: 'r', serviceMs: 110}], least: 0.9,
+  },
+];
+
+for (const {title, routes, otherRoutes, least} of times) {
+  test(`service times by route: ${title}`, t => {
+    const got = share([
+      candidate('good', {load: {...load(0, 0), routes}}),
+      candidate('other', {load: {...load(0, 0), routes: otherRoutes}}),
+    ], 'good');
+    t.true(got >= least && got <= 1 - ((1 - least) / 10), `share ${got}`);
+  });
+}
+
 test('calls that must not run twice go to live processes only, the others to silent ones if there is no other', t => {
   const random = createRandom(3);
   const silent = [candidate('x', {live: false})];
-  const wish = {zone: 'a', targetMs: 200, avoided: new Set<string>()};
+  const wish = {
+    zone: 'a', route: 'r', targetMs: 200, avoided: new Set<string>(),
+  };
   t.is(chooseCandidate(silent, {...wish, needsLive: true}, random), undefined);
   t.is(chooseCandidate(silent, {...wish, needsLive: false}, random)?.node, 'x');
   t.is(chooseCandidate(silent, {...wish, needsLive: false, avoided: new Set(['x'])}, random), undefined);
--- /dev/null
+++ b/src/mesh/__tests__/service-times.spec.ts
@@ -0,0 +1,40 @@
+/** Guards against a choice between backend servers by times of calls of another kind, which says nothing of the one to be sent. */
+import test from 'ava';
+import {createServiceTimes} from '../service-times.js';
+
+test('routes are kept apart, and the first calls of a route set its mean at once', t => {
+  const times = createServiceTimes();
+  times.note('quick', 10);
+  times.note('slow', 300);
+  times.note('quick', 20);
+  t.deepEqual(times.byRoute('quick'), [{route: 'quick', serviceMs: 15}]);
+  t.deepEqual(times.byRoute('slow'), [{route: 'slow', serviceMs: 300}]);
+  t.deepEqual(times.byRoute('other'), []);
+  t.is(times.byRoute().length, 2);
+});
+
+test('a mean follows a change within some tens of calls', t => {
+  const times = createServiceTimes();
+  for (let index = 0; index < 200; index++) {
+    times.note('r', 40);
+  }
+
+  for (let index = 0; index < 60; index++) {
+    times.note('r', 400);
+  }
+
+  t.true(times.byRoute('r')[0]!.serviceMs > 350);
+  t.true(times.mean() > 350);
+});
+
+test('another backend server starts without samples, and routes are bounded', t => {
+  const times = createServiceTimes();
+  for (let index = 0; index < 500; index++) {
+    times.note(`r${index}`, 10);
+  }
+
+  t.true(times.byRoute().length <= 100);
+  t.is(times.byRoute('r499').length, 1);
+  times.reset();
+  t.deepEqual(times.byRoute(), []);
+});
--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -37,10 +37,10 @@
   room: (service: string) => ServiceRoom;
 };
 
-/** Waiting calls per running one above which fewer requests are admitted: a call then waits for about as long as it runs. */
-const QUEUE_HIGH = 0.8;
+/** Waiting calls per running one above which fewer requests are admitted: a call then waits for half as long as it runs, and a chain of calls still ends in time. */
+const QUEUE_HIGH = 0.5;
 /** Waiting calls per running one below which more requests are admitted. */
-const QUEUE_LOW = 0.4;
+const QUEUE_LOW = 0.2;
 /** Growth of the refused share per second and unit of queue above the bound; a queue of two service times turns away most requests within a second. */
 const GROWTH_PER_S = 0.6;
 const GROWTH_MAX_PER_S = 1;
@@ -52,7 +52,7 @@
 /** Part of the refused share that applies to routes one rank more urgent. */
 const RANK_FACTOR = 0.7;
 /** Lowest admitted share: a kind of request must not starve, and some have to find out whether there is room again. */
-const SHARE_MIN = 0.2;
+const SHARE_MIN = 0.1;
 /** Highest level; the routes three ranks above the least urgent one are then turned away as well. */
 const LEVEL_MAX = 2;
 /** Longest time that one look accounts for, in milliseconds: after a standstill the room of that time is not known. */
--- a/src/mesh/call-path.ts
+++ b/src/mesh/call-path.ts
@@ -6,7 +6,7 @@
 import type {Dependencies} from './dependencies.js';
 import type {Destination, Fleet} from './fleet.js';
 import type {CallHead, DoorResult} from './message.js';
-import type {RetryBudget} from './retry-budget.js';
+import type {CallRank, RetryBudget} from './retry-budget.js';
 import type {Route} from './routing-configuration.js';
 import {chooseCandidate} from './selection.js';
 
@@ -36,6 +36,8 @@
   requestId: string;
   route: Route;
   service: string;
+  /** Rank among the calls to the service. */
+  rank: CallRank;
   method: string;
   path: string;
   rawHeaders: string[];
@@ -160,7 +162,7 @@
       return 'deadline';
     }
 
-    return budget.take(request.service) ? undefined : 'retry-budget-spent';
+    return budget.take(request.service, request.rank) ? undefined : 'retry-budget-spent';
   };
 
   const repeat = (cause: string, node: string): void => {
@@ -247,7 +249,7 @@
 
   const attempt = (): void => {
     const choice = chooseCandidate(options.fleet.candidates(request.service), {
-      zone: options.zone, targetMs: route.targetMs, avoided, needsLive: !route.idempotent,
+      zone: options.zone, route: route.name, targetMs: route.targetMs, avoided, needsLive: !route.idempotent,
     }, random);
     if (choice === undefined) {
       fail(refusals === 0 ? 'no-backend-server' : 'no-room');
@@ -267,6 +269,7 @@
       path: request.path,
       rawHeaders: request.rawHeaders,
       idempotent: route.idempotent,
+      isRepeat: sends > 1,
       priority: route.priority,
       route: route.name,
       remainingMs: request.deadlineAt - now(),
--- a/src/mesh/door.ts
+++ b/src/mesh/door.ts
@@ -13,6 +13,8 @@
   BackendLoad, BackendState, CallHead, DoorRefusal, DoorResult,
 } from './message.js';
 import type {HttpDialect} from './protocol.js';
+import {createServiceTimes} from './service-times.js';
+import {createWindowCounter} from './window-counter.js';
 
 /** A call offered to the door. */
 export type Offer = {
@@ -36,7 +38,8 @@
   /** This process stood still: announcements of that time have not been read yet. */
   resume: () => void;
   state: () => BackendState;
-  load: () => BackendLoad;
+  /** Load with the times of all routes, or of one. */
+  load: (route?: string) => BackendLoad;
   inFlight: () => number;
   hasLeft: () => boolean;
   close: () => void;
@@ -57,6 +60,8 @@
   log: DecisionLog;
   /** Bound of the time in which a leaving backend server may still get calls, in milliseconds. */
   drainMs: number;
+  /** Window of the retry budget, in milliseconds. */
+  retryWindowMs: number;
   /** Interval at which the backend server announces itself, in milliseconds. */
   announcementMs: number;
   below: () => FailuresBelow;
@@ -70,10 +75,6 @@
 const DRAIN_ACCEPT_SHARE = 0.4;
 /** Announcements that may be missed before the backend server counts as gone. */
 const ANNOUNCEMENTS_MISSED = 4;
-/** Weight of the newest service time in the mean. */
-const SERVICE_SMOOTHING = 0.05;
-/** Service time that is assumed before the first answer, in milliseconds. */
-const SERVICE_DEFAULT_MS = 50;
 /** Part of the remaining time that a call may wait for a slot; the rest is needed to run it. */
 const WAIT_SHARE = 0.5;
 /** Failed connects in a row after which the backend server counts as gone until it announces itself. */
@@ -83,6 +84,9 @@
 const RUN_RECORDS_MAX = 50_000;
 const RETRY_AFTER_MIN_MS = 50;
 
+/** First status of a failure; failures say nothing of the time that a call takes. */
+const SERVER_ERROR = 500;
+
 const noBytes = Buffer.alloc(0);
 
 type Active = {
@@ -93,6 +97,8 @@
   ended: boolean;
 };
 
+const toTenths = (milliseconds: number): number => Math.round(milliseconds * 10) / 10;
+
 const lackingSince = ({lackingAt}: FailuresBelow, startedAt: number): string[] =>
   [...lackingAt].filter(([, at]) => at >= startedAt).map(([service]) => service);
 
@@ -104,7 +110,9 @@
   let running = 0;
   /** Sum of the start times of the running calls. */
   let startedSum = 0;
-  let serviceMs = SERVICE_DEFAULT_MS;
+  const serviceTimes = createServiceTimes();
+  const requests = createWindowCounter(now, options.retryWindowMs);
+  const repeats = createWindowCounter(now, options.retryWindowMs);
   let connectFailures = 0;
   const queue = createQueue();
   const calls = new Map<string, Active>();
@@ -127,9 +135,18 @@
   /** Mean time that the running calls have taken so far: a backend server that has stopped answering shows here, and in no answer. */
   const meanAgeMs = (): number => running === 0 ? 0 : now() - (startedSum / running);
 
-  const load = (): BackendLoad => ({
-    running, queued: queue.length, limit: limit(), serviceMs: Math.round(Math.max(serviceMs, meanAgeMs()) * 10) / 10,
-  });
+  const load = (route?: string): BackendLoad => {
+    const meanMs = serviceTimes.mean();
+    const slowness = Math.max(1, meanAgeMs() / meanMs);
+    return {
+      running,
+      queued: queue.length,
+      limit: limit(),
+      serviceMs: toTenths(meanMs * slowness),
+      routes: serviceTimes.byRoute(route).map(time => ({route: time.route, serviceMs: toTenths(time.serviceMs * slowness)})),
+      counted: {requests: requests.count(), repeats: repeats.count()},
+    };
+  };
 
   const state = (): BackendState => {
     if (local.kind !== 'announced') {
@@ -160,13 +177,13 @@
     active.offer.onResult(result, body);
   };
 
-  const retryAfter = (): number => Math.max(RETRY_AFTER_MIN_MS, Math.round((queue.length + 1) * serviceMs / Math.max(1, limit())));
+  const retryAfter = (): number => Math.max(RETRY_AFTER_MIN_MS, Math.round((queue.length + 1) * serviceTimes.mean() / Math.max(1, limit())));
 
   const refuse = (active: Active, reason: DoorRefusal, arrived = false): void => {
     log.count('door_refusals', reason);
     const {requestId, route, priority} = active.offer.call;
     log.write('info', 'door-refused', {
-      request: requestId, reason, route, priority, waitedMs: Math.round(now() - active.arrivedAt), remainingMs: Math.round(active.deadlineAt - now()), running, queued: queue.length, limit: limit(), serviceMs: Math.round(serviceMs),
+      request: requestId, reason, route, priority, waitedMs: Math.round(now() - active.arrivedAt), remainingMs: Math.round(active.deadlineAt - now()), running, queued: queue.length, limit: limit(), serviceMs: Math.round(serviceTimes.mean()),
     });
     end(active, {
       kind: 'refused', reason, arrived, retryAfterMs: retryAfter(),
@@ -209,7 +226,10 @@
         }
 
         const below = options.below();
-        serviceMs += SERVICE_SMOOTHING * ((now() - active.run!.startedAt) - serviceMs);
+        if (result.status < SERVER_ERROR) {
+          serviceTimes.note(call.route, now() - active.run!.startedAt);
+        }
+
         end(active, {
           kind: 'answered', status: result.status, rawHeaders: result.rawHeaders, framed: result.framed, failedBelow: below.failedAt >= active.run!.startedAt, lackingBelow: lackingSince(below, active.run!.startedAt),
         }, result.body);
@@ -312,8 +332,8 @@
   const wait = (active: Active): void => {
     const {call, key} = active.offer;
     const remainingMs = active.deadlineAt - now();
-    const longestMs = Math.min(remainingMs * WAIT_SHARE, Math.max(call.targetMs, 0) + serviceMs);
-    const expectedMs = (queuedAhead(call.priority) + 1) * serviceMs / Math.max(1, limit());
+    const longestMs = Math.min(remainingMs * WAIT_SHARE, Math.max(call.targetMs, 0) + serviceTimes.mean());
+    const expectedMs = (queuedAhead(call.priority) + 1) * serviceTimes.mean() / Math.max(1, limit());
     if (expectedMs > longestMs) {
       refuse(active, 'queue-full');
       return;
@@ -349,6 +369,7 @@
         offer, arrivedAt: now(), deadlineAt: now() + offer.call.remainingMs, run: undefined, ended: false,
       };
       calls.set(offer.key, active);
+      (offer.call.isRepeat ? repeats : requests).add();
       const closed = closedBecause();
       if (closed !== undefined) {
         refuse(active, closed);
@@ -383,7 +404,7 @@
       switch (taken.change) {
         case 'new-instance': {
           connectFailures = 0;
-          serviceMs = SERVICE_DEFAULT_MS;
+          serviceTimes.reset();
           pool.reset(announcement.address);
           log.write('info', 'backend-announced', {...announcement});
           changed();
--- a/src/mesh/entry.ts
+++ b/src/mesh/entry.ts
@@ -245,6 +245,7 @@
       requestId: requestId!,
       route,
       service,
+      rank: table!.rankOf(service, route.priority),
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       rawHeaders: dialect.forwardedHeaders(request.rawHeaders, options.callerService),
--- a/src/mesh/fleet.ts
+++ b/src/mesh/fleet.ts
@@ -10,6 +10,7 @@
 } from './message.js';
 import {createPeerLink, type PeerLink} from './peer-link.js';
 import {createPeerServer, type IncomingLink} from './peer-server.js';
+import type {CountedCalls} from './retry-budget.js';
 import type {RoutingConfiguration} from './routing-configuration.js';
 import type {Candidate} from './selection.js';
 
@@ -37,6 +38,8 @@
   publishDependency: (dependency: Dependency) => void;
   /** Room at the backend servers of a service that can be reached. */
   room: (service: string) => ServiceRoom;
+  /** Calls that the doors of a service have counted; undefined when none can be reached. */
+  counted: (service: string) => CountedCalls | undefined;
   /** Services of the backend servers that can be reached, the one of this host included. */
   services: () => ReadonlySet<string>;
   tick: () => void;
@@ -297,6 +300,16 @@
     return total;
   };
 
+  const counted = (service: string): CountedCalls | undefined => {
+    const loads = states().flatMap(state => state.kind !== 'absent' && state.service === service ? [state.load.counted] : []);
+    return loads.length === 0
+      ? undefined
+      : {
+        requests: loads.reduce((total, {requests}) => total + requests, 0),
+        repeats: loads.reduce((total, {repeats}) => total + repeats, 0),
+      };
+  };
+
   const services = (): ReadonlySet<string> =>
     new Set([self.service, ...states().flatMap(state => state.kind === 'ready' ? [state.service] : [])]);
 
@@ -340,6 +353,7 @@
       tellAll({type: 'dependencies', dependencies: [dependency]});
     },
     room,
+    counted,
     services,
     configurationChanged() {
       tellAll(ping());
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -1,7 +1,9 @@
 /** Messages between the processes of the fleet. */
 import type {RouteOrigin} from './client-routes.js';
 import type {Dependency} from './dependencies.js';
+import type {CountedCalls} from './retry-budget.js';
 import type {RoutingConfiguration} from './routing-configuration.js';
+import type {RouteTime} from './service-times.js';
 
 /** Address and place of a process. */
 export type Member = {
@@ -19,6 +21,10 @@
   limit: number;
   /** Recent mean time of a call at the backend server, in milliseconds. */
   serviceMs: number;
+  /** The same by route; routes that are missing here keep what was told of them before. */
+  routes: RouteTime[];
+  /** Calls that arrived in the window of the retry budget. */
+  counted: CountedCalls;
 };
 
 /** State of the backend server beside a process. */
@@ -64,6 +70,8 @@
   path: string;
   rawHeaders: string[];
   idempotent: boolean;
+  /** Whether another backend server has received the call before. */
+  isRepeat: boolean;
   priority: number;
   /** Route that selected the service. */
   route: string;
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -93,6 +93,7 @@
     now,
     log,
     drainMs: settings.bounds.drainMs,
+    retryWindowMs: settings.bounds.retryWindowMs,
     announcementMs: settings.announcementMs,
     below: () => below,
     connections: service => table?.configuration.services.find(limits => limits.service === service)?.connections ?? Number.POSITIVE_INFINITY,
@@ -117,7 +118,7 @@
   });
 
   const budget = createRetryBudget({
-    now, ratio: settings.bounds.retryRatio, windowMs: settings.bounds.retryWindowMs, slack: () => settings.bounds.retrySlack / Math.max(1, fleet.members().length),
+    now, ratio: settings.bounds.retryRatio, windowMs: settings.bounds.retryWindowMs, slack: settings.bounds.retrySlack, processes: () => fleet.members().length, counted: service => fleet.counted(service),
   });
 
   const admission = createAdmission({now, dependencies, room: service => fleet.room(service)});
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -59,6 +59,12 @@
 /** A call that waits for a sign of life of the other end. */
 type Unconfirmed = {id: number; waitUntil: number; send: () => void; onResult: (result: LinkResult) => void};
 
+/** A report may tell the times of some routes only. */
+const mergeLoad = (known: BackendLoad, told: BackendLoad): BackendLoad => {
+  const others = known.routes.filter(({route}) => !told.routes.some(time => time.route === route));
+  return {...told, routes: [...others, ...told.routes]};
+};
+
 /** Creates a link and keeps it connected until it is closed. */
 export const createPeerLink = (options: PeerLinkOptions): PeerLink => {
   const {now, log, address} = options;
@@ -132,7 +138,7 @@
 
   const noteLoad = (load: BackendLoad): void => {
     if (state.kind !== 'absent') {
-      state.load = load;
+      state.load = mergeLoad(state.load, load);
       sent = 0;
     }
   };
--- a/src/mesh/peer-server.ts
+++ b/src/mesh/peer-server.ts
@@ -65,7 +65,7 @@
     const keys = new Set<string>();
     let heardAt = now();
     let member: Member | undefined;
-    const send = (message: Message, body?: Parameters<typeof encodeFrame>[1]): void => {
+    const send = (message: Message, body?: Frame['body']): void => {
       if (!socket.destroyed) {
         socket.write(encodeFrame(message, body));
       }
@@ -96,7 +96,7 @@
         onResult(result, answer) {
           keys.delete(key);
           send({
-            type: 'result', id: message.id, result, load: door.load(),
+            type: 'result', id: message.id, result, load: door.load(message.call.route),
           }, answer);
         },
       });
--- a/src/mesh/retry-budget.ts
+++ b/src/mesh/retry-budget.ts
@@ -1,11 +1,27 @@
-/** Bounds this process's share of the sends beyond the first of each request, by service. */
+/**
+Bounds the sends beyond the first of each request, by service, over the whole fleet.
+
+Doors count the calls that arrive and tell them with their load, so a process can use what others leave; without their counts it keeps to its own part.
+*/
+import {createWindowCounter, type WindowCounter} from './window-counter.js';
+
+/** Calls to a service that the doors which can be reached have counted in the window. */
+export type CountedCalls = {
+  /** First sends. */
+  requests: number;
+  /** Further sends. */
+  repeats: number;
+};
+
+/** Whether other calls to the same service are more urgent. */
+export type CallRank = 'urgent' | 'ordinary';
 
 /** Budget of a process. */
 export type RetryBudget = {
   /** Counts the first send of a request. */
   noteRequest: (service: string) => void;
   /** Takes one further send; false when the budget is spent. */
-  take: (service: string) => boolean;
+  take: (service: string, rank: CallRank) => boolean;
 };
 
 /** Options of a budget. */
@@ -15,51 +31,52 @@
   ratio: number;
   windowMs: number;
   /** Further sends in a window that are free, over the whole fleet. */
-  slack: () => number;
+  slack: number;
+  /** Processes of the fleet. */
+  processes: () => number;
+  /** Calls that the doors of a service have counted; undefined when none can be reached. */
+  counted: (service: string) => CountedCalls | undefined;
 };
 
-/** Parts of a window that are counted apart, so that it slides. */
-const PARTS = 10;
-/** Part of the bound that is used: calls made by a repeated call count as repeats at the services below. */
-const USED_SHARE = 0.5;
-
-type Counts = {requests: number[]; repeats: number[]; part: number};
+/** Part of the bound that is used: calls made by a repeated call count as repeats at the services below. Less urgent calls leave some of it to the others. */
+const USED_SHARE: Record<CallRank, number> = {urgent: 0.5, ordinary: 0.4};
 
-const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
+type Counts = {requests: WindowCounter; repeats: WindowCounter};
 
 /** Creates a budget. */
 export const createRetryBudget = (options: RetryBudgetOptions): RetryBudget => {
+  const {now, windowMs} = options;
   const services = new Map<string, Counts>();
-  const partMs = options.windowMs / PARTS;
 
   const countsOf = (service: string): Counts => {
-    const part = Math.floor(options.now() / partMs);
-    const counts = services.get(service) ?? {requests: Array.from({length: PARTS}, () => 0), repeats: Array.from({length: PARTS}, () => 0), part};
+    const counts = services.get(service) ?? {requests: createWindowCounter(now, windowMs), repeats: createWindowCounter(now, windowMs)};
     services.set(service, counts);
-    const passed = Math.min(PARTS, part - counts.part);
-    for (let step = 1; step <= passed; step++) {
-      const index = (counts.part + step) % PARTS;
-      counts.requests[index] = 0;
-      counts.repeats[index] = 0;
+    return counts;
+  };
+
+  /** Sends within the bound, and those of them that have been used. */
+  const standing = (service: string): {bound: number; used: number} => {
+    const {requests, repeats} = countsOf(service);
+    const counted = options.counted(service);
+    if (counted === undefined) {
+      return {bound: (options.ratio * requests.count()) + (options.slack / Math.max(1, options.processes())), used: repeats.count()};
     }
 
-    counts.part = Math.max(counts.part, part);
-    return counts;
+    // The newest sends of this process may not have been told yet.
+    return {bound: (options.ratio * counted.requests) + options.slack, used: counted.repeats + repeats.newest()};
   };
 
   return {
     noteRequest(service) {
-      const counts = countsOf(service);
-      counts.requests[counts.part % PARTS]!++;
+      countsOf(service).requests.add();
     },
-    take(service) {
-      const counts = countsOf(service);
-      const allowed = ((options.ratio * sum(counts.requests)) + options.slack()) * USED_SHARE;
-      if (sum(counts.repeats) + 1 > allowed) {
+    take(service, rank) {
+      const {bound, used} = standing(service);
+      if (used + 1 > bound * USED_SHARE[rank]) {
         return false;
       }
 
-      counts.repeats[counts.part % PARTS]!++;
+      countsOf(service).repeats.add();
       return true;
     },
   };
--- a/src/mesh/route-table.ts
+++ b/src/mesh/route-table.ts
@@ -1,4 +1,5 @@
 /** Finds the route of a request and spreads a route's requests over its targets. */
+import type {CallRank} from './retry-budget.js';
 import type {Route, RoutingConfiguration} from './routing-configuration.js';
 
 /** Routes of one configuration. */
@@ -7,6 +8,8 @@
   configuration: RoutingConfiguration;
   /** Longest matching prefix among the routes of the host. */
   findRoute: (host: string, path: string) => Route | undefined;
+  /** Whether another route to the service is more urgent than this priority. */
+  rankOf: (service: string, priority: number) => CallRank;
   /** Next target of the route; shares follow the weights exactly over any run of requests. */
   pick: (route: Route) => string;
 };
@@ -50,6 +53,14 @@
     routes.sort((a, b) => b.prefix.length - a.prefix.length);
   }
 
+  /** Priority of the most urgent route to each service. */
+  const mostUrgent = new Map<string, number>();
+  for (const {priority, targets} of configuration.routes) {
+    for (const {service} of targets) {
+      mostUrgent.set(service, Math.min(priority, mostUrgent.get(service) ?? priority));
+    }
+  }
+
   const credits = new Map<string, Credit[]>();
   return {
     version: configuration.version,
@@ -58,6 +69,7 @@
       const path = pathOf(url);
       return byHost.get(normalizeHost(host))?.find(route => path.startsWith(route.prefix));
     },
+    rankOf: (service, priority) => priority <= (mostUrgent.get(service) ?? priority) ? 'urgent' : 'ordinary',
     pick(route) {
       if (route.targets.length === 1) {
         return route.targets[0]!.service;
--- a/src/mesh/selection.ts
+++ b/src/mesh/selection.ts
@@ -19,10 +19,10 @@
 };
 
 /** What an attempt asks for. */
-export type Wish = {zone: string; targetMs: number; avoided: ReadonlySet<string>; needsLive: boolean};
+export type Wish = {zone: string; route: string; targetMs: number; avoided: ReadonlySet<string>; needsLive: boolean};
 
 /** Expected time that a call to another zone has to save, as a share of its target time. */
-const OTHER_ZONE_SHARE = 0.1;
+const OTHER_ZONE_SHARE = 0.2;
 /** Power of the inverse score by which calls are shared: one that is twice as slow gets an eighth, so that each is used and measured. */
 const PREFERENCE = 3;
 /** Factor on the expected time of a backend server that is still cold. */
@@ -31,15 +31,31 @@
 const FAILURE_FACTOR = 4;
 /** Utilisation above which a backend server slows down. */
 const KNEE = 0.8;
+/** Time of the slowest few of a hundred calls, as a multiple of the mean; a target below it is missed now and then. */
+const TAIL_FACTOR = 2.5;
 
-/** Expected time of a call, in milliseconds: its service time, and the wait for a slot. */
-export const expectedMs = ({load, sentSinceReport, coldMs, failureShare}: Candidate<unknown>): number => {
+/** Expected time of a call, in milliseconds: the service time of its route, and the wait for a slot. */
+export const expectedMs = ({load, sentSinceReport, coldMs, failureShare}: Candidate<unknown>, serviceMs = load.serviceMs): number => {
   const limit = Math.max(1, load.limit);
   const occupied = load.running + load.queued + sentSinceReport;
   const waitMs = Math.max(0, occupied + 1 - limit) * load.serviceMs / limit;
   const crowding = 1 + Math.max(0, Math.min(1, occupied / limit) - KNEE);
   const slow = coldMs > 0 ? COLD_FACTOR : 1;
-  return ((load.serviceMs * crowding * slow) + waitMs) * (1 + (FAILURE_FACTOR * failureShare));
+  return ((serviceMs * crowding * slow) + waitMs) * (1 + (FAILURE_FACTOR * failureShare));
+};
+
+/** What missing the target may cost, in milliseconds: the part of the slow calls that lies beyond it. */
+const latenessMs = (expected: number, targetMs: number): number => {
+  const slowMs = expected * TAIL_FACTOR;
+  return slowMs <= targetMs ? 0 : targetMs * (slowMs - targetMs) / slowMs;
+};
+
+const routeMs = ({load}: Candidate<unknown>, route: string): number | undefined => load.routes.find(time => time.route === route)?.serviceMs;
+
+/** Service time of a route where none has been reported: the best of the others, so that the candidate is tried. */
+const unreportedMs = (candidates: ReadonlyArray<Candidate<unknown>>, route: string): number | undefined => {
+  const known = candidates.map(candidate => routeMs(candidate, route)).filter(time => time !== undefined);
+  return known.length === 0 ? undefined : Math.min(...known);
 };
 
 /** Chooses a candidate, or undefined when there is none outside of the avoided ones. */
@@ -47,9 +63,12 @@
   const open = candidates.filter(({node}) => !wish.avoided.has(node));
   const live = open.filter(candidate => candidate.live);
   const pool = live.length > 0 || wish.needsLive ? live : open;
+  const unreported = unreportedMs(pool, wish.route);
   const scored = pool.map(candidate => {
     const price = candidate.zone === wish.zone ? 0 : wish.targetMs * OTHER_ZONE_SHARE;
-    return {candidate, score: expectedMs(candidate) + price};
+    const expected = expectedMs(candidate, routeMs(candidate, wish.route) ?? unreported);
+    const failureMs = candidate.failureShare * wish.targetMs;
+    return {candidate, score: expected + latenessMs(expected, wish.targetMs) + failureMs + price};
   });
   const bestLocal = Math.min(...scored.filter(({candidate}) => candidate.zone === wish.zone).map(({score}) => score));
   const useful = scored.filter(({candidate, score}) => candidate.zone === wish.zone || score < bestLocal);
