perf(mesh): frames in MessagePack, with names of fields sent once a connection

Cause: heads of calls and results in JSON are about as long as the bodies of most calls, and bytes between zones are dear.

The services that can be reached are collected once a tick, as each request asks for them.

--- a/src/mesh/__tests__/frame.spec.ts
+++ b/src/mesh/__tests__/frame.spec.ts
@@ -1,7 +1,7 @@
 /** Guards against messages that are mixed up or cut when the bytes of several frames arrive in other pieces than they were sent. */
 import {Buffer} from 'node:buffer';
 import test from 'ava';
-import {createFrameReader, encodeFrame, type Frame} from '../frame.js';
+import {createFrameReader, createFrameWriter, type Frame} from '../frame.js';
 import type {Message} from '../message.js';
 
 const messages: Message[] = [
@@ -15,7 +15,8 @@
 for (const size of sizes) {
   test(`frames arrive whole in pieces of ${size} bytes`, t => {
     const body = Buffer.from('body with \r\n and more');
-    const bytes = Buffer.concat(messages.map((message, index) => encodeFrame(message, index === 1 ? body : undefined)));
+    const writer = createFrameWriter();
+    const bytes = Buffer.concat(messages.map((message, index) => writer.encode(message, index === 1 ? body : undefined)));
     const frames: Frame[] = [];
     const reader = createFrameReader(frame => {
       frames.push({message: frame.message, body: Buffer.from(frame.body)});
@@ -29,6 +30,13 @@
   });
 }
 
+test('names of fields are sent once a connection', t => {
+  const writer = createFrameWriter();
+  const [first, second] = [writer.encode({type: 'cancel', id: 1}), writer.encode({type: 'cancel', id: 2})];
+  t.true(second.length < first.length);
+  t.false(second.includes('type'));
+});
+
 test('bytes of another protocol are an error, not an endless wait', t => {
   const reader = createFrameReader(() => undefined);
   t.throws(() => {
--- a/src/mesh/__tests__/peer-link.spec.ts
+++ b/src/mesh/__tests__/peer-link.spec.ts
@@ -4,7 +4,7 @@
 import test, {type ExecutionContext} from 'ava';
 import {createManualClock} from '../../shared/clock.js';
 import {createDecisionLog} from '../decision-log.js';
-import {createFrameReader, encodeFrame, type Frame} from '../frame.js';
+import {createFrameReader, createFrameWriter, type Frame} from '../frame.js';
 import type {CallHead, Message} from '../message.js';
 import {createPeerLink, type LinkResult, type PeerLink} from '../peer-link.js';
 
@@ -22,6 +22,7 @@
   const clock = createManualClock();
   const received: Message[] = [];
   const server = createServer((socket: Socket) => {
+    const writer = createFrameWriter();
     const reader = createFrameReader(({message}: Frame) => {
       received.push(message);
       const answer = message.type === 'hello'
@@ -30,7 +31,7 @@
         }
         : answers(message);
       if (answer !== undefined) {
-        socket.write(encodeFrame(answer));
+        socket.write(writer.encode(answer));
       }
     });
     socket.on('error', () => undefined);
--- a/src/mesh/fleet.ts
+++ b/src/mesh/fleet.ts
@@ -85,6 +85,8 @@
   let localSequence = 0;
   let loadToldAt = Number.NEGATIVE_INFINITY;
   let queuedAtLast = 0;
+  /** Renewed with each tick, as each request asks for it. */
+  let services: ReadonlySet<string> = new Set([self.service]);
 
   const version = (): number => options.configuration()?.version ?? 0;
   const hello = (): Message => ({type: 'hello', member, configurationVersion: version()});
@@ -310,7 +312,7 @@
       };
   };
 
-  const services = (): ReadonlySet<string> =>
+  const reachableServices = (): ReadonlySet<string> =>
     new Set([self.service, ...states().flatMap(state => state.kind === 'ready' ? [state.service] : [])]);
 
   /** Processes that send no calls here learn by this that calls wait, and once more when none does. */
@@ -354,7 +356,7 @@
     },
     room,
     counted,
-    services,
+    services: () => services,
     configurationChanged() {
       tellAll(ping());
     },
@@ -363,6 +365,7 @@
         link.tick();
       }
 
+      services = reachableServices();
       publishLoad();
     },
     resume() {
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -2,7 +2,9 @@
 import {connect, type Socket} from 'node:net';
 import {Buffer} from 'node:buffer';
 import type {DecisionLog} from './decision-log.js';
-import {createFrameReader, encodeFrame, type Frame} from './frame.js';
+import {
+  createFrameReader, createFrameWriter, type Frame, type FrameWriter,
+} from './frame.js';
 import {createLinkLiveness} from './link-liveness.js';
 import type {
   BackendLoad, BackendState, CallHead, DoorResult, Member, Message,
@@ -74,6 +76,7 @@
   const pending = new Map<number, Pending>();
   let unconfirmed: Unconfirmed[] = [];
   let socket: Socket | undefined;
+  let writer: FrameWriter = createFrameWriter();
   let open = false;
   let closed = false;
   const liveness = createLinkLiveness(now);
@@ -201,10 +204,11 @@
     dialedAt = now();
     const dialed = connect({host, port, noDelay: true});
     socket = dialed;
+    writer = createFrameWriter();
     const reader = createFrameReader(onFrame);
     dialed.on('connect', () => {
       liveness.reset();
-      dialed.write(encodeFrame(options.hello()));
+      dialed.write(writer.encode(options.hello()));
     });
     dialed.on('data', chunk => {
       if (socket !== dialed) {
@@ -233,7 +237,7 @@
   };
 
   const send = (message: Message, body?: Buffer): void => {
-    socket?.write(encodeFrame(message, body));
+    socket?.write(writer.encode(message, body));
   };
 
   const sendPing = (): void => {
--- a/src/mesh/peer-server.ts
+++ b/src/mesh/peer-server.ts
@@ -2,7 +2,7 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import type {DecisionLog} from './decision-log.js';
 import type {Door} from './door.js';
-import {createFrameReader, encodeFrame, type Frame} from './frame.js';
+import {createFrameReader, createFrameWriter, type Frame} from './frame.js';
 import type {Member, Message} from './message.js';
 
 /** Server of the peer listener. */
@@ -65,9 +65,10 @@
     const keys = new Set<string>();
     let heardAt = now();
     let member: Member | undefined;
+    const writer = createFrameWriter();
     const send = (message: Message, body?: Frame['body']): void => {
       if (!socket.destroyed) {
-        socket.write(encodeFrame(message, body));
+        socket.write(writer.encode(message, body));
       }
     };
 
