refactor(mesh): take load figures and run records out of the door

What it counts and what it remembers of calls that must not run twice are modules of their own; no behaviour changes.

--- a/src/mesh/door.ts
+++ b/src/mesh/door.ts
@@ -9,12 +9,12 @@
 import {createBackendPool, type RunningExchange} from './backend-pool.js';
 import type {ExchangeResult} from './backend-connection.js';
 import type {DecisionLog} from './decision-log.js';
+import {createDoorLoad} from './door-load.js';
 import type {
   BackendLoad, BackendState, CallHead, DoorRefusal, DoorResult,
 } from './message.js';
 import type {HttpDialect} from './protocol.js';
-import {createServiceTimes} from './service-times.js';
-import {createWindowCounter} from './window-counter.js';
+import {createRunRecords} from './run-records.js';
 
 /** A call offered to the door. */
 export type Offer = {
@@ -41,6 +41,8 @@
   /** Load with the times of all routes, or of one. */
   load: (route?: string) => BackendLoad;
   inFlight: () => number;
+  /** Routes whose calls the backend server runs. */
+  runningRoutes: () => ReadonlySet<string>;
   hasLeft: () => boolean;
   close: () => void;
 };
@@ -79,9 +81,6 @@
 const WAIT_SHARE = 0.5;
 /** Failed connects in a row after which the backend server counts as gone until it announces itself. */
 const CONNECT_FAILURES_MAX = 2;
-/** Time for which the ids of calls that must not run twice are kept, in milliseconds; longer than any caller waits. */
-const RUN_RECORD_MS = 60_000;
-const RUN_RECORDS_MAX = 50_000;
 const RETRY_AFTER_MIN_MS = 50;
 
 /** First status of a failure; failures say nothing of the time that a call takes. */
@@ -107,16 +106,11 @@
   const {now, log, dialect} = options;
   let local: LocalBackend = {kind: 'none'};
   let stopping = false;
-  let running = 0;
-  /** Sum of the start times of the running calls. */
-  let startedSum = 0;
-  const serviceTimes = createServiceTimes();
-  const requests = createWindowCounter(now, options.retryWindowMs);
-  const repeats = createWindowCounter(now, options.retryWindowMs);
+  const doorLoad = createDoorLoad(now, options.retryWindowMs);
   let connectFailures = 0;
   const queue = createQueue();
   const calls = new Map<string, Active>();
-  const ran = new Map<string, number>();
+  const runRecords = createRunRecords(now);
   const pool = createBackendPool({
     dialect,
     now,
@@ -132,21 +126,7 @@
     return backend === undefined ? 0 : Math.min(backend.slots, options.connections(backend.service));
   };
 
-  /** Mean time that the running calls have taken so far: a backend server that has stopped answering shows here, and in no answer. */
-  const meanAgeMs = (): number => running === 0 ? 0 : now() - (startedSum / running);
-
-  const load = (route?: string): BackendLoad => {
-    const meanMs = serviceTimes.mean();
-    const slowness = Math.max(1, meanAgeMs() / meanMs);
-    return {
-      running,
-      queued: queue.length,
-      limit: limit(),
-      serviceMs: toTenths(meanMs * slowness),
-      routes: serviceTimes.byRoute(route).map(time => ({route: time.route, serviceMs: toTenths(time.serviceMs * slowness)})),
-      counted: {requests: requests.count(), repeats: repeats.count()},
-    };
-  };
+  const load = (route?: string): BackendLoad => doorLoad.report({queued: queue.length, limit: limit()}, route);
 
   const state = (): BackendState => {
     if (local.kind !== 'announced') {
@@ -177,13 +157,13 @@
     active.offer.onResult(result, body);
   };
 
-  const retryAfter = (): number => Math.max(RETRY_AFTER_MIN_MS, Math.round((queue.length + 1) * serviceTimes.mean() / Math.max(1, limit())));
+  const retryAfter = (): number => Math.max(RETRY_AFTER_MIN_MS, Math.round((queue.length + 1) * doorLoad.serviceMs() / Math.max(1, limit())));
 
   const refuse = (active: Active, reason: DoorRefusal, arrived = false): void => {
     log.count('door_refusals', reason);
     const {requestId, route, priority} = active.offer.call;
     log.write('info', 'door-refused', {
-      request: requestId, reason, route, priority, waitedMs: Math.round(now() - active.arrivedAt), remainingMs: Math.round(active.deadlineAt - now()), running, queued: queue.length, limit: limit(), serviceMs: Math.round(serviceTimes.mean()),
+      request: requestId, reason, route, priority, waitedMs: Math.round(now() - active.arrivedAt), remainingMs: Math.round(active.deadlineAt - now()), running: doorLoad.running(), queued: queue.length, limit: limit(), serviceMs: Math.round(doorLoad.serviceMs()),
     });
     end(active, {
       kind: 'refused', reason, arrived, retryAfterMs: retryAfter(),
@@ -212,22 +192,22 @@
   };
 
   const settle = (active: Active, result: ExchangeResult): void => {
-    running--;
-    startedSum -= active.run!.startedAt;
     const {call} = active.offer;
+    const run = {route: call.route, startedAt: active.run!.startedAt};
+    doorLoad.ended(run);
     switch (result.kind) {
       case 'answered': {
         connectFailures = 0;
         const statement = dialect.readBackend(result.status, result.rawHeaders);
         if (statement.notRun) {
-          ran.delete(call.requestId);
+          runRecords.withdraw(call.requestId);
           refuse(active, 'backend-refused', true);
           break;
         }
 
         const below = options.below();
         if (result.status < SERVER_ERROR) {
-          serviceTimes.note(call.route, now() - active.run!.startedAt);
+          doorLoad.served(run);
         }
 
         end(active, {
@@ -238,7 +218,7 @@
 
       case 'not-sent': {
         noteConnectFailure(result.cause);
-        ran.delete(call.requestId);
+        runRecords.withdraw(call.requestId);
         refuse(active, 'backend-unreachable');
         break;
       }
@@ -260,19 +240,14 @@
   const dispatch = (active: Active): void => {
     const {call, body} = active.offer;
     const remainingMs = Math.floor(active.deadlineAt - now());
-    if (!call.idempotent) {
-      if (ran.has(call.requestId)) {
-        log.write('warn', 'repeat-prevented', {request: call.requestId});
-        end(active, {kind: 'lost', cause: 'the request was already passed on once'}, noBytes);
-        return;
-      }
-
-      ran.set(call.requestId, now());
+    if (!call.idempotent && !runRecords.begin(call.requestId)) {
+      log.write('warn', 'repeat-prevented', {request: call.requestId});
+      end(active, {kind: 'lost', cause: 'the request was already passed on once'}, noBytes);
+      return;
     }
 
     const startedAt = now();
-    running++;
-    startedSum += startedAt;
+    doorLoad.started({route: call.route, startedAt});
     const {instance} = target();
     active.run = {startedAt, exchange: undefined};
     active.run.exchange = pool.run({
@@ -290,7 +265,7 @@
   const judge = (call: QueuedCall): 'take' | 'drop' => call.queueUntil <= now() ? 'drop' : 'take';
 
   const dispatchNext = (): void => {
-    while (running < limit() && queue.length > 0) {
+    while (doorLoad.running() < limit() && queue.length > 0) {
       const {taken, dropped} = takeNext(queue, {isKindBlocked: () => false, judge});
       for (const {callId} of dropped) {
         refuse(calls.get(callId)!, 'queue-time');
@@ -332,8 +307,8 @@
   const wait = (active: Active): void => {
     const {call, key} = active.offer;
     const remainingMs = active.deadlineAt - now();
-    const longestMs = Math.min(remainingMs * WAIT_SHARE, Math.max(call.targetMs, 0) + serviceTimes.mean());
-    const expectedMs = (queuedAhead(call.priority) + 1) * serviceTimes.mean() / Math.max(1, limit());
+    const longestMs = Math.min(remainingMs * WAIT_SHARE, Math.max(call.targetMs, 0) + doorLoad.serviceMs());
+    const expectedMs = (queuedAhead(call.priority) + 1) * doorLoad.serviceMs() / Math.max(1, limit());
     if (expectedMs > longestMs) {
       refuse(active, 'queue-full');
       return;
@@ -344,17 +319,6 @@
     });
   };
 
-  const forgetRuns = (): void => {
-    const before = now() - RUN_RECORD_MS;
-    for (const [requestId, at] of ran) {
-      if (at > before && ran.size < RUN_RECORDS_MAX) {
-        break;
-      }
-
-      ran.delete(requestId);
-    }
-  };
-
   const checkSilence = (): void => {
     if (local.kind === 'announced' && now() - local.heardAt > options.announcementMs * ANNOUNCEMENTS_MISSED) {
       log.write('warn', 'backend-silent', {instance: local.announcement.instance, silentMs: Math.round(now() - local.heardAt)});
@@ -369,7 +333,7 @@
         offer, arrivedAt: now(), deadlineAt: now() + offer.call.remainingMs, run: undefined, ended: false,
       };
       calls.set(offer.key, active);
-      (offer.call.isRepeat ? repeats : requests).add();
+      doorLoad.arrived(offer.call.isRepeat);
       const closed = closedBecause();
       if (closed !== undefined) {
         refuse(active, closed);
@@ -377,7 +341,7 @@
         refuse(active, 'other-service');
       } else if (offer.call.remainingMs <= 0) {
         refuse(active, 'deadline-passed');
-      } else if (running < limit() && queue.length === 0) {
+      } else if (doorLoad.running() < limit() && queue.length === 0) {
         dispatch(active);
       } else {
         wait(active);
@@ -404,7 +368,7 @@
       switch (taken.change) {
         case 'new-instance': {
           connectFailures = 0;
-          serviceTimes.reset();
+          doorLoad.reset();
           pool.reset(announcement.address);
           log.write('info', 'backend-announced', {...announcement});
           changed();
@@ -413,7 +377,7 @@
 
         case 'draining': {
           log.write('info', 'backend-draining', {
-            instance: announcement.instance, sequence: announcement.sequence, running, queued: queue.length,
+            instance: announcement.instance, sequence: announcement.sequence, running: doorLoad.running(), queued: queue.length,
           });
           changed();
           break;
@@ -435,7 +399,7 @@
       const before = local;
       local = takeLeave(local, instance, now());
       log.write('info', 'backend-left', {
-        instance, known: local !== before, running, queued: queue.length,
+        instance, known: local !== before, running: doorLoad.running(), queued: queue.length,
       });
       if (local !== before) {
         changed();
@@ -457,7 +421,7 @@
       }
 
       checkSilence();
-      forgetRuns();
+      runRecords.forget();
       pool.sweep();
       dispatchNext();
     },
@@ -469,6 +433,7 @@
     state,
     load,
     inFlight: () => calls.size,
+    runningRoutes: doorLoad.runningRoutes,
     hasLeft: () => local.kind === 'left',
     close: pool.close,
   };
