--- a/src/mesh/__tests__/admission.spec.ts
+++ b/src/mesh/__tests__/admission.spec.ts
@@ -20,6 +20,11 @@
 const REQUEST_MS = CALLS * 2 * STEP_MS;
 
 const route = {name: 'r', priority: 1};
+const silentLog = {
+  write() {
+    return undefined;
+  },
+};
 
 type Started = {process: number; calls: number; waitedSteps: number};
 type Result = {served: number; started: number; shares: number[]};
@@ -32,7 +37,9 @@
     },
   });
   dependencies.merge([{route: route.name, priority: route.priority, service: 'below'}]);
-  return createAdmission({now, dependencies, room});
+  return createAdmission({
+    now, log: silentLog, dependencies, room,
+  });
 };
 
 /** Plays requests at several processes whose calls share `room` calls a step; the others wait, and those that run next are drawn by lot. */
@@ -137,7 +144,9 @@
     },
   });
   dependencies.merge(routes.map(({name, priority}) => ({route: name, priority, service: 'below'})));
-  const admission = createAdmission({now: clock.now, dependencies, room: () => current});
+  const admission = createAdmission({
+    now: clock.now, log: silentLog, dependencies, room: () => current,
+  });
   for (const {room, ms} of rooms) {
     current = room;
     for (let passed = 0; passed < ms; passed += 20) {
--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -5,6 +5,7 @@
 Each process judges by the queues that all doors of the service report, so all of them come to about the same share without talking about it.
 */
 import type {Random} from '../shared/random.js';
+import type {DecisionLog} from './decision-log.js';
 import type {Dependencies} from './dependencies.js';
 
 /** Room at all backend servers of a service that this process can reach. */
@@ -33,6 +34,7 @@
 /** Options of the admission. */
 export type AdmissionOptions = {
   now: () => number;
+  log: Pick<DecisionLog, 'write'>;
   dependencies: Pick<Dependencies, 'servicesOf' | 'prioritiesOn'>;
   room: (service: string) => ServiceRoom;
 };
@@ -57,6 +59,8 @@
 const LEVEL_MAX = 2;
 /** Longest time that one look accounts for, in milliseconds: after a standstill the room of that time is not known. */
 const LOOK_MAX_MS = 500;
+/** Change of the refused share that is written to the log. */
+const TOLD_CHANGE = 0.2;
 const SECOND_MS = 1000;
 
 /** Change of the refused share per second. */
@@ -76,9 +80,10 @@
 };
 
 /** Creates an admission that admits everything. */
-export const createAdmission = ({now, dependencies, room}: AdmissionOptions): Admission => {
+export const createAdmission = ({now, log, dependencies, room}: AdmissionOptions): Admission => {
   /** Refused share of the least urgent routes that depend on a service. */
   const levels = new Map<string, number>();
+  const toldLevels = new Map<string, number>();
   let lookedAt = now();
 
   const refusedBy = (service: string, priority: number): number => {
@@ -91,13 +96,25 @@
     return Math.max(SHARE_MIN, 1 - refused);
   };
 
+  /** Writes a line when the refused share of a service has changed noticeably. */
+  const tell = (service: string, current: ServiceRoom): void => {
+    const level = levels.get(service) ?? 0;
+    const told = toldLevels.get(service) ?? 0;
+    if (Math.abs(level - told) >= TOLD_CHANGE || (level === 0 && told > 0)) {
+      toldLevels.set(service, level);
+      log.write('info', 'admission-changed', {service, refusedShare: Math.round(level * 100) / 100, ...current});
+    }
+  };
+
   return {
     observe() {
       const seconds = Math.min(LOOK_MAX_MS, now() - lookedAt) / SECOND_MS;
       lookedAt = now();
       for (const service of dependencies.servicesOf()) {
-        const level = (levels.get(service) ?? 0) + (slopeOf(room(service)) * seconds);
+        const current = room(service);
+        const level = (levels.get(service) ?? 0) + (slopeOf(current) * seconds);
         levels.set(service, Math.max(0, Math.min(LEVEL_MAX, level)));
+        tell(service, current);
       }
     },
     admit(route, isReturn, random) {
--- a/src/mesh/fleet.ts
+++ b/src/mesh/fleet.ts
@@ -1,6 +1,7 @@
 /** The other processes: links to them, what they can take, and what is passed on between them. */
 import type {Buffer} from 'node:buffer';
 import type {ServiceRoom} from './admission.js';
+import type {CallEdge, CallGraph} from './call-graph.js';
 import type {ClientRoutes, RouteOrigin} from './client-routes.js';
 import type {DecisionLog} from './decision-log.js';
 import type {Dependencies, Dependency} from './dependencies.js';
@@ -36,6 +37,7 @@
   /** Tells the others at which service's host a route has arrived. */
   publishOrigin: (origin: RouteOrigin) => void;
   publishDependency: (dependency: Dependency) => void;
+  publishCallEdge: (edge: CallEdge) => void;
   /** Room at the backend servers of a service that can be reached. */
   room: (service: string) => ServiceRoom;
   /** Calls that the doors of a service have counted; undefined when none can be reached. */
@@ -60,6 +62,7 @@
   onConfiguration: (configuration: RoutingConfiguration, from: string) => void;
   clientRoutes: Pick<ClientRoutes, 'merge' | 'list'>;
   dependencies: Pick<Dependencies, 'merge' | 'list'>;
+  callGraph: Pick<CallGraph, 'merge' | 'list'>;
 };
 
 /** Weight of the newest attempt in the share of failures. */
@@ -163,12 +166,18 @@
         return;
       }
 
+      case 'call-edges': {
+        options.callGraph.merge(message.edges);
+        return;
+      }
+
       case 'hello': {
         addMember(message.member, 'hello');
         compareVersion(speaker, message.configurationVersion);
         speaker.send(listMembers());
         speaker.send({type: 'route-origins', origins: options.clientRoutes.list()});
         speaker.send({type: 'dependencies', dependencies: options.dependencies.list()});
+        speaker.send({type: 'call-edges', edges: options.callGraph.list()});
         return;
       }
 
@@ -354,6 +363,9 @@
     publishDependency(dependency) {
       tellAll({type: 'dependencies', dependencies: [dependency]});
     },
+    publishCallEdge(edge) {
+      tellAll({type: 'call-edges', edges: [edge]});
+    },
     room,
     counted,
     services: () => services,
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -1,4 +1,5 @@
 /** Messages between the processes of the fleet. */
+import type {CallEdge} from './call-graph.js';
 import type {RouteOrigin} from './client-routes.js';
 import type {Dependency} from './dependencies.js';
 import type {CountedCalls} from './retry-budget.js';
@@ -97,4 +98,5 @@
   /** Load of the backend server, told unasked while calls wait for it. */
   | {type: 'load'; load: BackendLoad}
   | {type: 'route-origins'; origins: RouteOrigin[]}
-  | {type: 'dependencies'; dependencies: Dependency[]};
+  | {type: 'dependencies'; dependencies: Dependency[]}
+  | {type: 'call-edges'; edges: CallEdge[]};
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -1,6 +1,7 @@
 /** One process on a backend server host: its parts, wired together. */
 import type {Random} from '../shared/random.js';
 import {createAdmission} from './admission.js';
+import {createCallGraph} from './call-graph.js';
 import {createCallMetrics, type CallMetrics} from './call-metrics.js';
 import {createClientRoutes} from './client-routes.js';
 import {createSuspendAwareClock} from './clock.js';
@@ -52,6 +53,8 @@
 /** Part of the time to stop that is left for closing, in milliseconds. */
 const STOP_MARGIN_MS = 400;
 const STOP_POLL_MS = 50;
+/** Interval at which the dependencies of routes are derived from the calls that have been seen, in milliseconds. */
+const LEARN_INTERVAL_MS = 500;
 /** Time without a tick after which the process counts as having stood still, in milliseconds: several ticks, and less than the silence that ends a link. */
 const STANDSTILL_MS = 300;
 
@@ -80,6 +83,11 @@
     },
   });
 
+  const callGraph = createCallGraph(edge => {
+    log.write('info', 'call-edge-learnt', {...edge});
+    fleet.publishCallEdge(edge);
+  });
+
   const dependencies = createDependencies({
     now,
     onLearnt(dependency) {
@@ -114,14 +122,26 @@
   };
 
   const fleet = createFleet({
-    self: {...self, service: settings.service}, now, log, door, configuration: () => table?.configuration, onConfiguration: takeConfiguration, clientRoutes, dependencies,
+    self: {...self, service: settings.service}, now, log, door, configuration: () => table?.configuration, onConfiguration: takeConfiguration, clientRoutes, dependencies, callGraph,
   });
 
   const budget = createRetryBudget({
     now, ratio: settings.bounds.retryRatio, windowMs: settings.bounds.retryWindowMs, slack: settings.bounds.retrySlack, processes: () => fleet.members().length, counted: service => fleet.counted(service),
   });
 
-  const admission = createAdmission({now, dependencies, room: service => fleet.room(service)});
+  /** Routes of clients depend on the services of the routes that are called for them. */
+  const learnDependencies = (): void => {
+    const routes = table?.configuration.routes ?? [];
+    const targets = new Map(routes.map(route => [route.name, route.targets.map(({service}) => service)]));
+    for (const {name: route, priority} of routes.filter(({name}) => clientRoutes.has(name))) {
+      const services = [...callGraph.below(route, clientRoutes.has)].flatMap(called => targets.get(called) ?? []);
+      dependencies.merge(services.map(service => ({route, priority, service})));
+    }
+  };
+
+  const admission = createAdmission({
+    now, log, dependencies, room: service => fleet.room(service),
+  });
 
   const entry = createEntry({
     address: settings.listen.entry,
@@ -137,7 +157,10 @@
     admission,
     dependencies,
     isClientRoute: clientRoutes.has,
-    onArrived: clientRoutes.observe,
+    onArrived(route) {
+      clientRoutes.observe(route);
+      callGraph.observe(door.runningRoutes(), route);
+    },
     heldBytesMax: settings.heldBytesMax,
     onFinished: metrics.record,
     onCallFailed(lacking) {
@@ -154,6 +177,7 @@
   const followers: Array<{stop: () => void}> = [];
   let ticker: NodeJS.Timeout | undefined;
   let tickedAt = now();
+  let learntAt = now();
 
   const tick = (): void => {
     const suspendedMs = clock.observe();
@@ -169,6 +193,10 @@
     fleet.tick();
     door.tick();
     admission.observe();
+    if (now() - learntAt > LEARN_INTERVAL_MS) {
+      learntAt = now();
+      learnDependencies();
+    }
   };
 
   const followStore = (): void => {
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -187,6 +187,7 @@
       }
 
       case 'call':
+      case 'call-edges':
       case 'cancel':
       case 'configuration':
       case 'configuration-wanted':
--- a/src/mesh/peer-server.ts
+++ b/src/mesh/peer-server.ts
@@ -149,6 +149,7 @@
           return;
         }
 
+        case 'call-edges':
         case 'dependencies':
         case 'load':
         case 'route-origins':
