fix(mesh): use the room of other zones before calls queue, and admit while any is free

The price of another zone, a fifth of the target, was charged against waiting too, so calls queued in their zone, and the admission took that queue for a lack of room.

--- a/src/mesh/__tests__/admission.spec.ts
+++ b/src/mesh/__tests__/admission.spec.ts
@@ -126,6 +126,9 @@
 const BUSY: ServiceRoom = {
   backends: 2, running: 50, queued: 15, limit: 50,
 };
+const UNEVEN: ServiceRoom = {
+  backends: 3, running: 52, queued: 90, limit: 75,
+};
 const FREE: ServiceRoom = {
   backends: 2, running: 25, queued: 0, limit: 50,
 };
@@ -163,6 +166,7 @@
   {title: 'a free service admits everything', rooms: [{room: FREE, ms: 5000}], between: [1, 1]},
   {title: 'a long queue turns most requests away within a second', rooms: [{room: FULL, ms: 1000}], between: [0, 0.3]},
   {title: 'a kind of request never starves', rooms: [{room: FULL, ms: 60_000}], between: [0.1, 0.1]},
+  {title: 'a queue at one backend server while others have room turns nothing away', rooms: [{room: UNEVEN, ms: 5000}], between: [1, 1]},
   {title: 'a short queue changes nothing', rooms: [{room: FULL, ms: 500}, {room: BUSY, ms: 5000}], between: [0.4, 0.6]},
   {title: 'a service without backend servers has no room', rooms: [{room: ABSENT, ms: 1000}], between: [0, 0.3]},
   // Eight seconds are half of the fifteen in which normal service has to be back.
--- a/src/mesh/__tests__/selection.spec.ts
+++ b/src/mesh/__tests__/selection.spec.ts
@@ -45,6 +45,11 @@
   {title: 'slower by more than the price of another zone', localMs: 200, expected: 'remote'},
 ];
 
+test('calls do not queue in their zone while another zone has room', t => {
+  const got = share([candidate('local', {load: load(10, 2)}), candidate('remote', {zone: 'b', load: load(2, 0)})], 'remote');
+  t.true(got > 0.5, `share ${got}`);
+});
+
 for (const {title, localMs, expected} of zones) {
   test(`backend servers of another zone get calls only for a gain: the local one is ${title}`, t => {
     const candidates = [candidate('local', {load: load(0, 0, localMs)}), candidate('remote', {zone: 'b'})];
--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -70,11 +70,12 @@
   }
 
   const queue = queued / limit;
+  const idle = 1 - (running / limit);
   if (queue > QUEUE_HIGH) {
-    return Math.min(GROWTH_MAX_PER_S, GROWTH_PER_S * (queue - QUEUE_HIGH));
+    // Calls that wait at one backend server while others have room are a matter of routing.
+    return idle > IDLE_MIN ? 0 : Math.min(GROWTH_MAX_PER_S, GROWTH_PER_S * (queue - QUEUE_HIGH));
   }
 
-  const idle = 1 - (running / limit);
   const factor = idle > IDLE_MIN ? 1 + (IDLE_FALL_FACTOR * idle) : 1;
   return queue < QUEUE_LOW ? -FALL_PER_S * factor : 0;
 };
--- a/src/mesh/selection.ts
+++ b/src/mesh/selection.ts
@@ -34,11 +34,19 @@
 /** Time of the slowest few of a hundred calls, as a multiple of the mean; a target below it is missed now and then. */
 const TAIL_FACTOR = 2.5;
 
+const limitOf = ({load}: Candidate<unknown>): number => Math.max(1, load.limit);
+const occupiedOf = ({load, sentSinceReport}: Candidate<unknown>): number => load.running + load.queued + sentSinceReport;
+
+/** Expected wait for a slot, in milliseconds. */
+const waitOf = (candidate: Candidate<unknown>): number =>
+  Math.max(0, occupiedOf(candidate) + 1 - limitOf(candidate)) * candidate.load.serviceMs / limitOf(candidate);
+
 /** Expected time of a call, in milliseconds: the service time of its route, and the wait for a slot. */
-export const expectedMs = ({load, sentSinceReport, coldMs, failureShare}: Candidate<unknown>, serviceMs = load.serviceMs): number => {
-  const limit = Math.max(1, load.limit);
-  const occupied = load.running + load.queued + sentSinceReport;
-  const waitMs = Math.max(0, occupied + 1 - limit) * load.serviceMs / limit;
+export const expectedMs = (candidate: Candidate<unknown>, serviceMs = candidate.load.serviceMs): number => {
+  const {coldMs, failureShare} = candidate;
+  const limit = limitOf(candidate);
+  const occupied = occupiedOf(candidate);
+  const waitMs = waitOf(candidate);
   const crowding = 1 + Math.max(0, Math.min(1, occupied / limit) - KNEE);
   const slow = coldMs > 0 ? COLD_FACTOR : 1;
   return ((serviceMs * crowding * slow) + waitMs) * (1 + (FAILURE_FACTOR * failureShare));
@@ -64,8 +72,11 @@
   const live = open.filter(candidate => candidate.live);
   const pool = live.length > 0 || wish.needsLive ? live : open;
   const unreported = unreportedMs(pool, wish.route);
+  // Calls that would queue in their zone use the room of other zones instead.
+  const hasRoomInZone = pool.some(candidate => candidate.zone === wish.zone && waitOf(candidate) === 0);
+  const otherZoneMs = hasRoomInZone ? wish.targetMs * OTHER_ZONE_SHARE : 0;
   const scored = pool.map(candidate => {
-    const price = candidate.zone === wish.zone ? 0 : wish.targetMs * OTHER_ZONE_SHARE;
+    const price = candidate.zone === wish.zone ? 0 : otherZoneMs;
     const expected = expectedMs(candidate, routeMs(candidate, wish.route) ?? unreported);
     const failureMs = candidate.failureShare * wish.targetMs;
     return {candidate, score: expected + latenessMs(expected, wish.targetMs) + failureMs + price};
