--- a/src/daemon/http-server.ts
+++ b/src/daemon/http-server.ts
@@ -4,6 +4,7 @@
   createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {pipeline} from 'node:stream/promises';
+import {splitAddress} from '../shared/address.js';
 import type {Reply} from './message.js';
 
 /** Listener of a process. */
@@ -36,12 +37,6 @@
 /** Bodies above this size are not read to their end after an early reply; the connection is closed instead. In bytes. */
 const DISCARD_BYTES = 64 * 1024;
 
-/** Splits `ip:port`. */
-export const splitAddress = (address: string): {host: string; port: number} => {
-  const [host, port] = address.split(':') as [string, string];
-  return {host, port: Number(port)};
-};
-
 const badRequest = (status: string) => `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
 
 const onClientError = (server: Server) => {
--- a/src/emulator/backend-server/backend-server.ts
+++ b/src/emulator/backend-server/backend-server.ts
@@ -6,6 +6,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {Agent} from 'undici';
+import {splitAddress} from '../../shared/address.js';
 import {CALL_TOKEN_HEADER, DEADLINE_HEADER, REQUEST_ID_HEADER} from '../../shared/constants.js';
 import {createRandom} from '../../shared/random.js';
 import {startAnnouncement, type Announcement} from './announcement.js';
@@ -48,11 +49,6 @@
 const pathMatches = (pattern: string, path: string): boolean =>
   pattern.endsWith('*') ? path.startsWith(pattern.slice(0, -1)) : path === pattern;
 
-const splitAddress = (address: string) => {
-  const [host, port] = address.split(':');
-  return {host, port: Number(port)};
-};
-
 const listen = async (server: Server, address: string): Promise<string> => new Promise((resolve, reject) => {
   server.once('error', reject);
   server.listen(splitAddress(address), () => {
--- a/src/mesh/backend-connection.ts
+++ b/src/mesh/backend-connection.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {connect, type Socket} from 'node:net';
 import {HTTPParser, type HTTPParserJS} from 'http-parser-js';
+import {splitAddress} from '../shared/address.js';
 import type {HttpDialect} from './protocol.js';
 
 /** How a call on a connection ended. */
@@ -53,11 +54,6 @@
 
 type Answer = {status: number; rawHeaders: string[]; chunks: Buffer[]; bytes: number; framed: boolean};
 
-const splitAddress = (address: string): {host: string; port: number} => {
-  const colon = address.lastIndexOf(':');
-  return {host: address.slice(0, colon), port: Number(address.slice(colon + 1))};
-};
-
 const headText = ({method, path, rawHeaders, body}: Exchange): string => {
   let text = `${method} ${path} HTTP/1.1\r\n`;
   for (let index = 0; index < rawHeaders.length; index += 2) {
--- a/src/mesh/entry.ts
+++ b/src/mesh/entry.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {listenOn} from '../shared/address.js';
 import {startRequest, type CallPathOptions, type Outcome} from './call-path.js';
 import type {DecisionLog} from './decision-log.js';
 import type {HttpDialect} from './protocol.js';
@@ -44,6 +45,8 @@
 /** Time before the caller's deadline at which it gets the final answer, in milliseconds: the answer has to reach it. */
 const DEADLINE_MARGIN_MS = 20;
 const HEADER_MAX_BYTES = 64 * 1024;
+/** Connections that may wait to be accepted: all clients of a host reconnect at the same moment. */
+const BACKLOG = 1024;
 const IDLE_DEFAULT_MS = 15_000;
 /** Time to come back for a caller of a process that knows no configuration yet, in milliseconds. */
 const RETRY_AFTER_STARTING_MS = 200;
@@ -305,16 +308,7 @@
   });
 
   return {
-    async start() {
-      const colon = options.address.lastIndexOf(':');
-      return new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen({host: options.address.slice(0, colon), port: Number(options.address.slice(colon + 1)), backlog: 1024}, () => {
-          server.off('error', reject);
-          resolve();
-        });
-      });
-    },
+    start: async () => listenOn(server, options.address, BACKLOG),
     retire() {
       retiring = true;
     },
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -1,6 +1,7 @@
 /** Connection from this process to another one, over which calls are sent to the backend server there. */
 import {connect, type Socket} from 'node:net';
 import {Buffer} from 'node:buffer';
+import {splitAddress} from '../shared/address.js';
 import type {DecisionLog} from './decision-log.js';
 import {
   createFrameReader, createFrameWriter, type Frame, type FrameWriter,
@@ -70,9 +71,6 @@
 /** Creates a link and keeps it connected until it is closed. */
 export const createPeerLink = (options: PeerLinkOptions): PeerLink => {
   const {now, log, address} = options;
-  const colon = address.lastIndexOf(':');
-  const host = address.slice(0, colon);
-  const port = Number(address.slice(colon + 1));
   const pending = new Map<number, Pending>();
   let unconfirmed: Unconfirmed[] = [];
   let socket: Socket | undefined;
@@ -203,7 +201,7 @@
 
   const dial = (): void => {
     dialedAt = now();
-    const dialed = connect({host, port, noDelay: true});
+    const dialed = connect({...splitAddress(address), noDelay: true});
     socket = dialed;
     writer = createFrameWriter();
     const reader = createFrameReader(onFrame);
--- a/src/mesh/peer-server.ts
+++ b/src/mesh/peer-server.ts
@@ -1,5 +1,6 @@
 /** Accepts links of other processes and passes their calls to the door. */
 import {createServer, type Server, type Socket} from 'node:net';
+import {listenOn} from '../shared/address.js';
 import type {DecisionLog} from './decision-log.js';
 import type {Door} from './door.js';
 import {createFrameReader, createFrameWriter, type Frame} from './frame.js';
@@ -36,6 +37,9 @@
 /** Time without any byte after which a link is given up, in milliseconds; its caller pings every second at least, and gives up sooner itself. */
 const SILENT_MS = 3500;
 
+/** Connections that may wait to be accepted: all other processes dial at the same moment. */
+const BACKLOG = 512;
+
 /** Estimates by how much a message is later than the fastest recent ones; the two clocks have no common start. */
 export const createTransitEstimate = (): {observe: (sentAt: number, receivedAt: number) => void; lateness: (sentAt: number, receivedAt: number) => number} => {
   const samples: number[] = [];
@@ -198,16 +202,7 @@
   }, SILENT_MS / 5);
 
   return {
-    async start() {
-      const colon = options.address.lastIndexOf(':');
-      return new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen({host: options.address.slice(0, colon), port: Number(options.address.slice(colon + 1)), backlog: 512}, () => {
-          server.off('error', reject);
-          resolve();
-        });
-      });
-    },
+    start: async () => listenOn(server, options.address, BACKLOG),
     publish(message) {
       for (const link of links) {
         link.send(message);
--- /dev/null
+++ b/src/shared/address.ts
@@ -0,0 +1,20 @@
+/** Addresses of the form `ip:port`. */
+import type {Server} from 'node:net';
+
+/** Host and port of an address. */
+export type HostAndPort = {host: string; port: number};
+
+/** Splits an address into host and port. */
+export const splitAddress = (address: string): HostAndPort => {
+  const colon = address.lastIndexOf(':');
+  return {host: address.slice(0, colon), port: Number(address.slice(colon + 1))};
+};
+
+/** Starts a server on an address; rejects when the address cannot be used. `backlog` is the number of connections that may wait to be accepted. */
+export const listenOn = async (server: Server, address: string, backlog?: number): Promise<void> => new Promise((resolve, reject) => {
+  server.once('error', reject);
+  server.listen({...splitAddress(address), backlog}, () => {
+    server.off('error', reject);
+    resolve();
+  });
+});
