--- a/src/mesh/__tests__/frame.spec.ts
+++ b/src/mesh/__tests__/frame.spec.ts
@@ -7,7 +7,19 @@
 const messages: Message[] = [
   {type: 'cancel', id: 7},
   {type: 'configuration-wanted'},
-  {type: 'members', members: [{node: 'à', address: '127.0.0.1:1', zone: 'z'}]},
+  {
+    type: 'members',
+    changes: {
+      since: 0,
+      revision: 4,
+      listed: [{
+        member: {
+          node: 'à', address: '127.0.0.1:1', zone: 'z', service: 's',
+        }, revision: 3,
+      }],
+      removed: [],
+    },
+  },
 ];
 
 const sizes = [1, 2, 7, 8, 9, 64, 100_000];
--- a/src/mesh/__tests__/peer-link.spec.ts
+++ b/src/mesh/__tests__/peer-link.spec.ts
@@ -5,7 +5,7 @@
 import {createManualClock} from '../../shared/clock.js';
 import {createDecisionLog} from '../decision-log.js';
 import {createFrameReader, createFrameWriter, type Frame} from '../frame.js';
-import type {CallHeader, Message} from '../message.js';
+import type {CallHeader, KnownVersions, Message} from '../message.js';
 import {createPeerLink, type PeerCallResult, type PeerLink} from '../peer-link.js';
 
 const log = createDecisionLog({
@@ -14,6 +14,8 @@
   },
 });
 
+const known: KnownVersions = {configuration: 0, members: 0, storeAgeMs: undefined};
+
 const createCall = (idempotent: boolean): CallHeader => ({
   requestId: 'r', service: 's', method: 'GET', path: '/', rawHeaders: [], idempotent, isRepeat: false, priority: 0, route: 'r', remainingMs: 1000, targetMs: 1000,
 });
@@ -27,7 +29,9 @@
       received.push(message);
       const answer = message.type === 'hello'
         ? {
-          type: 'welcome' as const, member: {node: 'p', address: 'p', zone: 'z'}, configurationVersion: 0, state: {kind: 'absent' as const},
+          type: 'welcome' as const, member: {
+            node: 'p', address: 'p', zone: 'z', service: 's',
+          }, known, state: {kind: 'absent' as const},
         }
         : answers(message);
       if (answer !== undefined) {
@@ -46,10 +50,12 @@
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
     now: clock.now,
     log,
-    createHello: () => ({type: 'hello', member: {node: 'n', address: 'n', zone: 'z'}, configurationVersion: 0}),
-    createPing: () => ({
-      type: 'ping', sentAt: 0, configurationVersion: 0, memberCount: 1,
+    createHello: () => ({
+      type: 'hello', member: {
+        node: 'n', address: 'n', zone: 'z', service: 's',
+      }, known,
     }),
+    createPing: () => ({type: 'ping', sentAt: 0, known}),
     onMessage() {
       received.length += 0;
     },
@@ -78,7 +84,7 @@
 
 const answerPing = (message: Message): Message | undefined => message.type === 'ping'
   ? {
-    type: 'pong', configurationVersion: 0, load: {
+    type: 'pong', known, load: {
       running: 0, queued: 0, limit: 1, serviceMs: 1, routes: [], counted: {requests: 0, repeats: 0},
     },
   }
--- a/src/mesh/call-graph.ts
+++ b/src/mesh/call-graph.ts
@@ -11,8 +11,8 @@
 export type CallGraph = {
   /** Records that a request for route `called` arrived at this host while calls of the routes in `running` were running. */
   observe: (running: ReadonlySet<string>, called: string) => void;
-  /** Adds edges learnt by another process; `onLearnt` is not called. */
-  merge: (edges: readonly CallEdge[]) => void;
+  /** Adds edges learnt by another process and returns those that were not known; `onLearnt` is not called. */
+  merge: (edges: readonly CallEdge[]) => CallEdge[];
   /** Routes that a route calls, directly or transitively. Client routes are left out: their requests arrive during running calls by coincidence. */
   calledRoutes: (route: string, isClientRoute: (route: string) => boolean) => Set<string>;
   /** All edges. */
@@ -65,11 +65,7 @@
         countObservation({caller: caller!, called});
       }
     },
-    merge(reported) {
-      for (const edge of reported) {
-        addEdge(edge);
-      }
-    },
+    merge: reported => reported.filter(edge => addEdge(edge)),
     calledRoutes(route, isClientRoute) {
       const reached = new Set<string>();
       const pending = [route];
--- a/src/mesh/client-routes.ts
+++ b/src/mesh/client-routes.ts
@@ -12,8 +12,8 @@
 export type ClientRoutes = {
   /** Records that a request for a route arrived at this host. */
   observe: (route: string) => void;
-  /** Adds origins recorded by another process; `onNewOrigin` is not called. */
-  merge: (origins: readonly RouteOrigin[]) => void;
+  /** Adds origins recorded by another process and returns those that were not known; `onNewOrigin` is not called. */
+  merge: (origins: readonly RouteOrigin[]) => RouteOrigin[];
   /** Whether a route is a client route. */
   has: (route: string) => boolean;
   /** All origins. */
@@ -55,11 +55,7 @@
         onNewOrigin(origin);
       }
     },
-    merge(reported) {
-      for (const origin of reported) {
-        addOrigin(origin);
-      }
-    },
+    merge: reported => reported.filter(origin => addOrigin(origin)),
     has(route) {
       const originServices = origins.get(route);
       return originServices !== undefined && [...services()].every(service => originServices.has(service));
--- a/src/mesh/dependencies.ts
+++ b/src/mesh/dependencies.ts
@@ -15,8 +15,8 @@
 export type Dependencies = {
   /** Evaluates the outcome of a request that ended at this process. */
   recordOutcome: (outcome: RouteOutcome) => void;
-  /** Adds or confirms dependencies from another source, such as another process; `onLearnt` is not called. */
-  merge: (dependencies: readonly Dependency[]) => void;
+  /** Adds or confirms dependencies from another source, such as another process, and returns those that were not known; `onLearnt` is not called. */
+  merge: (dependencies: readonly Dependency[]) => Dependency[];
   /** Services that a route depends on; without an argument, those of all routes. */
   servicesOf: (route?: string) => string[];
   /** Distinct priorities of the routes that depend on a service. */
@@ -91,11 +91,7 @@
         }
       }
     },
-    merge(dependencies) {
-      for (const dependency of dependencies) {
-        confirm(dependency);
-      }
-    },
+    merge: dependencies => dependencies.filter(dependency => confirm(dependency)),
     servicesOf: route => route === undefined ? [...new Set(all().map(({service}) => service))] : currentOf(route).map(({service}) => service),
     dependentPriorities: service => [...new Set(all().filter(dependency => dependency.service === service).map(({priority}) => priority))],
     list: () => all().map(({route, priority, service}) => ({route, priority, service})),
--- a/src/mesh/fleet.ts
+++ b/src/mesh/fleet.ts
@@ -1,19 +1,25 @@
-/** Membership of the fleet, links to the other processes, and the state that is exchanged with them. */
-import type {Buffer} from 'node:buffer';
+/** Links to the other processes of the fleet, and the state that is exchanged over them. */
+import {Buffer} from 'node:buffer';
 import type {ServiceLoad} from './admission.js';
-import type {CallEdge, CallGraph} from './call-graph.js';
-import type {ClientRoutes, RouteOrigin} from './client-routes.js';
 import type {DecisionLog} from './decision-log.js';
-import type {Dependencies, Dependency} from './dependencies.js';
 import type {InboundProxy} from './inbound-proxy.js';
+import type {LearntRouteSpread} from './learnt-routes.js';
+import {createLinkTable} from './link-table.js';
+import type {MemberDirectory} from './member-directory.js';
 import type {
-  BackendState, CallHeader, CallResult, Member, Message,
+  BackendState, CallHeader, CallResult, KnownVersions, Member, Message,
 } from './message.js';
 import {createPeerLink, type PeerLink} from './peer-link.js';
 import {createPeerServer, type IncomingLink} from './peer-server.js';
 import type {CountedCalls} from './retry-budget.js';
 import type {RoutingConfiguration} from './routing-configuration.js';
 import type {Candidate} from './selection.js';
+import {
+  estimateCallCounts, estimateServiceLoad, type BackendCounts, type LoadSample,
+} from './service-estimate.js';
+import {WATCH_MS} from './object-watcher.js';
+import {chooseReaders} from './store-readers.js';
+import {chooseSubset, createRings, type Rings} from './subset.js';
 
 /** Destination of one attempt: a backend server, reached directly or through the process on its host. */
 export type Destination = {
@@ -27,28 +33,25 @@
 /** View that one process has of the fleet. */
 export type Fleet = {
   start: () => Promise<void>;
-  /** Backend servers of a service that accept calls. */
+  /** Linked backend servers of a service that accept calls. */
   candidates: (service: string) => Array<Candidate<Destination>>;
-  /** Adds the members listed in the store, and removes those that are neither listed nor connected. */
-  syncMembers: (members: readonly Member[]) => void;
-  members: () => Member[];
+  /** Whether links to backend servers of a service are being opened, so that a call may be possible shortly. */
+  isConnecting: (service: string) => boolean;
   /** Sends the state of the local backend server to all processes that have opened a link. */
   publishBackendState: (state: BackendState) => void;
-  /** Pings all peers, so that those with an older configuration request the current one. */
-  announceConfigurationVersion: () => void;
-  /** Tells the peers that a request for a route has arrived at a host of a service. */
-  publishRouteOrigin: (origin: RouteOrigin) => void;
-  /** Sends a learnt dependency of a route to all peers. */
-  publishDependency: (dependency: Dependency) => void;
-  /** Sends a learnt edge of the call graph to all peers. */
-  publishCallEdge: (edge: CallEdge) => void;
-  /** Total capacity and load of the reachable backend servers of a service. */
+  /** Tells the peers which versions this process knows, so that those with older ones request them. */
+  announceVersions: () => void;
+  /** Estimated capacity and load of a service. */
   serviceLoad: (service: string) => ServiceLoad;
-  /** Calls that the hosts of a service have received within the retry budget window; undefined when no host is reachable. */
+  /** Estimated calls that the hosts of a service have received within the retry budget window; undefined when no host is reachable. */
   callCounts: (service: string) => CountedCalls | undefined;
-  /** Services with a reachable backend server, always including the service of this host; updated on each tick. */
-  reachableServices: () => ReadonlySet<string>;
-  /** Drives the links and publishes the load when due; called periodically. */
+  /** Services of the members, always including the service of this host. */
+  services: () => ReadonlySet<string>;
+  /** Whether this process is one of those that watch the store for their zone, or has not heard of a reading of the store for too long. */
+  isStoreReader: () => boolean;
+  /** Records that the store has answered this process. */
+  recordStoreRead: () => void;
+  /** Drives the links and publishes what is due; called periodically. */
   tick: () => void;
   /** Restarts the liveness timers of all links; called after this process was suspended. */
   resetLiveness: () => void;
@@ -59,17 +62,15 @@
 
 /** Options of the fleet. */
 export type FleetOptions = {
-  /** This process; `service` is the service of the backend server on its host. */
-  self: Member & {service: string};
+  self: Member;
   now: () => number;
   log: DecisionLog;
   inboundProxy: InboundProxy;
+  directory: MemberDirectory;
+  learntRoutes: LearntRouteSpread;
   configuration: () => RoutingConfiguration | undefined;
-  /** Called with each configuration that a peer sends, newer or not; `from` is the peer. */
+  /** Called with each newer configuration that a peer sends; `from` is the peer. */
   onConfiguration: (configuration: RoutingConfiguration, from: string) => void;
-  clientRoutes: Pick<ClientRoutes, 'merge' | 'list'>;
-  dependencies: Pick<Dependencies, 'merge' | 'list'>;
-  callGraph: Pick<CallGraph, 'merge' | 'list'>;
 };
 
 /** Weight of the newest attempt in the moving average of failures. */
@@ -78,118 +79,127 @@
 const FAILURE_RATE_HALF_LIFE_MS = 2000;
 /** Minimum interval between load messages while calls are queued, in milliseconds; admission reacts to the load within about a second. */
 const LOAD_INTERVAL_MS = 250;
-/** Minimum interval between two requests for a newer configuration, over all links, in milliseconds. */
-const CONFIGURATION_REQUEST_INTERVAL_MS = 200;
+/** Minimum interval between two requests for the same newer state, over all links, in milliseconds. */
+const REQUEST_INTERVAL_MS = 200;
+/** Interval at which the wanted links are determined, in milliseconds. */
+const LINK_REVIEW_INTERVAL_MS = 200;
+/** Number of services whose links are kept open without use; with more services, links are opened on first use. */
+const KEPT_SERVICES_MAX = 8;
+/** Time without calls after which the links to a service are closed, in milliseconds. */
+const UNUSED_SERVICE_MS = 60_000;
+/** Links over which a process that does not read the store passes on a new version; the readers use all of theirs. */
+const ANNOUNCED_LINKS_MAX = 8;
+/** Time without word of a reading of the store after which a process reads it itself, in milliseconds: longer than a watch takes and its news travels. */
+const STORE_AGE_MAX_MS = WATCH_MS + 3000;
+/** Time after the start in which a process counts on the readers of its zone, in milliseconds. */
+const START_WAIT_MS = 1500;
 
 type FailureRate = {rate: number; updatedAt: number};
-type MessageSender = {send: (message: Message) => void};
+type MessageSender = {send: (message: Message, body?: Buffer) => void};
 
-/** Creates the fleet; it listens after `start` and connects to each member as soon as the member is known. */
+/** Creates the fleet; it listens after `start`, and connects to members as they become known and needed. */
 export const createFleet = (options: FleetOptions): Fleet => {
-  const {self, now, log, inboundProxy} = options;
-  const member: Member = {node: self.node, address: self.address, zone: self.zone};
-  const members = new Map<string, Member>([[self.node, member]]);
-  const links = new Map<string, PeerLink>();
+  const {self, now, log, inboundProxy, directory, learntRoutes} = options;
   const failureRates = new Map<string, FailureRate>();
+  const usedAt = new Map<string, number>();
+  const destinations = new WeakMap<PeerLink, Destination>();
+  const createdAt = now();
+  let storeReadAt = Number.NEGATIVE_INFINITY;
   let configurationRequestedAt = Number.NEGATIVE_INFINITY;
+  let membersRequestedAt = Number.NEGATIVE_INFINITY;
   let localSequence = 0;
   let loadPublishedAt = Number.NEGATIVE_INFINITY;
   let publishedQueueLength = 0;
-  /** Cached once per tick, because every request reads it. */
-  let reachableServices: ReadonlySet<string> = new Set([self.service]);
-
-  const configurationVersion = (): number => options.configuration()?.version ?? 0;
-  const createHello = (): Message => ({type: 'hello', member, configurationVersion: configurationVersion()});
-  const createPing = (): Message => ({
-    type: 'ping', sentAt: now(), configurationVersion: configurationVersion(), memberCount: members.size,
+  let reviewedAt = Number.NEGATIVE_INFINITY;
+  let ringGeneration = -1;
+  let rings: Rings = createRings([self]);
+  let isReader = false;
+  let encodedConfiguration: {version: number; body: Buffer} | undefined;
+
+  const known = (): KnownVersions => ({
+    configuration: options.configuration()?.version ?? 0,
+    members: directory.revision(),
+    storeAgeMs: Number.isFinite(storeReadAt) ? Math.round(now() - storeReadAt) : undefined,
   });
 
-  const requestNewerConfiguration = (sender: MessageSender, peerVersion: number): void => {
-    if (peerVersion > configurationVersion() && now() - configurationRequestedAt > CONFIGURATION_REQUEST_INTERVAL_MS) {
+  const requestNewerState = (sender: MessageSender, peer: KnownVersions): void => {
+    const own = known();
+    storeReadAt = Math.max(storeReadAt, peer.storeAgeMs === undefined ? Number.NEGATIVE_INFINITY : now() - peer.storeAgeMs);
+    if (peer.configuration > own.configuration && now() - configurationRequestedAt > REQUEST_INTERVAL_MS) {
       configurationRequestedAt = now();
       sender.send({type: 'configuration-wanted'});
     }
-  };
 
-  const createMemberList = (): Message => ({type: 'members', members: [...members.values()]});
+    if (peer.members > own.members && now() - membersRequestedAt > REQUEST_INTERVAL_MS) {
+      membersRequestedAt = now();
+      sender.send({type: 'members-wanted', since: own.members});
+    }
+  };
 
-  const addMember = (member: Member, source: string): void => {
-    const known = members.get(member.node);
-    if (member.node === self.node || known?.address === member.address) {
+  const sendConfiguration = (sender: MessageSender): void => {
+    const configuration = options.configuration();
+    if (configuration === undefined) {
       return;
     }
 
-    if (known !== undefined) {
-      links.get(known.address)?.close();
-      links.delete(known.address);
+    if (encodedConfiguration?.version !== configuration.version) {
+      encodedConfiguration = {version: configuration.version, body: Buffer.from(JSON.stringify(configuration))};
     }
 
-    members.set(member.node, member);
-    log.write('info', 'member-added', {member: member.node, address: member.address, source});
-    const link = createPeerLink({
-      address: member.address, now, log, createHello, createPing, onMessage: onLinkMessage,
-    });
-    links.set(member.address, link);
-    link.tick();
+    sender.send({type: 'configuration', version: configuration.version}, encodedConfiguration.body);
   };
 
-  const onMessage = (sender: MessageSender, message: Message, from: string): void => {
+  const sendLearntRoutes = (sender: MessageSender): void => {
+    sender.send({type: 'learnt', learnt: learntRoutes.all()});
+  };
+
+  const onMessage = (sender: MessageSender, message: Message, body: Buffer, from: string): void => {
     switch (message.type) {
       case 'ping':
-      case 'pong': {
-        requestNewerConfiguration(sender, message.configurationVersion);
+      case 'pong':
+      case 'known': {
+        requestNewerState(sender, message.known);
         return;
       }
 
       case 'configuration-wanted': {
-        const configuration = options.configuration();
-        if (configuration !== undefined) {
-          sender.send({type: 'configuration', configuration});
-        }
-
+        sendConfiguration(sender);
         return;
       }
 
       case 'configuration': {
-        options.onConfiguration(message.configuration, from);
-        return;
-      }
-
-      case 'members': {
-        for (const member of message.members) {
-          addMember(member, from);
+        if (message.version > known().configuration) {
+          options.onConfiguration(JSON.parse(body.toString()) as RoutingConfiguration, from);
         }
 
         return;
       }
 
-      case 'route-origins': {
-        options.clientRoutes.merge(message.origins);
+      case 'members-wanted': {
+        sender.send({type: 'members', changes: directory.changesSince(message.since)});
         return;
       }
 
-      case 'dependencies': {
-        options.dependencies.merge(message.dependencies);
+      case 'members': {
+        directory.applyChanges(message.changes);
         return;
       }
 
-      case 'call-edges': {
-        options.callGraph.merge(message.edges);
+      case 'learnt': {
+        learntRoutes.merge(message.learnt);
         return;
       }
 
       case 'hello': {
-        addMember(message.member, 'hello');
-        requestNewerConfiguration(sender, message.configurationVersion);
-        sender.send(createMemberList());
-        sender.send({type: 'route-origins', origins: options.clientRoutes.list()});
-        sender.send({type: 'dependencies', dependencies: options.dependencies.list()});
-        sender.send({type: 'call-edges', edges: options.callGraph.list()});
+        directory.learn(message.member);
+        requestNewerState(sender, message.known);
+        sendLearntRoutes(sender);
         return;
       }
 
       case 'welcome': {
-        requestNewerConfiguration(sender, message.configurationVersion);
+        requestNewerState(sender, message.known);
+        sendLearntRoutes(sender);
         return;
       }
 
@@ -203,9 +213,19 @@
     }
   };
 
-  const onLinkMessage = (link: PeerLink, message: Message): void => {
-    onMessage(link, message, link.member()?.node ?? link.address);
-  };
+  const links = createLinkTable({
+    now,
+    createLink: member => createPeerLink({
+      address: member.address,
+      now,
+      log,
+      createHello: () => ({type: 'hello', member: self, known: known()}),
+      createPing: () => ({type: 'ping', sentAt: now(), known: known()}),
+      onMessage(link, message, body) {
+        onMessage(link, message, body, member.node);
+      },
+    }),
+  });
 
   const server = createPeerServer({
     address: self.address,
@@ -213,11 +233,11 @@
     log,
     inboundProxy,
     createWelcome: () => ({
-      type: 'welcome', member, configurationVersion: configurationVersion(), state: inboundProxy.state(),
+      type: 'welcome', member: self, known: known(), state: inboundProxy.state(),
     }),
-    createPong: () => ({type: 'pong', configurationVersion: configurationVersion(), load: inboundProxy.load()}),
-    onMessage(link: IncomingLink, message) {
-      onMessage(link, message, link.member()?.node ?? 'unknown');
+    createPong: () => ({type: 'pong', known: known(), load: inboundProxy.load()}),
+    onMessage(link: IncomingLink, message, body) {
+      onMessage(link, message, body, link.member()?.node ?? 'unknown');
     },
   });
 
@@ -266,7 +286,45 @@
     },
   });
 
+  const remoteDestination = (link: PeerLink, member: Member): Destination => {
+    const known = destinations.get(link) ?? createRemoteDestination(link, member);
+    destinations.set(link, known);
+    return known;
+  };
+
+  /** Services whose links are to be open: all while there are few, otherwise those in use. */
+  const wantedServices = (): string[] => {
+    const services = [...rings.services()];
+    return services.length <= KEPT_SERVICES_MAX
+      ? services
+      : services.filter(service => now() - (usedAt.get(service) ?? Number.NEGATIVE_INFINITY) < UNUSED_SERVICE_MS);
+  };
+
+  /** Determines the readers of the store and the links that this process needs. */
+  const reviewLinks = (): void => {
+    reviewedAt = now();
+    if (ringGeneration !== directory.generation()) {
+      ringGeneration = directory.generation();
+      rings = createRings(directory.entryOf(self.node) === undefined ? [...directory.members(), self] : directory.members());
+    }
+
+    const zoneMembers = rings.callers(self.zone);
+    const choice = chooseReaders(self.zone, zoneMembers.map(({node}) => node), self.node, links.reachability);
+    isReader = choice.isReader && directory.revision() > 0;
+    const contacts = zoneMembers.filter(({node}) => choice.contacts.includes(node));
+    const subsets = wantedServices().flatMap(service => chooseSubset(rings, self, service, links.isUsable));
+    links.setWanted([...new Map([...contacts, ...subsets].map(member => [member.node, member])).values()]);
+  };
+
+  const linksTo = (service: string) => links.open().filter(({member}) => member.service === service);
+
   const candidates = (service: string): Array<Candidate<Destination>> => {
+    const isFirstUse = !usedAt.has(service);
+    usedAt.set(service, now());
+    if (isFirstUse) {
+      reviewLinks();
+    }
+
     const found: Array<Candidate<Destination>> = [];
     const localState = inboundProxy.state();
     if (localState.kind === 'ready' && localState.service === service) {
@@ -275,12 +333,11 @@
       });
     }
 
-    for (const link of links.values()) {
+    for (const {link, member} of linksTo(service)) {
       const state = link.state();
-      const member = link.member();
-      if (link.isOpen() && member !== undefined && state.kind === 'ready' && state.service === service) {
+      if (state.kind === 'ready' && state.service === service) {
         found.push({
-          destination: createRemoteDestination(link, member), node: member.node, zone: member.zone, load: state.load, sentSinceReport: link.sentSinceReport(), isLive: link.isLive(), coldMs: state.coldMs, failureRate: failureRate(member.node),
+          destination: remoteDestination(link, member), node: member.node, zone: member.zone, load: state.load, sentSinceReport: link.sentSinceReport(), isLive: link.isLive(), coldMs: state.coldMs, failureRate: failureRate(member.node),
         });
       }
     }
@@ -288,49 +345,16 @@
     return found;
   };
 
-  const broadcast = (message: Message): void => {
-    for (const link of links.values()) {
-      if (link.isOpen()) {
-        link.send(message);
-      }
-    }
-  };
-
-  /** States of the local backend server and of those behind an open link. */
-  const reachableBackendStates = (): BackendState[] => {
-    const open = [...links.values()].filter(link => link.isOpen());
-    return [inboundProxy.state(), ...open.map(link => link.state())];
-  };
-
-  const serviceLoad = (service: string): ServiceLoad => {
-    const total: ServiceLoad = {
-      backends: 0, running: 0, queued: 0, limit: 0,
-    };
-    for (const state of reachableBackendStates()) {
-      if (state.kind === 'ready' && state.service === service) {
-        total.backends++;
-        total.running += state.load.running;
-        total.queued += state.load.queued;
-        total.limit += state.load.limit;
-      }
-    }
+  const backendCounts = (service: string): BackendCounts =>
+    new Map([...rings.backends(service)].map(([zone, ring]) => [zone, ring.length]));
 
-    return total;
+  /** Loads of the linked backend servers of a service and of the local one. */
+  const loadSamples = (service: string, isCounted: (state: BackendState) => boolean): LoadSample[] => {
+    const linked = linksTo(service).map(({link, member}) => ({zone: member.zone, state: link.state()}));
+    const all = self.service === service ? [{zone: self.zone, state: inboundProxy.state()}, ...linked] : linked;
+    return all.map(({zone, state}) => ({zone, load: state.kind !== 'absent' && state.service === service && isCounted(state) ? state.load : undefined}));
   };
 
-  const callCounts = (service: string): CountedCalls | undefined => {
-    const loads = reachableBackendStates().flatMap(state => state.kind !== 'absent' && state.service === service ? [state.load.counted] : []);
-    return loads.length === 0
-      ? undefined
-      : {
-        requests: loads.reduce((total, {requests}) => total + requests, 0),
-        repeats: loads.reduce((total, {repeats}) => total + repeats, 0),
-      };
-  };
-
-  const findReachableServices = (): ReadonlySet<string> =>
-    new Set([self.service, ...reachableBackendStates().flatMap(state => state.kind === 'ready' ? [state.service] : [])]);
-
   /** Publishes the load while calls are queued, and once after the queue has emptied: peers that send no calls here get no load with a result. */
   const publishLoad = (): void => {
     const load = inboundProxy.load();
@@ -341,66 +365,61 @@
     }
   };
 
+  const publishLearntRoutes = (): void => {
+    const learnt = learntRoutes.takeDue();
+    if (learnt !== undefined) {
+      for (const {link} of links.open()) {
+        link.send({type: 'learnt', learnt});
+      }
+    }
+  };
+
   return {
     start: server.start,
     candidates,
-    syncMembers(listed) {
-      for (const member of listed) {
-        addMember(member, 'store');
-      }
-
-      const names = new Set(listed.map(({node}) => node));
-      for (const member of members.values()) {
-        const link = links.get(member.address);
-        if (member.node !== self.node && !names.has(member.node) && link !== undefined && !link.isOpen()) {
-          members.delete(member.node);
-          links.delete(member.address);
-          link.close();
-          log.write('info', 'member-removed', {member: member.node, address: member.address});
-        }
-      }
-    },
-    members: () => [...members.values()],
+    isConnecting: service => [...rings.backends(service).values()].flat().some(({node}) => node !== self.node && links.linkTo(node) !== undefined && links.reachability(node) === 'connecting'),
     publishBackendState(state) {
       server.broadcast({type: 'state', state});
     },
-    publishRouteOrigin(origin) {
-      broadcast({type: 'route-origins', origins: [origin]});
-    },
-    publishDependency(dependency) {
-      broadcast({type: 'dependencies', dependencies: [dependency]});
+    announceVersions() {
+      const message: Message = {type: 'known', known: known()};
+      const open = links.open();
+      for (const {link} of isReader ? open : open.slice(0, ANNOUNCED_LINKS_MAX)) {
+        link.send(message);
+      }
+
+      if (isReader) {
+        server.broadcast(message);
+      }
     },
-    publishCallEdge(edge) {
-      broadcast({type: 'call-edges', edges: [edge]});
+    serviceLoad: service => estimateServiceLoad(loadSamples(service, ({kind}) => kind === 'ready'), backendCounts(service)),
+    callCounts: service => estimateCallCounts(loadSamples(service, () => true), backendCounts(service)),
+    services: () => rings.services().has(self.service) ? rings.services() : new Set([...rings.services(), self.service]),
+    isStoreReader() {
+      const heardAt = Math.max(storeReadAt, createdAt - STORE_AGE_MAX_MS + START_WAIT_MS);
+      return isReader || now() - heardAt > STORE_AGE_MAX_MS;
     },
-    serviceLoad,
-    callCounts,
-    reachableServices: () => reachableServices,
-    announceConfigurationVersion() {
-      broadcast(createPing());
+    recordStoreRead() {
+      storeReadAt = now();
     },
     tick() {
-      for (const link of links.values()) {
-        link.tick();
+      links.tick();
+      if (now() - reviewedAt >= LINK_REVIEW_INTERVAL_MS) {
+        directory.removeUnlisted(node => links.linkTo(node) !== undefined && links.reachability(node) !== 'unreachable');
+        reviewLinks();
       }
 
-      reachableServices = findReachableServices();
       publishLoad();
+      publishLearntRoutes();
     },
     resetLiveness() {
-      for (const link of links.values()) {
-        link.resetLiveness();
-      }
-
+      links.resetLiveness();
       server.resetLiveness();
     },
     close() {
-      for (const link of links.values()) {
-        link.close();
-      }
-
+      links.close();
       server.close();
     },
-    status: () => ({links: [...links.values()].filter(link => link.isOpen()).length, incoming: server.linkCount()}),
+    status: () => ({links: links.open().length, incoming: server.linkCount()}),
   };
 };
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -1,17 +1,17 @@
 /** Messages between the processes of the fleet, as they travel in the frames of `frame.ts`. */
-import type {CallEdge} from './call-graph.js';
-import type {RouteOrigin} from './client-routes.js';
-import type {Dependency} from './dependencies.js';
+import type {LearntRoutes} from './learnt-routes.js';
+import type {MemberChanges} from './member-directory.js';
 import type {CountedCalls} from './retry-budget.js';
-import type {RoutingConfiguration} from './routing-configuration.js';
 import type {RouteServiceTime} from './service-times.js';
 
-/** Identity, address and availability zone of a process of the fleet. */
+/** Identity, address, availability zone and service of a process of the fleet. */
 export type Member = {
   node: string;
   /** Address of its peer listener, `ip:port`. */
   address: string;
   zone: string;
+  /** Service of the backend server on its host. */
+  service: string;
 };
 
 /** Load and capacity of a backend server, measured by the process on its host. */
@@ -84,21 +84,32 @@
   targetMs: number;
 };
 
-/** Message over a link; the body of a `call` or `result` follows it in the frame. */
+/** What a process knows, so that a peer can ask for what is newer; 0 for nothing. */
+export type KnownVersions = {
+  configuration: number;
+  /** Revision of the member list. */
+  members: number;
+  /** Time since the store was last read by this process or by one that it heard of, in milliseconds; undefined when it never was. */
+  storeAgeMs: number | undefined;
+};
+
+/** Message over a link; the body of a `call`, `result` or `configuration` follows it in the frame. */
 export type Message =
-  | {type: 'hello'; member: Member; configurationVersion: number}
-  | {type: 'welcome'; member: Member; configurationVersion: number; state: BackendState}
+  | {type: 'hello'; member: Member; known: KnownVersions}
+  | {type: 'welcome'; member: Member; known: KnownVersions; state: BackendState}
   | {type: 'state'; state: BackendState}
   | {type: 'call'; id: number; sentAt: number; call: CallHeader}
   | {type: 'cancel'; id: number}
   | {type: 'result'; id: number; result: CallResult; load: BackendLoad | undefined}
-  | {type: 'ping'; sentAt: number; configurationVersion: number; memberCount: number}
-  | {type: 'pong'; configurationVersion: number; load: BackendLoad}
+  | {type: 'ping'; sentAt: number; known: KnownVersions}
+  | {type: 'pong'; known: KnownVersions; load: BackendLoad}
+  /** Tells a peer of a new version at once; over an accepted link as well. */
+  | {type: 'known'; known: KnownVersions}
   | {type: 'configuration-wanted'}
-  | {type: 'configuration'; configuration: RoutingConfiguration}
-  | {type: 'members'; members: Member[]}
+  /** The body is the configuration in JSON, which is the same for all peers. */
+  | {type: 'configuration'; version: number}
+  | {type: 'members-wanted'; since: number}
+  | {type: 'members'; changes: MemberChanges}
   /** Load of the backend server, sent unrequested while calls are queued. */
   | {type: 'load'; load: BackendLoad}
-  | {type: 'route-origins'; origins: RouteOrigin[]}
-  | {type: 'dependencies'; dependencies: Dependency[]}
-  | {type: 'call-edges'; edges: CallEdge[]};
+  | {type: 'learnt'; learnt: LearntRoutes};
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -10,10 +10,12 @@
 import {createInboundProxy, type InboundProxy, type DownstreamFailures} from './inbound-proxy.js';
 import {createCallerListener} from './caller-listener.js';
 import {createFleet} from './fleet.js';
-import {startObjectWatcher} from './object-watcher.js';
+import {startObjectWatcher, type ObjectChange} from './object-watcher.js';
 import type {BackendState, Member} from './message.js';
 import type {ObjectStore, StoredObject} from './object-store.js';
 import type {HttpDialect} from './http-dialect.js';
+import {createLearntRouteSpread} from './learnt-routes.js';
+import {createMemberDirectory, type ListedMember, type MemberDirectory} from './member-directory.js';
 import {createRegistration, MEMBER_KIND, decodeMember} from './registration.js';
 import {createRetryBudget} from './retry-budget.js';
 import {createRouteTable, type RouteTable} from './route-table.js';
@@ -62,6 +64,37 @@
 /** Time without a tick after which the process counts as suspended, in milliseconds: several ticks, and less than the time without data after which a link is closed. */
 const STALL_THRESHOLD_MS = 300;
 
+/** Time after the start before the members are listed, in milliseconds: processes that start together have registered by then. */
+const FIRST_LIST_DELAY_MS = 300;
+/** Time in which changes of the member list are collected, in milliseconds: many processes may start or stop at once. */
+const MEMBER_BATCH_MS = 200;
+
+const toListedMember = (object: StoredObject): ListedMember[] => {
+  const member = decodeMember(object);
+  return member === undefined ? [] : [{member, revision: object.revision}];
+};
+
+/** Applies what was read from the store to the member list. */
+const applyMemberChange = (directory: MemberDirectory, change: ObjectChange): void => {
+  switch (change.kind) {
+    case 'listed': {
+      directory.applySnapshot([...change.objects.values()].flatMap(object => toListedMember(object)), change.revision);
+      return;
+    }
+
+    case 'changed': {
+      const {objects, since, revision} = change;
+      const names = [...new Set(change.events.map(({object}) => object.name))];
+      directory.applyChanges({
+        since,
+        revision,
+        listed: names.flatMap(name => objects.has(name) ? toListedMember(objects.get(name)!) : []),
+        removed: names.filter(name => !objects.has(name)).map(node => ({node, revision})),
+      });
+    }
+  }
+};
+
 const sleep = async (milliseconds: number): Promise<void> => new Promise(resolve => {
   setTimeout(resolve, milliseconds);
 });
@@ -71,35 +104,41 @@
   const {settings, log, store, random} = options;
   const clock = createSuspendAwareClock();
   const {now} = clock;
-  const self: Member = {node: settings.node, address: settings.listen.peer, zone: settings.zone};
+  const self: Member = {
+    node: settings.node, address: settings.listen.peer, zone: settings.zone, service: settings.service,
+  };
   const metrics = createRequestMetrics();
   let routeTable: RouteTable | undefined;
   let stopping = false;
-  let hasMemberList = false;
+  const directory = createMemberDirectory();
   const downstreamFailures: DownstreamFailures = {lastFailureAt: Number.NEGATIVE_INFINITY, overloadedAt: new Map()};
 
   const clientRoutes = createClientRoutes({
     service: settings.service,
-    services: () => fleet.reachableServices(),
+    services: () => fleet.services(),
     onNewOrigin(origin) {
       log.write('debug', 'route-origin-seen', {...origin});
-      fleet.publishRouteOrigin(origin);
+      learntRoutes.addOrigin(origin);
     },
   });
 
   const callGraph = createCallGraph(edge => {
     log.write('info', 'call-edge-learnt', {...edge});
-    fleet.publishCallEdge(edge);
+    learntRoutes.addEdge(edge);
   });
 
   const dependencies = createDependencies({
     now,
     onLearnt(dependency) {
       log.write('info', 'dependency-learnt', {...dependency});
-      fleet.publishDependency(dependency);
+      learntRoutes.addDependency(dependency);
     },
   });
 
+  const learntRoutes = createLearntRouteSpread({
+    now, clientRoutes, callGraph, dependencies,
+  });
+
   const inboundProxy = createInboundProxy({
     dialect: options.dialect,
     now,
@@ -122,15 +161,15 @@
     routeTable = createRouteTable(configuration);
     log.write('info', 'configuration-in-force', {version: configuration.version, routes: configuration.routes.length, from});
     callerListener.setLimits(configuration.limits);
-    fleet.announceConfigurationVersion();
+    fleet.announceVersions();
   };
 
   const fleet = createFleet({
-    self: {...self, service: settings.service}, now, log, inboundProxy, configuration: () => routeTable?.configuration, onConfiguration: applyConfiguration, clientRoutes, dependencies, callGraph,
+    self, now, log, inboundProxy, directory, learntRoutes, configuration: () => routeTable?.configuration, onConfiguration: applyConfiguration,
   });
 
   const budget = createRetryBudget({
-    now, ratio: settings.bounds.retryRatio, windowMs: settings.bounds.retryWindowMs, slack: settings.bounds.retrySlack, processCount: () => fleet.members().length, callCounts: service => fleet.callCounts(service),
+    now, ratio: settings.bounds.retryRatio, windowMs: settings.bounds.retryWindowMs, slack: settings.bounds.retrySlack, processCount: () => directory.members().length, callCounts: service => fleet.callCounts(service),
   });
 
   /** Makes each client route depend on the services of all routes that are called on its behalf. */
@@ -181,8 +220,18 @@
   const watchers: Array<{stop: () => void}> = [];
   let tickTimer: NodeJS.Timeout | undefined;
   let lastTickAt = now();
+  let reconciledRevision = 0;
+  const startedAt = now();
   let dependenciesDerivedAt = now();
 
+  /** Restores the entry of this process when a newer member list lacks it. */
+  const reconcileRegistration = (): void => {
+    if (directory.revision() > reconciledRevision) {
+      reconciledRevision = directory.revision();
+      registration.reconcile(directory.entryOf(self.node), reconciledRevision);
+    }
+  };
+
   const tick = (): void => {
     const suspendedMs = clock.detectSuspension();
     const stalledMs = now() - lastTickAt;
@@ -195,6 +244,7 @@
     lastTickAt = now();
 
     fleet.tick();
+    reconcileRegistration();
     inboundProxy.tick();
     admission.update();
     if (now() - dependenciesDerivedAt > DEPENDENCY_INTERVAL_MS) {
@@ -210,7 +260,9 @@
         store,
         log,
         random,
-        onChange(objects) {
+        onRead: fleet.recordStoreRead,
+        isActive: fleet.isStoreReader,
+        onChange({objects}) {
           const configuration = options.readConfiguration(objects);
           if (configuration !== undefined) {
             applyConfiguration(configuration, 'store');
@@ -222,10 +274,12 @@
         store,
         log,
         random,
-        onChange(objects) {
-          hasMemberList = true;
-          registration.reconcile(objects);
-          fleet.syncMembers([...objects.values()].map(object => decodeMember(object)).filter(member => member !== undefined));
+        onRead: fleet.recordStoreRead,
+        isActive: () => now() - startedAt > FIRST_LIST_DELAY_MS && (directory.revision() === 0 || fleet.isStoreReader()),
+        batchMs: MEMBER_BATCH_MS,
+        onChange(change) {
+          applyMemberChange(directory, change);
+          fleet.announceVersions();
         },
       }),
     );
@@ -248,6 +302,7 @@
       watcher.stop();
     }
 
+    registration.close();
     callerListener.close();
     fleet.close();
     inboundProxy.close();
@@ -259,6 +314,7 @@
       await fleet.start();
       await callerListener.start();
       tickTimer = setInterval(tick, TICK_MS);
+      registration.register();
       watchStore();
     },
     async stop() {
@@ -267,8 +323,8 @@
       }
 
       stopping = true;
-      const startedAt = now();
-      const deadlineAt = startedAt + settings.bounds.graceMs - STOP_RESERVE_MS;
+      const stopRequestedAt = now();
+      const deadlineAt = stopRequestedAt + settings.bounds.graceMs - STOP_RESERVE_MS;
       callerListener.drainConnections();
       if (inboundProxy.hasBackendLeft()) {
         await Promise.race([registration.unregister(), sleep(STOP_RESERVE_MS)]);
@@ -277,15 +333,15 @@
       // The backend server keeps running, so it gets calls as long as they can end before this process does.
       await sleep(Math.max(0, STOP_ACCEPT_MS - maxRequestMs()));
       inboundProxy.drain();
-      await sleep(Math.max(0, startedAt + STOP_ACCEPT_MS - now()));
+      await sleep(Math.max(0, stopRequestedAt + STOP_ACCEPT_MS - now()));
       await waitUntilIdle(deadlineAt - maxRequestMs());
       callerListener.refuseRequests();
       await waitUntilIdle(deadlineAt);
-      log.write('info', 'stopping', {entry: callerListener.inFlight(), door: inboundProxy.inFlight(), ms: Math.round(now() - startedAt)});
+      log.write('info', 'stopping', {entry: callerListener.inFlight(), door: inboundProxy.inFlight(), ms: Math.round(now() - stopRequestedAt)});
       kill();
     },
     kill,
-    isReady: () => !stopping && routeTable !== undefined && (hasMemberList || fleet.members().length > 1),
+    isReady: () => !stopping && routeTable !== undefined && (directory.revision() > 0 || directory.members().length > 1),
     status: () => ({...fleet.status(), configurationVersion: routeTable?.version ?? 0}),
     inboundProxy,
     metrics,
--- a/src/mesh/object-watcher.ts
+++ b/src/mesh/object-watcher.ts
@@ -1,7 +1,15 @@
 /** Keeps a local copy of one kind of objects in the store: lists, then watches, and lists again when the store has dropped the history. */
 import type {Random} from '../shared/random.js';
 import type {DecisionLog} from './decision-log.js';
-import type {ObjectStore, StoredObject, StoreError} from './object-store.js';
+import type {
+  ObjectStore, StoredObject, StoreError, StoreEvent,
+} from './object-store.js';
+
+/** What was read from the store, with all objects of the kind and the revision of the store that they reflect. */
+export type ObjectChange =
+  | {kind: 'listed'; objects: ReadonlyMap<string, StoredObject>; revision: number}
+  /** `events` are all changes after revision `since`. */
+  | {kind: 'changed'; objects: ReadonlyMap<string, StoredObject>; revision: number; since: number; events: readonly StoreEvent[]};
 
 /** Options of an object watcher. */
 export type ObjectWatcherOptions = {
@@ -9,13 +17,21 @@
   store: ObjectStore;
   log: DecisionLog;
   random: Random;
-  /** Called with all objects of the kind after each list and each change. */
-  onChange: (objects: ReadonlyMap<string, StoredObject>) => void;
+  /** Called after each list and each change. */
+  onChange: (change: ObjectChange) => void;
+  /** Called after each response of the store, also when nothing has changed. */
+  onRead: () => void;
+  /** Whether the store is to be read now; while not, it gets no requests. The next read begins with a list. */
+  isActive: () => boolean;
+  /** Time between a change and the next watch, in milliseconds, so that changes in quick succession cost one request. @default 0 */
+  batchMs?: number;
   sleep?: (milliseconds: number) => Promise<void>;
 };
 
 /** Longest wait of one watch request, in milliseconds. The store allows 30 s, but a silent connection must be detected before the store drops the history. */
-const WATCH_MS = 9000;
+export const WATCH_MS = 9000;
+/** Interval at which an inactive watcher checks whether it has become active, in milliseconds. */
+const INACTIVE_POLL_MS = 100;
 const BACKOFF_MIN_MS = 100;
 /** Longest backoff after an error, in milliseconds: the contents of the store must be in force about two seconds after it is reachable again. */
 const BACKOFF_MAX_MS = 1000;
@@ -48,6 +64,7 @@
 
   const markSynced = (): void => {
     backoffMs = BACKOFF_MIN_MS;
+    options.onRead();
     if (!synced) {
       synced = true;
       log.write('info', 'store-reached', {kind});
@@ -67,7 +84,7 @@
       objects.set(object.name, object);
     }
 
-    options.onChange(objects);
+    options.onChange({kind: 'listed', objects, revision: listed.value.revision});
     return listed.value.revision;
   };
 
@@ -93,7 +110,10 @@
     }
 
     if (watched.value.events.length > 0) {
-      options.onChange(objects);
+      options.onChange({
+        kind: 'changed', objects, revision: watched.value.revision, since: revision, events: watched.value.events,
+      });
+      await sleep(options.batchMs ?? 0);
     }
 
     return watched.value.revision;
@@ -103,6 +123,12 @@
     let revision: number | undefined;
     /* eslint-disable no-await-in-loop, no-unmodified-loop-condition */
     while (!stopped) {
+      if (!options.isActive()) {
+        revision = undefined;
+        await sleep(INACTIVE_POLL_MS);
+        continue;
+      }
+
       revision = revision === undefined ? await list() : await watch(revision);
     }
     /* eslint-enable no-await-in-loop, no-unmodified-loop-condition */
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -28,11 +28,15 @@
   isLive: () => boolean;
   /** Whether the handshake is complete. */
   isOpen: () => boolean;
+  /** Whether no call is waiting for its result. */
+  isIdle: () => boolean;
+  /** Time at which the link opened or was lost, or at which the first attempt to open it began, in milliseconds of the clock. */
+  changedAt: () => number;
   /** Calls sent since the peer last reported its load. */
   sentSinceReport: () => number;
   /** Sends a call. `onResult` is called once, unless the call is cancelled. */
   call: (call: CallHeader, body: Buffer, onResult: (result: PeerCallResult) => void) => {cancel: () => void};
-  send: (message: Message) => void;
+  send: (message: Message, body?: Buffer) => void;
   /** Connects, reconnects and sends pings when due, and enforces timeouts; called periodically. */
   tick: () => void;
   /** Restarts the liveness timers; called after this process was suspended, when data that arrived meanwhile has not been read yet. */
@@ -48,7 +52,7 @@
   createHello: () => Message;
   createPing: () => Message;
   /** Called with each message that the link does not handle itself, and with `welcome` and `pong` messages. */
-  onMessage: (link: PeerLink, message: Message) => void;
+  onMessage: (link: PeerLink, message: Message, body: Buffer) => void;
 };
 
 const CONNECT_TIMEOUT_MS = 700;
@@ -80,6 +84,7 @@
   let socket: Socket | undefined;
   let writer: FrameWriter = createFrameWriter();
   let open = false;
+  let changedAt = now();
   let closed = false;
   const liveness = createLinkLiveness(now);
   let reconnectAt = now();
@@ -132,6 +137,7 @@
         peer: member?.node ?? address, cause, pending: pendingCalls.size, silentMs: Math.round(liveness.msSinceReceived()),
       });
       log.count('link_losses', cause);
+      changedAt = now();
     }
 
     open = false;
@@ -154,9 +160,10 @@
         member = message.member;
         state = message.state;
         open = true;
+        changedAt = now();
         reconnectDelayMs = RECONNECT_DELAY_MIN_MS;
         log.write('info', 'link-open', {peer: member.node, backend: state.kind});
-        options.onMessage(link, message);
+        options.onMessage(link, message, body);
         return;
       }
 
@@ -184,21 +191,21 @@
 
       case 'pong': {
         updateLoad(message.load);
-        options.onMessage(link, message);
+        options.onMessage(link, message, body);
         return;
       }
 
       case 'call':
-      case 'call-edges':
       case 'cancel':
       case 'configuration':
       case 'configuration-wanted':
-      case 'dependencies':
       case 'hello':
+      case 'known':
+      case 'learnt':
       case 'members':
-      case 'ping':
-      case 'route-origins': {
-        options.onMessage(link, message);
+      case 'members-wanted':
+      case 'ping': {
+        options.onMessage(link, message, body);
       }
     }
   };
@@ -254,6 +261,8 @@
     state: () => state,
     isLive: () => open && liveness.isLive(),
     isOpen: () => open,
+    isIdle: () => pendingCalls.size === 0 && heldCalls.length === 0,
+    changedAt: () => changedAt,
     sentSinceReport: () => sentSinceReport,
     call(call, body, onResult) {
       const id = nextId;
--- a/src/mesh/peer-server.ts
+++ b/src/mesh/peer-server.ts
@@ -19,7 +19,7 @@
 };
 
 /** Link that another process has opened; `member` is undefined before its `hello` message. */
-export type IncomingLink = {send: (message: Message) => void; member: () => Member | undefined};
+export type IncomingLink = {send: (message: Message, body?: Frame['body']) => void; member: () => Member | undefined};
 
 /** Options of the server. `createWelcome` and `createPong` build the replies that carry the state of this process. */
 export type PeerServerOptions = {
@@ -30,7 +30,7 @@
   createWelcome: () => Message;
   createPong: () => Message;
   /** Called with every message except `call` and `cancel`. */
-  onMessage: (link: IncomingLink, message: Message) => void;
+  onMessage: (link: IncomingLink, message: Message, body: Frame['body']) => void;
 };
 
 /** Number of pings whose transit times are kept; they cover several seconds. */
@@ -133,7 +133,7 @@
         case 'hello': {
           member = message.member;
           send(options.createWelcome());
-          options.onMessage(link, message);
+          options.onMessage(link, message, body);
           return;
         }
 
@@ -150,22 +150,22 @@
         case 'ping': {
           latenessEstimator.observe(message.sentAt, now());
           send(options.createPong());
-          options.onMessage(link, message);
+          options.onMessage(link, message, body);
           return;
         }
 
-        case 'call-edges':
-        case 'dependencies':
-        case 'load':
-        case 'route-origins':
         case 'configuration':
         case 'configuration-wanted':
+        case 'known':
+        case 'learnt':
+        case 'load':
         case 'members':
+        case 'members-wanted':
         case 'pong':
         case 'result':
         case 'state':
         case 'welcome': {
-          options.onMessage(link, message);
+          options.onMessage(link, message, body);
         }
       }
     };
--- a/src/mesh/registration.ts
+++ b/src/mesh/registration.ts
@@ -1,6 +1,7 @@
 /** Keeps the member object of this process in the store, so that the other processes can find it. */
 import type {Random} from '../shared/random.js';
 import type {DecisionLog} from './decision-log.js';
+import type {ListedMember} from './member-directory.js';
 import type {Member} from './message.js';
 import type {ObjectStore, StoredObject} from './object-store.js';
 
@@ -12,10 +13,14 @@
 
 /** Registration of this process in the store. */
 export type Registration = {
-  /** Writes the member object when the listed objects lack it or hold other values. */
-  reconcile: (objects: ReadonlyMap<string, StoredObject>) => void;
+  /** Writes the member object, without reading the store before. */
+  register: () => void;
+  /** Writes the member object when the member list, as of a revision of the store, lacks it or holds other values. */
+  reconcile: (listed: ListedMember | undefined, listRevision: number) => void;
   /** Deletes the member object, when the host is removed from the fleet. */
   unregister: () => Promise<void>;
+  /** Ends the retries of a failed write. */
+  close: () => void;
 };
 
 /** Decodes a member object; undefined when it has another format. */
@@ -24,54 +29,77 @@
     return undefined;
   }
 
-  const {address, zone} = value as {address?: unknown; zone?: unknown};
-  return typeof address === 'string' && typeof zone === 'string' ? {node: name, address, zone} : undefined;
+  const {address, zone, service} = value as {address?: unknown; zone?: unknown; service?: unknown};
+  return typeof address === 'string' && typeof zone === 'string' && typeof service === 'string'
+    ? {
+      node: name, address, zone, service,
+    }
+    : undefined;
 };
 
-/** Creates the registration; nothing is written before the first `reconcile`. */
+/** Creates the registration; nothing is written before the first `register` or `reconcile`. */
 export const createRegistration = (options: {self: Member; store: ObjectStore; log: DecisionLog; random: Random}): Registration => {
   const {self, store, log} = options;
-  const value = {address: self.address, zone: self.zone};
+  const value = {address: self.address, zone: self.zone, service: self.service};
   let writing = false;
-  let unregistering = false;
+  let closed = false;
+  /** Revision of the object as last read or written; undefined when it does not exist. */
   let revision: number | undefined;
 
-  const write = async (listed: StoredObject | undefined): Promise<void> => {
+  const isOwn = (member: Member | undefined): boolean => member?.address === self.address && member.zone === self.zone && member.service === self.service;
+
+  /** Adopts the object that stands in the way of a write; returns whether it already holds the right values. */
+  const adoptCurrent = (current: StoredObject | undefined): boolean => {
+    revision = current?.revision;
+    return current !== undefined && isOwn(decodeMember(current));
+  };
+
+  const write = async (): Promise<void> => {
+    if (writing || closed) {
+      return;
+    }
+
     writing = true;
-    const written = listed === undefined
+    const written = revision === undefined
       ? await store.create(MEMBER_KIND, self.node, value)
-      : await store.replace(MEMBER_KIND, self.node, value, listed.revision);
+      : await store.replace(MEMBER_KIND, self.node, value, revision);
     writing = false;
     if (written.kind === 'ok') {
       revision = written.value.revision;
       log.write('info', 'registered', {address: self.address, revision});
-    } else if (written.error.kind !== 'conflict') {
-      log.write('warn', 'registration-failed', {fault: written.error.kind, cause: written.error.message});
-      scheduleRetry(listed);
+      return;
     }
-  };
 
-  /** Retries a failed write. Conflicts are not retried, because the next list or watch event leads to a new write. */
-  const scheduleRetry = (listed: StoredObject | undefined): void => {
+    if (written.error.kind === 'conflict' && adoptCurrent(written.error.current)) {
+      log.write('info', 'registered', {address: self.address, revision});
+      return;
+    }
+
+    if (written.error.kind === 'not-found') {
+      revision = undefined;
+    }
+
+    log.write('warn', 'registration-failed', {fault: written.error.kind, cause: written.error.message});
     setTimeout(() => {
-      if (!unregistering && !writing) {
-        void write(listed);
-      }
+      void write();
     }, RETRY_MS * (0.5 + options.random()));
   };
 
   return {
-    reconcile(objects) {
-      const listed = objects.get(self.node);
-      revision = listed?.revision ?? revision;
-      const member = listed === undefined ? undefined : decodeMember(listed);
-      const isUpToDate = member?.address === self.address && member.zone === self.zone;
-      if (!isUpToDate && !writing && !unregistering) {
-        void write(listed);
+    register() {
+      void write();
+    },
+    reconcile(listed, listRevision) {
+      // A list that is older than the last write says nothing about it.
+      if (writing || listRevision < (revision ?? 0) || isOwn(listed?.member)) {
+        return;
       }
+
+      revision = listed === undefined || listed.revision === 0 ? undefined : listed.revision;
+      void write();
     },
     async unregister() {
-      unregistering = true;
+      closed = true;
       if (revision === undefined) {
         return;
       }
@@ -81,5 +109,8 @@
         log.write('warn', 'registration-not-removed', {fault: removed.error.kind, cause: removed.error.message});
       }
     },
+    close() {
+      closed = true;
+    },
   };
 };
--- a/src/mesh/request-forwarder.ts
+++ b/src/mesh/request-forwarder.ts
@@ -60,7 +60,7 @@
   now: () => number;
   random: Random;
   log: DecisionLog;
-  fleet: Pick<Fleet, 'candidates'>;
+  fleet: Pick<Fleet, 'candidates' | 'isConnecting'>;
   /** Zone of this host. */
   zone: string;
   budget: RetryBudget;
@@ -70,6 +70,10 @@
   isClientRoute: (route: string) => boolean;
 };
 
+/** Longest time for which a request waits for links to the backend servers of its service, in milliseconds. */
+const CONNECT_WAIT_MS = 500;
+/** Interval at which a waiting request looks for an open link, in milliseconds. */
+const CONNECT_POLL_MS = 20;
 /** Refusals by backend servers after which the request fails. */
 const REFUSALS_MAX = 4;
 /** Shortest `Retry-After` sent to a caller, in milliseconds. */
@@ -96,6 +100,7 @@
   let retryAfterMs = 0;
   let ended = false;
   let pendingSend: {cancel: () => void} | undefined;
+  let connectTimer: NodeJS.Timeout | undefined;
   let failedResponse: Extract<RequestOutcome, {kind: 'answered'}> | undefined;
 
   const finish = (outcome: RequestOutcome): void => {
@@ -105,6 +110,7 @@
 
     ended = true;
     clearTimeout(timer);
+    clearTimeout(connectTimer);
     pendingSend?.cancel();
     recordDependencies(outcome);
     logOutcome(outcome);
@@ -248,10 +254,19 @@
     }
   };
 
+  /** Whether the links to the service are just being opened, after its first use or a restart of this process. */
+  const canWaitForLinks = (): boolean =>
+    attempts === 0 && refusals === 0 && now() - request.arrivedAt < CONNECT_WAIT_MS && options.fleet.isConnecting(request.service);
+
   const sendAttempt = (): void => {
     const candidate = chooseCandidate(options.fleet.candidates(request.service), {
       zone: options.zone, route: route.name, targetMs: route.targetMs, excludedNodes: triedNodes, requiresLive: !route.idempotent,
     }, random);
+    if (candidate === undefined && canWaitForLinks()) {
+      connectTimer = setTimeout(sendAttempt, CONNECT_POLL_MS);
+      return;
+    }
+
     if (candidate === undefined) {
       fail(refusals === 0 ? 'no-backend-server' : 'no-room');
       return;
@@ -301,6 +316,7 @@
       if (!ended) {
         ended = true;
         clearTimeout(timer);
+        clearTimeout(connectTimer);
         pendingSend?.cancel();
       }
     },
--- /dev/null
+++ b/src/mesh/service-estimate.ts
@@ -0,0 +1,43 @@
+/** Estimates the load of a whole service from the backend servers that this process is linked with. */
+import type {ServiceLoad} from './admission.js';
+import type {BackendLoad} from './message.js';
+import type {CountedCalls} from './retry-budget.js';
+
+/** Backend server whose load is known; `load` is undefined when it accepts no calls. */
+export type LoadSample = {zone: string; load: BackendLoad | undefined};
+
+/** Number of backend servers of a service, by zone. */
+export type BackendCounts = ReadonlyMap<string, number>;
+
+/** How many backend servers each sample of a zone stands for. */
+const weightsByZone = (samples: readonly LoadSample[], counts: BackendCounts): Map<string, number> => {
+  const sampled = new Map<string, number>();
+  for (const {zone} of samples) {
+    sampled.set(zone, (sampled.get(zone) ?? 0) + 1);
+  }
+
+  return new Map([...sampled].map(([zone, count]) => [zone, Math.max(1, (counts.get(zone) ?? 0) / count)]));
+};
+
+/** Total of a figure over a service. */
+const estimateTotal = (samples: readonly LoadSample[], counts: BackendCounts, figureOf: (load: BackendLoad) => number): number => {
+  const weights = weightsByZone(samples, counts);
+  return samples.reduce((total, {zone, load}) => total + (load === undefined ? 0 : figureOf(load) * weights.get(zone)!), 0);
+};
+
+/** Estimates the total load of a service. */
+export const estimateServiceLoad = (samples: readonly LoadSample[], counts: BackendCounts): ServiceLoad => ({
+  backends: estimateTotal(samples, counts, () => 1),
+  running: estimateTotal(samples, counts, ({running}) => running),
+  queued: estimateTotal(samples, counts, ({queued}) => queued),
+  limit: estimateTotal(samples, counts, ({limit}) => limit),
+});
+
+/** Estimates the calls that all inbound proxies of a service counted; undefined without a sample. */
+export const estimateCallCounts = (samples: readonly LoadSample[], counts: BackendCounts): CountedCalls | undefined =>
+  samples.some(({load}) => load !== undefined)
+    ? {
+      requests: estimateTotal(samples, counts, ({counted}) => counted.requests),
+      repeats: estimateTotal(samples, counts, ({counted}) => counted.repeats),
+    }
+    : undefined;
