fix(mesh): take no second copy of an answer, and end responses that have no end

Cause: a response without a request id was taken as the awaited one, and a connection went back to the pool while its parser still held the beginning of a further response. A process buffered up to 64 MiB for each response, and bytes outside of bodies (informational responses, chunk sizes, trailers) without any bound.

Change: an answer is handed over after all bytes received with it are parsed; a connection with bytes left over is closed. A response without an id is taken on a connection's first request only, where no earlier answer exists. Bytes outside of bodies are bounded in proportion to the body. Bodies of incomplete responses share 48 MiB, each with at most 16 MiB; beyond that the connection is closed and the call counts as lost, so a non-idempotent request ends unknown and not refused.

Ruled out: reading the id from the body of a failure; not every server sends one.

--- a/src/mesh/backend-connection-pool.ts
+++ b/src/mesh/backend-connection-pool.ts
@@ -2,6 +2,7 @@
 import {
   createBackendConnection, type BackendConnection, type Exchange, type ExchangeResult,
 } from './backend-connection.js';
+import {createHeldBytes} from './held-bytes.js';
 import type {HttpDialect} from './http-dialect.js';
 
 /** Handle of an exchange in progress. */
@@ -19,6 +20,8 @@
   close: () => void;
   /** Number of open connections. */
   connections: () => number;
+  /** Bytes of incomplete responses that are held. */
+  heldBytes: () => number;
 };
 
 /** Options of the pool. */
@@ -29,8 +32,14 @@
   onProtocolEvent: (event: string, requestId: string | undefined) => void;
 };
 
+/** Bytes of incomplete responses that a process holds at most: a fifth of the memory of the smallest hosts. */
+const HELD_MAX_BYTES = 48 * 1024 * 1024;
+/** Longest response, in bytes. */
+const RESPONSE_MAX_BYTES = 16 * 1024 * 1024;
+
 /** Creates an empty pool without an address; `reset` sets it. */
 export const createBackendConnectionPool = (options: BackendConnectionPoolOptions): BackendConnectionPool => {
+  const heldBytes = createHeldBytes({totalMax: HELD_MAX_BYTES, shareMax: RESPONSE_MAX_BYTES});
   let address = '';
   let idle: BackendConnection[] = [];
   const open = new Set<BackendConnection>();
@@ -44,6 +53,7 @@
     const connection = createBackendConnection({
       ...options,
       address,
+      heldBytes,
       onIdle(reusable) {
         if (outdated.has(reusable)) {
           reusable.destroy('the backend server was replaced');
@@ -118,6 +128,7 @@
       }
     },
     connections: () => open.size,
+    heldBytes: heldBytes.total,
   };
 };
 
--- a/src/mesh/backend-connection.ts
+++ b/src/mesh/backend-connection.ts
@@ -3,6 +3,7 @@
 import {connect, type Socket} from 'node:net';
 import {HTTPParser, type HTTPParserJS} from 'http-parser-js';
 import {splitAddress} from '../shared/address.js';
+import type {HeldBytes, Reservation} from './held-bytes.js';
 import type {HttpDialect} from './http-dialect.js';
 
 /** How an exchange ended. */
@@ -39,6 +40,8 @@
   address: string;
   dialect: HttpDialect;
   now: () => number;
+  /** Bound on the response bytes that are held over all connections. */
+  heldBytes: HeldBytes;
   /** Called when the connection can be reused. */
   onIdle: (connection: BackendConnection) => void;
   onClosed: (connection: BackendConnection) => void;
@@ -52,12 +55,17 @@
 const IDLE_TIMEOUT_DEFAULT_MS = 4000;
 /** How long before the backend server's idle timeout a connection is given up, in milliseconds: a request sent while the server closes it may be lost. */
 const IDLE_MARGIN_MS = 1500;
-/** Longest response that is buffered, in bytes. */
-const RESPONSE_MAX_BYTES = 64 * 1024 * 1024;
+/** Bytes that a response may have besides its body, for heads, informational responses, chunk sizes and trailers. */
+const OVERHEAD_MAX_BYTES = 128 * 1024;
+/** Further such bytes for each byte of the body; a body in chunks of one byte has five. */
+const OVERHEAD_PER_BODY_BYTE = 8;
 const FIRST_FINAL_STATUS = 200;
 
+/** Position of the parser, which its type declarations leave out: the incomplete line, and what is expected next. */
+type ParserPosition = {line: string; state: string};
+
 /** Response whose end has not been received. */
-type PartialResponse = {status: number; rawHeaders: string[]; chunks: Buffer[]; bytes: number; framed: boolean};
+type PartialResponse = {status: number; rawHeaders: string[]; chunks: Buffer[]; framed: boolean};
 
 const serializeHead = ({method, path, rawHeaders, body}: Exchange): string => {
   let text = `${method} ${path} HTTP/1.1\r\n`;
@@ -81,6 +89,13 @@
   const {host, port} = splitAddress(options.address);
   let current: Exchange | undefined;
   let response: PartialResponse | undefined;
+  /** Response that is complete but not handed over yet, because its last bytes are still being parsed. */
+  let completed: PartialResponse | undefined;
+  let reservation: Reservation = options.heldBytes.reserve();
+  /** Bytes received and body bytes since the request was sent. */
+  let receivedBytes = 0;
+  let bodyBytes = 0;
+  let exchanges = 0;
   let idleSince = now();
   let idleTimeoutMs = IDLE_TIMEOUT_DEFAULT_MS;
   let connected = false;
@@ -94,6 +109,7 @@
     const exchange = current;
     current = undefined;
     response = undefined;
+    reservation.release();
     exchange?.onEnd(result);
   };
 
@@ -106,17 +122,25 @@
   const skipMismatchedResponse = (requestId: string | undefined): void => {
     options.onProtocolEvent('foreign-answer-skipped', requestId);
     response = undefined;
+    reservation.release();
+  };
+
+  /** Whether the bytes after the last response belong to none; they may be the beginning of a second copy of it. */
+  const hasLeftoverBytes = (): boolean => {
+    const {line, state} = parser as unknown as ParserPosition;
+    return line !== '' || state !== 'RESPONSE_LINE';
   };
 
-  const complete = (): void => {
+  const handOver = ({status, rawHeaders, chunks, framed}: PartialResponse): void => {
     const exchange = current!;
-    const {status, rawHeaders, chunks, framed} = response!;
     const metadata = dialect.readResponse(status, rawHeaders);
-    const mayReuse = !closesAfterResponse && !metadata.closesConnection && socket.writableLength === 0 && !socket.destroyed;
+    const mayReuse = !closesAfterResponse && !hasLeftoverBytes() && !metadata.closesConnection && socket.writableLength === 0 && !socket.destroyed;
     idleTimeoutMs = metadata.keepAliveMs === undefined ? IDLE_TIMEOUT_DEFAULT_MS : Math.max(0, metadata.keepAliveMs - IDLE_MARGIN_MS);
     idleSince = now();
     current = undefined;
-    response = undefined;
+    completed = undefined;
+    const body = Buffer.concat(chunks);
+    reservation.release();
     if (mayReuse) {
       options.onIdle(connection);
     } else {
@@ -124,7 +148,7 @@
     }
 
     exchange.onEnd({
-      kind: 'answered', status, rawHeaders, body: Buffer.concat(chunks), framed,
+      kind: 'answered', status, rawHeaders, body, framed,
     });
   };
 
@@ -134,8 +158,8 @@
       return;
     }
 
-    if (current === undefined) {
-      destroy('the backend server sent a response while no request was pending');
+    if (current === undefined || completed !== undefined) {
+      closesAfterResponse = true;
       return;
     }
 
@@ -146,12 +170,27 @@
       return;
     }
 
+    if (requestId === undefined && exchanges > 1) {
+      // It may be a second copy of an earlier response on this connection.
+      options.onProtocolEvent('answer-without-id', current.requestId);
+      destroy('the backend server sent a response without a request id on a connection that was used before');
+      return;
+    }
+
     if (requestId !== undefined && requestId !== current.requestId) {
       skipMismatchedResponse(requestId);
       return;
     }
 
-    complete();
+    completed = response;
+    response = undefined;
+  };
+
+  /** Closes the connection to a backend server that sends more than a response may have. */
+  const refuseEndless = (reason: string): void => {
+    options.onProtocolEvent('answer-too-long', current?.requestId);
+    response = undefined;
+    destroy(reason);
   };
 
   const createParser = (): HTTPParserJS => {
@@ -159,12 +198,9 @@
     responseParser[HTTPParser.kOnHeadersComplete] = info => {
       const framed = isFramed(info.headers);
       response = {
-        status: info.statusCode, rawHeaders: info.headers, chunks: [], bytes: 0, framed,
+        status: info.statusCode, rawHeaders: info.headers, chunks: [], framed,
       };
-      closesAfterResponse = !info.shouldKeepAlive;
-      if (current === undefined) {
-        destroy('the backend server sent a response while no request was pending');
-      }
+      closesAfterResponse ||= !info.shouldKeepAlive;
 
       // Returning 1 tells the parser that there is no body, whatever the headers say.
       return current?.method === 'HEAD' ? 1 : undefined;
@@ -175,9 +211,9 @@
         return;
       }
 
-      response.bytes += length;
-      if (response.bytes > RESPONSE_MAX_BYTES) {
-        destroy(`the response exceeds ${RESPONSE_MAX_BYTES} bytes`);
+      bodyBytes += length;
+      if (!reservation.add(length)) {
+        refuseEndless('the response is longer than a process may hold');
         return;
       }
 
@@ -196,9 +232,14 @@
       return;
     }
 
+    receivedBytes += chunk.length;
     const outcome = parser.execute(chunk);
-    if (outcome instanceof Error) {
+    if (completed !== undefined) {
+      handOver(completed);
+    } else if (outcome instanceof Error) {
       destroy(`the backend server sent an invalid HTTP response: ${outcome.message}`);
+    } else if (receivedBytes - bodyBytes > OVERHEAD_MAX_BYTES + (OVERHEAD_PER_BODY_BYTE * bodyBytes)) {
+      refuseEndless('the backend server sends bytes that belong to no response body without end');
     }
   };
 
@@ -208,6 +249,9 @@
       options.onProtocolEvent('unframed-answer', current.requestId);
       closesAfterResponse = true;
       onComplete();
+      if (completed !== undefined) {
+        handOver(completed);
+      }
     }
 
     destroy('the backend server closed the connection');
@@ -253,6 +297,10 @@
       }
 
       current = exchange;
+      exchanges++;
+      receivedBytes = 0;
+      bodyBytes = 0;
+      reservation = options.heldBytes.reserve();
       if (connected) {
         write(exchange);
       }
