perf(mesh): fewer pings and ticks in a process with many links

Change: idle links share 16 pings a second, at most 4 s apart; the links to the readers of the store keep one a second, because they bring new configurations. The periodic work runs every 50 ms, the admission every 100 ms, the review of links every 400 ms. Sites of 16 links or fewer keep the pings that they had.

--- /dev/null
+++ b/src/mesh/__tests__/registration.spec.ts
@@ -0,0 +1,118 @@
+/** Guards against a process that stays missing from the member list, or that stands in it with old values, when writes are lost or raced. */
+import test from 'ava';
+import {fail, ok, type Result} from '../../shared/result.js';
+import {createDecisionLog} from '../decision-log.js';
+import type {ObjectStore, StoredObject, StoreError} from '../object-store.js';
+import {createRegistration, decodeMember} from '../registration.js';
+import {createMembers} from './members.js';
+
+const [self] = createMembers(1, 1, ['s']) as [ReturnType<typeof createMembers>[number]];
+const OWN_VALUE = {address: self.address, zone: self.zone, service: self.service};
+
+const log = createDecisionLog({
+  node: 'n', level: 'error', linesPerSecond: {
+    debug: 0, info: 0, warn: 0, error: 0,
+  },
+});
+
+/** How the store treats the first write; all further ones succeed. */
+type FirstWrite = 'done' | 'done-but-unanswered' | 'not-done';
+
+const createStore = (firstWrite: FirstWrite, existing?: StoredObject) => {
+  let object = existing;
+  let revision = existing?.revision ?? 0;
+  let writes = 0;
+  const unanswered: StoreError = {kind: 'unreachable', message: 'no response'};
+  const put = (value: unknown): Result<StoredObject, StoreError> => {
+    writes++;
+    if (writes === 1 && firstWrite === 'not-done') {
+      return fail(unanswered);
+    }
+
+    revision++;
+    object = {name: self.node, revision, value};
+    return writes === 1 && firstWrite === 'done-but-unanswered' ? fail(unanswered) : ok(object);
+  };
+
+  const conflict = (): Result<StoredObject, StoreError> => fail({kind: 'conflict', message: 'conflict', current: object});
+  const store: ObjectStore = {
+    list: async () => ok({objects: [], revision}),
+    create: async (_kind, _name, value) => object === undefined ? put(value) : conflict(),
+    replace: async (_kind, _name, value, expected) => object?.revision === expected ? put(value) : conflict(),
+    async remove() {
+      object = undefined;
+      return ok(undefined);
+    },
+    watch: async () => ok({events: [], revision}),
+    close: () => undefined,
+  };
+  return {
+    store, stored: () => object, writes: () => writes, drop() {
+      revision++;
+      object = undefined;
+    }, revision: () => revision,
+  };
+};
+
+const settle = async (): Promise<void> => new Promise(resolve => {
+  setTimeout(resolve, 30);
+});
+
+/** Waits for a retry, whose mean delay the random source of the test makes as short as it can be. */
+const waitFor = async (condition: () => boolean): Promise<void> => {
+  for (let turn = 0; turn < 200 && !condition(); turn++) {
+    await settle(); // eslint-disable-line no-await-in-loop
+  }
+};
+
+const cases: Array<{title: string; firstWrite: FirstWrite; existing?: StoredObject}> = [
+  {title: 'a first start', firstWrite: 'done'},
+  {title: 'the answer to the write is lost', firstWrite: 'done-but-unanswered'},
+  {title: 'the write is lost', firstWrite: 'not-done'},
+  {title: 'a restart with the same values', firstWrite: 'done', existing: {name: self.node, revision: 7, value: OWN_VALUE}},
+  {title: 'a restart at another address', firstWrite: 'done', existing: {name: self.node, revision: 7, value: {...OWN_VALUE, address: '10.9.9.9:1'}}},
+  {title: 'an entry of another format', firstWrite: 'done', existing: {name: self.node, revision: 7, value: 'x'}},
+];
+
+for (const {title, firstWrite, existing} of cases) {
+  test(`the process is registered with its own values: ${title}`, async t => {
+    const fake = createStore(firstWrite, existing);
+    const registration = createRegistration({
+      self, store: fake.store, log, random: () => 0,
+    });
+    registration.register();
+    await waitFor(() => fake.stored() !== undefined && decodeMember(fake.stored()!)?.address === self.address);
+    t.deepEqual(decodeMember(fake.stored()!), self);
+    registration.close();
+  });
+}
+
+test('an entry that the store has lost is written again, but not for a list that is older than the last write', async t => {
+  const fake = createStore('done');
+  const registration = createRegistration({
+    self, store: fake.store, log, random: () => 0,
+  });
+  registration.register();
+  await waitFor(() => fake.stored() !== undefined);
+  registration.reconcile(undefined, fake.revision() - 1);
+  await settle();
+  t.is(fake.writes(), 1);
+  fake.drop();
+  registration.reconcile(undefined, fake.revision());
+  await waitFor(() => fake.stored() !== undefined);
+  t.deepEqual(decodeMember(fake.stored()!), self);
+  registration.close();
+});
+
+test('after the host has been removed, a late list does not register it again', async t => {
+  const fake = createStore('done');
+  const registration = createRegistration({
+    self, store: fake.store, log, random: () => 0,
+  });
+  registration.register();
+  await waitFor(() => fake.stored() !== undefined);
+  await registration.unregister();
+  registration.reconcile(undefined, fake.revision() + 1);
+  await settle();
+  t.is(fake.stored(), undefined);
+});
--- a/src/mesh/fleet.ts
+++ b/src/mesh/fleet.ts
@@ -82,7 +82,7 @@
 /** Minimum interval between two requests for the same newer state, over all links, in milliseconds. */
 const REQUEST_INTERVAL_MS = 200;
 /** Interval at which the wanted links are determined, in milliseconds. */
-const LINK_REVIEW_INTERVAL_MS = 200;
+const LINK_REVIEW_INTERVAL_MS = 400;
 /** Number of services whose links are kept open without use; with more services, links are opened on first use. */
 const KEPT_SERVICES_MAX = 8;
 /** Time without calls after which the links to a service are closed, in milliseconds. */
@@ -114,6 +114,7 @@
   let ringGeneration = -1;
   let rings: Rings = createRings([self]);
   let isReader = false;
+  let contacts: ReadonlySet<string> = new Set();
   let encodedConfiguration: {version: number; body: Buffer} | undefined;
 
   const known = (): KnownVersions => ({
@@ -219,6 +220,8 @@
       address: member.address,
       now,
       log,
+      // The links to the readers of the store bring new configurations, so they are pinged often.
+      linkCount: () => contacts.has(member.node) ? 1 : links.open().length,
       createHello: () => ({type: 'hello', member: self, known: known()}),
       createPing: () => ({type: 'ping', sentAt: now(), known: known()}),
       onMessage(link, message, body) {
@@ -311,9 +314,10 @@
     const zoneMembers = rings.callers(self.zone);
     const choice = chooseReaders(self.zone, zoneMembers.map(({node}) => node), self.node, links.reachability);
     isReader = choice.isReader && directory.revision() > 0;
-    const contacts = zoneMembers.filter(({node}) => choice.contacts.includes(node));
+    contacts = new Set(choice.contacts);
+    const contactMembers = zoneMembers.filter(({node}) => contacts.has(node));
     const subsets = wantedServices().flatMap(service => chooseSubset(rings, self, service, links.isUsable));
-    links.setWanted([...new Map([...contacts, ...subsets].map(member => [member.node, member])).values()]);
+    links.setWanted([...new Map([...contactMembers, ...subsets].map(member => [member.node, member])).values()]);
   };
 
   const linksTo = (service: string) => links.open().filter(({member}) => member.service === service);
@@ -357,8 +361,12 @@
 
   /** Publishes the load while calls are queued, and once after the queue has emptied: peers that send no calls here get no load with a result. */
   const publishLoad = (): void => {
+    if (now() - loadPublishedAt < LOAD_INTERVAL_MS) {
+      return;
+    }
+
     const load = inboundProxy.load();
-    if ((load.queued > 0 || publishedQueueLength > 0) && now() - loadPublishedAt >= LOAD_INTERVAL_MS) {
+    if (load.queued > 0 || publishedQueueLength > 0) {
       loadPublishedAt = now();
       publishedQueueLength = load.queued;
       server.broadcast({type: 'load', load});
--- a/src/mesh/link-liveness.ts
+++ b/src/mesh/link-liveness.ts
@@ -21,8 +21,12 @@
 
 /** Time without received data after which an active link is pinged, in milliseconds; several pings fit into the time in which a silent peer has to be detected. */
 const ACTIVE_PING_INTERVAL_MS = 250;
-/** Ping interval of an idle link, in milliseconds. Pings cost traffic between zones, and an idle link needs them only to pass on updates whose own message was missed. */
-const IDLE_PING_INTERVAL_MS = 1000;
+/** Shortest ping interval of an idle link, in milliseconds. Pings cost traffic between zones, and an idle link needs them only to pass on updates whose own message was missed. */
+const IDLE_PING_INTERVAL_MIN_MS = 1000;
+/** Pings that a process sends over all of its idle links, per second; with more links, each is pinged less often. */
+const IDLE_PINGS_PER_SECOND = 16;
+/** Longest ping interval of an idle link, in milliseconds. */
+export const IDLE_PING_INTERVAL_MAX_MS = 4000;
 /** Time after the last call for which a link counts as active, in milliseconds. */
 const ACTIVE_WINDOW_MS = 1000;
 /** Time without an answer to a ping after which other backend servers are preferred and non-idempotent calls are not sent over this link, in milliseconds; many times the round trip to another zone. */
@@ -30,8 +34,12 @@
 /** Time without an answer to a ping after which the connection is closed, in milliseconds. Together with the time until the ping it is a second, which is about the deadline of a call. */
 const DISCONNECT_AFTER_MS = 750;
 
+/** Ping interval of an idle link of a process with a number of links, in milliseconds. */
+export const idlePingIntervalMs = (linkCount: number): number =>
+  Math.min(IDLE_PING_INTERVAL_MAX_MS, Math.max(IDLE_PING_INTERVAL_MIN_MS, linkCount * 1000 / IDLE_PINGS_PER_SECOND));
+
 /** Creates the liveness of a connection; call `reset` when the connection opens. */
-export const createLinkLiveness = (now: () => number): LinkLiveness => {
+export const createLinkLiveness = (now: () => number, linkCount: () => number = () => 1): LinkLiveness => {
   let receivedAt = now();
   let calledAt = Number.NEGATIVE_INFINITY;
   let lastPingAt = Number.NEGATIVE_INFINITY;
@@ -58,7 +66,7 @@
     },
     isPingDue() {
       const isActive = now() - calledAt < ACTIVE_WINDOW_MS;
-      return now() - lastPingAt >= IDLE_PING_INTERVAL_MS || (isActive && now() - Math.max(lastPingAt, receivedAt) >= ACTIVE_PING_INTERVAL_MS);
+      return now() - lastPingAt >= idlePingIntervalMs(linkCount()) || (isActive && now() - Math.max(lastPingAt, receivedAt) >= ACTIVE_PING_INTERVAL_MS);
     },
     isLive: () => unansweredMs() < UNRESPONSIVE_AFTER_MS,
     isTimedOut: () => unansweredMs() > DISCONNECT_AFTER_MS,
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -53,12 +53,14 @@
 };
 
 /** Interval of the periodic work, such as timeouts, pings and reconnects, in milliseconds. */
-const TICK_MS = 20;
+const TICK_MS = 50;
 /** Shortest time for which a stopping process still accepts requests, in milliseconds: the platform checks readiness every second and needs two failed checks. */
 const STOP_ACCEPT_MS = 2700;
 /** Part of the grace period that is reserved for closing, in milliseconds. */
 const STOP_RESERVE_MS = 400;
 const IDLE_POLL_MS = 50;
+/** Interval at which the admitted shares are updated, in milliseconds. */
+const ADMISSION_INTERVAL_MS = 100;
 /** Interval at which the dependencies of routes are derived from the observed call graph, in milliseconds. */
 const DEPENDENCY_INTERVAL_MS = 500;
 /** Time without a tick after which the process counts as suspended, in milliseconds: several ticks, and less than the time without data after which a link is closed. */
@@ -221,6 +223,7 @@
   let tickTimer: NodeJS.Timeout | undefined;
   let lastTickAt = now();
   let reconciledRevision = 0;
+  let admissionUpdatedAt = now();
   const startedAt = now();
   let dependenciesDerivedAt = now();
 
@@ -232,6 +235,13 @@
     }
   };
 
+  const updateAdmission = (): void => {
+    if (now() - admissionUpdatedAt >= ADMISSION_INTERVAL_MS) {
+      admissionUpdatedAt = now();
+      admission.update();
+    }
+  };
+
   const tick = (): void => {
     const suspendedMs = clock.detectSuspension();
     const stalledMs = now() - lastTickAt;
@@ -246,7 +256,7 @@
     fleet.tick();
     reconcileRegistration();
     inboundProxy.tick();
-    admission.update();
+    updateAdmission();
     if (now() - dependenciesDerivedAt > DEPENDENCY_INTERVAL_MS) {
       dependenciesDerivedAt = now();
       deriveDependencies();
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -49,6 +49,8 @@
   address: string;
   now: () => number;
   log: DecisionLog;
+  /** Number of links of this process; with many, idle ones are pinged less often. @default 1 */
+  linkCount?: () => number;
   createHello: () => Message;
   createPing: () => Message;
   /** Called with each message that the link does not handle itself, and with `welcome` and `pong` messages. */
@@ -86,7 +88,7 @@
   let open = false;
   let changedAt = now();
   let closed = false;
-  const liveness = createLinkLiveness(now);
+  const liveness = createLinkLiveness(now, options.linkCount);
   let reconnectAt = now();
   let connectStartedAt = 0;
   let reconnectDelayMs = RECONNECT_DELAY_MIN_MS;
--- a/src/mesh/peer-server.ts
+++ b/src/mesh/peer-server.ts
@@ -4,6 +4,7 @@
 import type {DecisionLog} from './decision-log.js';
 import type {InboundProxy} from './inbound-proxy.js';
 import {createFrameReader, createFrameWriter, type Frame} from './frame.js';
+import {IDLE_PING_INTERVAL_MAX_MS} from './link-liveness.js';
 import type {Member, Message} from './message.js';
 
 /** Listener for the links of other processes. */
@@ -35,8 +36,8 @@
 
 /** Number of pings whose transit times are kept; they cover several seconds. */
 const TRANSIT_SAMPLES = 8;
-/** Time without any data after which a link is closed, in milliseconds; the peer pings at least once a second and closes a silent link sooner. */
-const LINK_TIMEOUT_MS = 3500;
+/** Time without any data after which a link is closed, in milliseconds; the peer pings it several times meanwhile and closes a silent link sooner. */
+const LINK_TIMEOUT_MS = 2.5 * IDLE_PING_INTERVAL_MAX_MS;
 
 /** Length of the accept queue: all other processes may connect at the same moment. */
 const ACCEPT_BACKLOG = 512;
