fix(mesh): let a starting process list the store at once

Cause: a process waited 300 ms before it listed the members, and for a reader of the store before it had a configuration.

Ruled out: fewer pings and ticks; the window was the same with and without them.

Change: each process lists both kinds once when it starts; only further reading is left to the readers of the zone. It costs one call a process and start.

--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -66,8 +66,6 @@
 /** Time without a tick after which the process counts as suspended, in milliseconds: several ticks, and less than the time without data after which a link is closed. */
 const STALL_THRESHOLD_MS = 300;
 
-/** Time after the start before the members are listed, in milliseconds: processes that start together have registered by then. */
-const FIRST_LIST_DELAY_MS = 300;
 /** Time in which changes of the member list are collected, in milliseconds: many processes may start or stop at once. */
 const MEMBER_BATCH_MS = 200;
 
@@ -224,7 +222,6 @@
   let lastTickAt = now();
   let reconciledRevision = 0;
   let admissionUpdatedAt = now();
-  const startedAt = now();
   let dependenciesDerivedAt = now();
 
   /** Restores the entry of this process when a newer member list lacks it. */
@@ -285,7 +282,7 @@
         log,
         random,
         onRead: fleet.recordStoreRead,
-        isActive: () => now() - startedAt > FIRST_LIST_DELAY_MS && (directory.revision() === 0 || fleet.isStoreReader()),
+        isActive: fleet.isStoreReader,
         batchMs: MEMBER_BATCH_MS,
         onChange(change) {
           applyMemberChange(directory, change);
--- a/src/mesh/object-watcher.ts
+++ b/src/mesh/object-watcher.ts
@@ -21,9 +21,9 @@
   onChange: (change: ObjectChange) => void;
   /** Called after each response of the store, also when nothing has changed. */
   onRead: () => void;
-  /** Whether the store is to be read now; while not, it gets no requests. The next read begins with a list. */
+  /** Whether the store is to be read now; while not, it gets no requests after the first list. The next read begins with a list. */
   isActive: () => boolean;
-  /** Time between a change and the next watch, in milliseconds, so that changes in quick succession cost one request. @default 0 */
+  /** Time between a list or a change and the next request, in milliseconds, so that changes in quick succession cost one request. @default 0 */
   batchMs?: number;
   sleep?: (milliseconds: number) => Promise<void>;
 };
@@ -47,6 +47,8 @@
   const objects = new Map<string, StoredObject>();
   let stopped = false;
   let synced = false;
+  /** A process that starts has to know at once what the store holds. */
+  let listedOnce = false;
   let backoffMs = BACKOFF_MIN_MS;
 
   const handleError = async (error: StoreError, during: string): Promise<void> => {
@@ -79,12 +81,14 @@
     }
 
     markSynced();
+    listedOnce = true;
     objects.clear();
     for (const object of listed.value.objects) {
       objects.set(object.name, object);
     }
 
     options.onChange({kind: 'listed', objects, revision: listed.value.revision});
+    await sleep(options.batchMs ?? 0);
     return listed.value.revision;
   };
 
@@ -123,7 +127,7 @@
     let revision: number | undefined;
     /* eslint-disable no-await-in-loop, no-unmodified-loop-condition */
     while (!stopped) {
-      if (!options.isActive()) {
+      if (listedOnce && !options.isActive()) {
         revision = undefined;
         await sleep(INACTIVE_POLL_MS);
         continue;
