--- /dev/null
+++ b/src/mesh/__tests__/object-watcher.spec.ts
@@ -0,0 +1,54 @@
+/** Guards against a process that starts and learns of the store's objects late, and against requests of processes that are not to read the store. */
+import test from 'ava';
+import {ok} from '../../shared/result.js';
+import {createDecisionLog} from '../decision-log.js';
+import type {ObjectStore} from '../object-store.js';
+import {startObjectWatcher} from '../object-watcher.js';
+
+const log = createDecisionLog({
+  node: 'n', level: 'error', linesPerSecond: {
+    debug: 0, info: 0, warn: 0, error: 0,
+  },
+});
+
+const cases: Array<{title: string; isActive: boolean; lists: number; isWatched: boolean}> = [
+  {
+    title: 'a process that does not read the store lists it once', isActive: false, lists: 1, isWatched: false,
+  },
+  {
+    title: 'a reader of the store lists it and watches', isActive: true, lists: 1, isWatched: true,
+  },
+];
+
+for (const {title, isActive, lists, isWatched} of cases) {
+  test(title, async t => {
+    const calls: string[] = [];
+    const changes: string[] = [];
+    const store: Pick<ObjectStore, 'list' | 'watch'> = {
+      async list() {
+        calls.push('list');
+        return ok({objects: [{name: 'a', revision: 3, value: 1}], revision: 3});
+      },
+      async watch() {
+        calls.push('watch');
+        return ok({events: [], revision: 3});
+      },
+    };
+    const turn = async (): Promise<void> => new Promise(resolve => {
+      setImmediate(resolve);
+    });
+    const watcher = startObjectWatcher({
+      kind: 'k', store: store as ObjectStore, log, random: () => 0, isActive: () => isActive, onRead: () => undefined, onChange({kind, revision}) {
+        changes.push(`${kind} ${revision}`);
+      }, sleep: turn,
+    });
+    for (let turns = 0; turns < 50; turns++) {
+      await turn(); // eslint-disable-line no-await-in-loop
+    }
+
+    watcher.stop();
+    t.deepEqual(changes, ['listed 3']);
+    t.is(calls.filter(call => call === 'list').length, lists);
+    t.is(calls.includes('watch'), isWatched);
+  });
+}
