--- a/src/mesh/__tests__/object-watcher.spec.ts
+++ b/src/mesh/__tests__/object-watcher.spec.ts
@@ -11,6 +11,11 @@
   },
 });
 
+/** Lets other callbacks run. */
+const turn = async (): Promise<void> => new Promise(resolve => {
+  setImmediate(resolve);
+});
+
 const cases: Array<{title: string; isActive: boolean; lists: number; isWatched: boolean}> = [
   {
     title: 'a process that does not read the store lists it once', isActive: false, lists: 1, isWatched: false,
@@ -31,12 +36,10 @@
       },
       async watch() {
         calls.push('watch');
+        await turn();
         return ok({events: [], revision: 3});
       },
     };
-    const turn = async (): Promise<void> => new Promise(resolve => {
-      setImmediate(resolve);
-    });
     const watcher = startObjectWatcher({
       kind: 'k', store: store as ObjectStore, log, random: () => 0, isActive: () => isActive, onRead: () => undefined, onChange({kind, revision}) {
         changes.push(`${kind} ${revision}`);
