feat(mesh): log what a backend server states about itself in its responses

The adapter now reads Server-Limit and Server-Leaving, and the inbound proxy writes a line when either changes. What it dispatches is unchanged.

--- a/src/mesh/http-dialect.ts
+++ b/src/mesh/http-dialect.ts
@@ -15,6 +15,16 @@
   keepAliveMs: number | undefined;
   /** Whether the backend server closes the connection after this response. */
   closesConnection: boolean;
+  /** What the backend server states about itself. */
+  statement: BackendStatement;
+};
+
+/** What a backend server states about itself in a response. */
+export type BackendStatement = {
+  /** Requests per second that it takes from all processes together; undefined when it names no limit. */
+  ratePerSecond: number | undefined;
+  /** Whether it is about to leave. */
+  isLeaving: boolean;
 };
 
 /** Reads and writes the platform's HTTP headers. Raw headers alternate names and values, as in Node's `rawHeaders`. */
--- a/src/mesh/inbound-proxy.ts
+++ b/src/mesh/inbound-proxy.ts
@@ -13,7 +13,7 @@
 import type {
   BackendLoad, BackendState, CallHeader, RefusalReason, CallResult,
 } from './message.js';
-import type {HttpDialect} from './http-dialect.js';
+import type {BackendStatement, HttpDialect} from './http-dialect.js';
 import {createDispatchRecords} from './dispatch-records.js';
 
 /** A call to the backend server of this host. */
@@ -96,6 +96,7 @@
 const FIRST_SERVER_ERROR_STATUS = 500;
 
 const NO_BODY = Buffer.alloc(0);
+const NO_STATEMENT: BackendStatement = {ratePerSecond: undefined, isLeaving: false};
 
 /** A call from its arrival to its result; `run` is set once it has been dispatched. */
 type ActiveCall = {
@@ -118,6 +119,7 @@
   let stopping = false;
   const loadTracker = createBackendLoadTracker(now, options.retryWindowMs);
   let connectFailures = 0;
+  let statement = NO_STATEMENT;
   const queue = createQueue();
   const calls = new Map<string, ActiveCall>();
   const dispatchRecords = createDispatchRecords(now);
@@ -211,6 +213,19 @@
     }
   };
 
+  const applyStatement = (stated: BackendStatement): void => {
+    const {instance} = targetBackend();
+    if (stated.ratePerSecond !== statement.ratePerSecond) {
+      log.write('info', 'backend-rate-limit', {instance, perSecond: stated.ratePerSecond ?? null, previous: statement.ratePerSecond ?? null});
+    }
+
+    if (stated.isLeaving && !statement.isLeaving) {
+      log.write('info', 'backend-states-leaving', {instance, running: loadTracker.running(), queued: queue.length});
+    }
+
+    statement = stated;
+  };
+
   const handleExchangeResult = (active: ActiveCall, result: ExchangeResult): void => {
     const {call} = active.inbound;
     const run = {route: call.route, startedAt: active.run!.startedAt};
@@ -219,6 +234,7 @@
       case 'answered': {
         connectFailures = 0;
         const metadata = dialect.readResponse(result.status, result.rawHeaders);
+        applyStatement(metadata.statement);
         if (metadata.notRun) {
           dispatchRecords.remove(call.requestId);
           refuse(active, 'backend-refused', true);
@@ -394,6 +410,7 @@
         case 'new-instance': {
           connectFailures = 0;
           loadTracker.reset();
+          statement = NO_STATEMENT;
           pool.reset(announcement.address);
           log.write('info', 'backend-announced', {...announcement});
           publishState();
