fix(mesh): limit the rate of calls to what the backend server names

Cause: the inbound proxy bounds concurrent calls by the slots and knew no rate. Ruled out: a limit that each caller applies for itself, since all calls pass one inbound proxy.

It now dispatches at the stated rate from a token bucket, refuses calls that would wait too long with the reason rate-limit, and reports limit and service time of that capacity, so that routing and admission follow.

--- a/src/mesh/backend-load-tracker.ts
+++ b/src/mesh/backend-load-tracker.ts
@@ -6,6 +6,15 @@
 /** A call that the backend server is running. */
 export type RunningCall = {route: string; startedAt: number};
 
+/** Queue in front of a backend server, and what bounds the calls that leave it. */
+export type QueueState = {
+  queued: number;
+  /** Maximum number of concurrent calls. */
+  limit: number;
+  /** Maximum rate of calls, per second; undefined when there is none. */
+  perSecondMax: number | undefined;
+};
+
 /** Tracks the load of a backend server. */
 export type BackendLoadTracker = {
   /** Records that a call arrived at the inbound proxy. */
@@ -25,11 +34,23 @@
   /** Removes the service times, because the backend server has been replaced. */
   reset: () => void;
   /** Load report for callers, with the service times of all routes or of one. */
-  report: (queue: {queued: number; limit: number}, route?: string) => BackendLoad;
+  report: (queue: QueueState, route?: string) => BackendLoad;
 };
 
+const SECOND_MS = 1000;
+
 const toTenths = (milliseconds: number): number => Math.round(milliseconds * 10) / 10;
 
+/** Adapts a concurrency limit and a service time to a rate limit, so that their quotient is the capacity and callers need only one formula for the time in the queue. */
+const applyRateLimit = ({limit, perSecondMax}: QueueState, serviceMs: number): {limit: number; serviceMs: number} => {
+  if (perSecondMax === undefined) {
+    return {limit, serviceMs};
+  }
+
+  const usedLimit = Math.min(limit, Math.max(1, perSecondMax * serviceMs / SECOND_MS));
+  return {limit: toTenths(usedLimit), serviceMs: Math.max(serviceMs, usedLimit * SECOND_MS / perSecondMax)};
+};
+
 /** Creates a tracker without running calls. `windowMs` is the window of the retry budget. */
 export const createBackendLoadTracker = (now: () => number, windowMs: number): BackendLoadTracker => {
   const serviceTimes = createServiceTimes();
@@ -71,14 +92,15 @@
     runningRoutes: () => new Set(runningByRoute.keys()),
     serviceMs: serviceTimes.mean,
     reset: serviceTimes.reset,
-    report({queued, limit}, route) {
+    report(queue, route) {
       const meanMs = serviceTimes.mean();
       const slowdown = Math.max(1, meanAgeMs() / meanMs);
+      const {limit, serviceMs} = applyRateLimit(queue, meanMs * slowdown);
       return {
         running,
-        queued,
+        queued: queue.queued,
         limit,
-        serviceMs: toTenths(meanMs * slowdown),
+        serviceMs: toTenths(serviceMs),
         routes: serviceTimes.byRoute(route).map(time => ({route: time.route, serviceMs: toTenths(time.serviceMs * slowdown)})),
         counted: {requests: requests.count(), repeats: repeats.count()},
       };
--- a/src/mesh/inbound-proxy.ts
+++ b/src/mesh/inbound-proxy.ts
@@ -8,6 +8,7 @@
 } from './announcement.js';
 import {createBackendConnectionPool, type RunningExchange} from './backend-connection-pool.js';
 import type {ExchangeResult} from './backend-connection.js';
+import {createCallRateLimit} from './call-rate-limit.js';
 import type {DecisionLog} from './decision-log.js';
 import {createBackendLoadTracker} from './backend-load-tracker.js';
 import type {
@@ -96,7 +97,6 @@
 const FIRST_SERVER_ERROR_STATUS = 500;
 
 const NO_BODY = Buffer.alloc(0);
-const NO_STATEMENT: BackendStatement = {ratePerSecond: undefined, isLeaving: false};
 
 /** A call from its arrival to its result; `run` is set once it has been dispatched. */
 type ActiveCall = {
@@ -107,8 +107,6 @@
   ended: boolean;
 };
 
-const toTenths = (milliseconds: number): number => Math.round(milliseconds * 10) / 10;
-
 const overloadedSince = ({overloadedAt}: DownstreamFailures, startedAt: number): string[] =>
   [...overloadedAt].filter(([, at]) => at >= startedAt).map(([service]) => service);
 
@@ -119,7 +117,8 @@
   let stopping = false;
   const loadTracker = createBackendLoadTracker(now, options.retryWindowMs);
   let connectFailures = 0;
-  let statement = NO_STATEMENT;
+  const rateLimit = createCallRateLimit(now);
+  let isLeaving = false;
   const queue = createQueue();
   const calls = new Map<string, ActiveCall>();
   const dispatchRecords = createDispatchRecords(now);
@@ -139,7 +138,7 @@
     return backend === undefined ? 0 : Math.min(backend.slots, options.connectionLimit(backend.service));
   };
 
-  const load = (route?: string): BackendLoad => loadTracker.report({queued: queue.length, limit: limit()}, route);
+  const load = (route?: string): BackendLoad => loadTracker.report({queued: queue.length, limit: limit(), perSecondMax: rateLimit.perSecond()}, route);
 
   const state = (): BackendState => {
     if (localBackend.kind !== 'announced') {
@@ -170,7 +169,10 @@
     active.inbound.onResult(result, body);
   };
 
-  const estimateRetryAfterMs = (): number => Math.max(RETRY_AFTER_MIN_MS, Math.round((queue.length + 1) * loadTracker.serviceMs() / Math.max(1, limit())));
+  /** Time until a call behind `ahead` others gets a slot, in milliseconds. */
+  const expectedWaitMs = (ahead: number): number => (ahead + 1) * loadTracker.serviceMs() / Math.max(1, limit());
+
+  const estimateRetryAfterMs = (): number => Math.round(Math.max(RETRY_AFTER_MIN_MS, expectedWaitMs(queue.length), rateLimit.waitMs(queue.length + 1)));
 
   const refuse = (active: ActiveCall, reason: RefusalReason, arrived = false): void => {
     log.count('door_refusals', reason);
@@ -213,17 +215,18 @@
     }
   };
 
-  const applyStatement = (stated: BackendStatement): void => {
+  /** Applies what the backend server states in its response to a call that was dispatched at `dispatchedAt`. */
+  const applyStatement = (stated: BackendStatement, dispatchedAt: number): void => {
     const {instance} = targetBackend();
-    if (stated.ratePerSecond !== statement.ratePerSecond) {
-      log.write('info', 'backend-rate-limit', {instance, perSecond: stated.ratePerSecond ?? null, previous: statement.ratePerSecond ?? null});
+    const previous = rateLimit.perSecond();
+    if (rateLimit.applyStatement(stated.ratePerSecond, dispatchedAt)) {
+      log.write('info', 'backend-rate-limit', {instance, perSecond: rateLimit.perSecond() ?? null, previous: previous ?? null});
     }
 
-    if (stated.isLeaving && !statement.isLeaving) {
+    if (stated.isLeaving && !isLeaving) {
+      isLeaving = true;
       log.write('info', 'backend-states-leaving', {instance, running: loadTracker.running(), queued: queue.length});
     }
-
-    statement = stated;
   };
 
   const handleExchangeResult = (active: ActiveCall, result: ExchangeResult): void => {
@@ -234,7 +237,7 @@
       case 'answered': {
         connectFailures = 0;
         const metadata = dialect.readResponse(result.status, result.rawHeaders);
-        applyStatement(metadata.statement);
+        applyStatement(metadata.statement, run.startedAt);
         if (metadata.notRun) {
           dispatchRecords.remove(call.requestId);
           refuse(active, 'backend-refused', true);
@@ -288,6 +291,7 @@
     }
 
     const startedAt = now();
+    rateLimit.recordDispatch();
     loadTracker.recordStart({route: call.route, startedAt});
     const {instance} = targetBackend();
     active.run = {startedAt, exchange: undefined};
@@ -305,8 +309,10 @@
 
   const checkQueueTime = (call: QueuedCall): 'take' | 'drop' => call.queueUntil <= now() ? 'drop' : 'take';
 
+  const mayDispatch = (): boolean => loadTracker.running() < limit() && rateLimit.waitMs(1) === 0;
+
   const dispatchQueued = (): void => {
-    while (loadTracker.running() < limit() && queue.length > 0) {
+    while (mayDispatch() && queue.length > 0) {
       const {taken, dropped} = takeNext(queue, {isKindBlocked: () => false, decide: checkQueueTime});
       for (const {callId} of dropped) {
         refuse(calls.get(callId)!, 'queue-time');
@@ -349,12 +355,17 @@
     const {call, key} = active.inbound;
     const remainingMs = active.deadlineAt - now();
     const waitMaxMs = Math.min(remainingMs * QUEUE_WAIT_SHARE, Math.max(call.targetMs, 0) + loadTracker.serviceMs());
-    const expectedWaitMs = (countQueuedAhead(call.priority) + 1) * loadTracker.serviceMs() / Math.max(1, limit());
-    if (expectedWaitMs > waitMaxMs) {
+    const ahead = countQueuedAhead(call.priority);
+    if (expectedWaitMs(ahead) > waitMaxMs) {
       refuse(active, 'queue-full');
       return;
     }
 
+    if (rateLimit.waitMs(ahead + 1) > waitMaxMs) {
+      refuse(active, 'rate-limit');
+      return;
+    }
+
     enqueue(queue, {
       callId: key, priority: call.priority, requestKind: call.route, arrivedAt: active.arrivedAt, deadlineAt: active.deadlineAt, queueUntil: now() + waitMaxMs,
     });
@@ -382,7 +393,7 @@
         refuse(active, 'other-service');
       } else if (inbound.call.remainingMs <= 0) {
         refuse(active, 'deadline-passed');
-      } else if (loadTracker.running() < limit() && queue.length === 0) {
+      } else if (mayDispatch() && queue.length === 0) {
         dispatch(active);
       } else {
         enqueueOrRefuse(active);
@@ -410,7 +421,8 @@
         case 'new-instance': {
           connectFailures = 0;
           loadTracker.reset();
-          statement = NO_STATEMENT;
+          rateLimit.reset();
+          isLeaving = false;
           pool.reset(announcement.address);
           log.write('info', 'backend-announced', {...announcement});
           publishState();
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -41,6 +41,8 @@
   | 'backend-draining'
   | 'stopping'
   | 'queue-full'
+  /** The wait would be too long at the rate that the backend server has named as its limit. */
+  | 'rate-limit'
   | 'queue-time'
   | 'deadline-passed'
   | 'memory-full'
