fix(mesh): drain a backend server that states in a response that it leaves

Callers whose process had passed on Server-Leaving still had requests sent to that backend server until its next announcement, or for as long as late announcements called it ready.

Cause: only announcements marked the drain. The inbound proxy now applies the statement of a response in the same way and publishes it before the response goes back, so each process knows of it before it passes the response on. A statement of an instance that was replaced meanwhile is left out.

--- a/src/mesh/announcement.ts
+++ b/src/mesh/announcement.ts
@@ -77,6 +77,10 @@
   };
 };
 
+/** Applies a response in which the backend server states that it leaves; it binds like an announcement of the drain. */
+export const applyLeaving = (local: LocalBackend, now: number): LocalBackend =>
+  local.kind === 'announced' && local.drainingSince === undefined ? {...local, drainingSince: now} : local;
+
 /** Applies the deregistration of an instance. It changes nothing unless the instance is the announced one. */
 export const applyDeparture = (local: LocalBackend, instance: string, now: number): LocalBackend => {
   if (local.kind !== 'announced' || local.announcement.instance !== instance) {
--- a/src/mesh/inbound-proxy.ts
+++ b/src/mesh/inbound-proxy.ts
@@ -4,7 +4,7 @@
   createQueue, enqueue, removeOverdue, removeQueued, takeNext, type QueuedCall,
 } from '../decisions/inbound/queue.js';
 import {
-  applyAnnouncement, applyDeparture, type Announcement, type LocalBackend,
+  applyAnnouncement, applyDeparture, applyLeaving, type Announcement, type LocalBackend,
 } from './announcement.js';
 import {createBackendConnectionPool, type RunningExchange} from './backend-connection-pool.js';
 import type {ExchangeResult} from './backend-connection.js';
@@ -103,7 +103,7 @@
   inbound: InboundCall;
   arrivedAt: number;
   deadlineAt: number;
-  run: {exchange: RunningExchange | undefined; startedAt: number} | undefined;
+  run: {exchange: RunningExchange | undefined; startedAt: number; backend: Announcement} | undefined;
   ended: boolean;
 };
 
@@ -118,7 +118,6 @@
   const loadTracker = createBackendLoadTracker(now, options.retryWindowMs);
   let connectFailures = 0;
   const rateLimit = createCallRateLimit(now);
-  let isLeaving = false;
   const queue = createQueue();
   const calls = new Map<string, ActiveCall>();
   const dispatchRecords = createDispatchRecords(now);
@@ -215,17 +214,31 @@
     }
   };
 
-  /** Applies what the backend server states in its response to a call that was dispatched at `dispatchedAt`. */
-  const applyStatement = (stated: BackendStatement, dispatchedAt: number): void => {
-    const {instance} = targetBackend();
+  const applyRate = (perSecond: number | undefined, dispatchedAt: number): void => {
     const previous = rateLimit.perSecond();
-    if (rateLimit.applyStatement(stated.ratePerSecond, dispatchedAt)) {
-      log.write('info', 'backend-rate-limit', {instance, perSecond: rateLimit.perSecond() ?? null, previous: previous ?? null});
+    if (rateLimit.applyStatement(perSecond, dispatchedAt)) {
+      log.write('info', 'backend-rate-limit', {instance: targetBackend().instance, perSecond: rateLimit.perSecond() ?? null, previous: previous ?? null});
+    }
+  };
+
+  const markLeaving = (): void => {
+    const previous = localBackend;
+    localBackend = applyLeaving(localBackend, now());
+    if (localBackend !== previous) {
+      log.write('info', 'backend-states-leaving', {instance: targetBackend().instance, running: loadTracker.running(), queued: queue.length});
+      publishState();
+    }
+  };
+
+  /** Applies what a backend server states in a response; a statement of one that has been replaced since concerns no later call. */
+  const applyStatement = ({ratePerSecond, isLeaving}: BackendStatement, {backend, startedAt}: {backend: Announcement; startedAt: number}): void => {
+    if (localBackend.kind === 'none' || targetBackend().startedAt !== backend.startedAt) {
+      return;
     }
 
-    if (stated.isLeaving && !isLeaving) {
-      isLeaving = true;
-      log.write('info', 'backend-states-leaving', {instance, running: loadTracker.running(), queued: queue.length});
+    applyRate(ratePerSecond, startedAt);
+    if (isLeaving) {
+      markLeaving();
     }
   };
 
@@ -237,7 +250,7 @@
       case 'answered': {
         connectFailures = 0;
         const metadata = dialect.readResponse(result.status, result.rawHeaders);
-        applyStatement(metadata.statement, run.startedAt);
+        applyStatement(metadata.statement, active.run!);
         if (metadata.notRun) {
           dispatchRecords.remove(call.requestId);
           refuse(active, 'backend-refused', true);
@@ -293,13 +306,13 @@
     const startedAt = now();
     rateLimit.recordDispatch();
     loadTracker.recordStart({route: call.route, startedAt});
-    const {instance} = targetBackend();
-    active.run = {startedAt, exchange: undefined};
+    const backend = targetBackend();
+    active.run = {startedAt, backend, exchange: undefined};
     active.run.exchange = pool.run({
       requestId: call.requestId,
       method: call.method,
       path: call.path,
-      rawHeaders: [...call.rawHeaders, ...dialect.addedRequestHeaders(instance, remainingMs)],
+      rawHeaders: [...call.rawHeaders, ...dialect.addedRequestHeaders(backend.instance, remainingMs)],
       body,
       onEnd(result) {
         handleExchangeResult(active, result);
@@ -422,7 +435,6 @@
           connectFailures = 0;
           loadTracker.reset();
           rateLimit.reset();
-          isLeaving = false;
           pool.reset(announcement.address);
           log.write('info', 'backend-announced', {...announcement});
           publishState();
