fix(mesh): keep what a backend server has stated over a restart of the process next to it

After a restart of the process next to a backend server that leaves, or that had named a limit, callers that had passed the statement on sent it requests again; after a deregistration a late announcement was enough.

Cause: only that process held the statement. The callers now keep it as a record and send it with the greeting of a link, before any call. The restarted process applies it to the same instance and start, and keeps its own record when the announcements fall silent.

Ruled out: the store (a write for each statement, none while it is away); a slow start after each restart (cannot bring back a leaving).

--- a/src/mesh/__tests__/peer-link.spec.ts
+++ b/src/mesh/__tests__/peer-link.spec.ts
@@ -31,7 +31,7 @@
         ? {
           type: 'welcome' as const, member: {
             node: 'p', address: 'p', zone: 'z', service: 's',
-          }, known, state: {kind: 'absent' as const},
+          }, known, state: {kind: 'absent' as const}, record: undefined,
         }
         : answers(message);
       if (answer !== undefined) {
@@ -53,7 +53,7 @@
     createHello: () => ({
       type: 'hello', member: {
         node: 'n', address: 'n', zone: 'z', service: 's',
-      }, known,
+      }, known, record: undefined,
     }),
     createPing: () => ({type: 'ping', sentAt: 0, known}),
     onMessage() {
--- a/src/mesh/call-rate-limit.ts
+++ b/src/mesh/call-rate-limit.ts
@@ -7,6 +7,8 @@
   Returns whether the rate has changed.
   */
   applyStatement: (perSecond: number | undefined, dispatchedAt: number) => boolean;
+  /** Applies a rate that was stated to another process, unless a response to this one has said more since. Returns whether the rate has changed. */
+  recall: (perSecond: number) => boolean;
   /** Rate in force, in calls per second; undefined when there is none. */
   perSecond: () => number | undefined;
   /** Time until this many further calls may have been dispatched, in milliseconds. */
@@ -26,6 +28,7 @@
 /** Creates a rate limit without a stated rate. */
 export const createCallRateLimit = (now: () => number): CallRateLimit => {
   let rate: number | undefined;
+  let hasStatement = false;
   /** Time at which a response last stated a rate. */
   let statedAt = Number.NEGATIVE_INFINITY;
   /** Calls that may be dispatched at `refilledAt`. */
@@ -57,6 +60,7 @@
 
   return {
     applyStatement(perSecond, dispatchedAt) {
+      hasStatement = true;
       if (perSecond !== undefined) {
         statedAt = now();
         return setRate(perSecond);
@@ -65,6 +69,7 @@
       // A response to a call that was dispatched before the rate was stated may be older than the statement.
       return dispatchedAt >= statedAt && setRate(undefined);
     },
+    recall: perSecond => !hasStatement && setRate(perSecond),
     perSecond: () => rate,
     waitMs(calls) {
       refill();
@@ -76,6 +81,7 @@
     },
     reset() {
       rate = undefined;
+      hasStatement = false;
       statedAt = Number.NEGATIVE_INFINITY;
     },
   };
--- a/src/mesh/fleet.ts
+++ b/src/mesh/fleet.ts
@@ -1,13 +1,14 @@
 /** Links to the other processes of the fleet, and the state that is exchanged over them. */
 import {Buffer} from 'node:buffer';
 import type {ServiceLoad} from './admission.js';
+import {createBackendRecords} from './backend-records.js';
 import type {DecisionLog} from './decision-log.js';
 import type {InboundProxy} from './inbound-proxy.js';
 import type {LearntRouteSpread} from './learnt-routes.js';
 import {createLinkTable} from './link-table.js';
 import type {MemberDirectory} from './member-directory.js';
 import type {
-  BackendState, CallHeader, CallResult, KnownVersions, Member, Message,
+  BackendRecord, BackendState, CallHeader, CallResult, KnownVersions, Member, Message,
 } from './message.js';
 import {createPeerLink, type PeerLink} from './peer-link.js';
 import {createPeerServer, type IncomingLink} from './peer-server.js';
@@ -100,6 +101,7 @@
 /** Creates the fleet; it listens after `start`, and connects to members as they become known and needed. */
 export const createFleet = (options: FleetOptions): Fleet => {
   const {self, now, log, inboundProxy, directory, learntRoutes} = options;
+  const backendRecords = createBackendRecords();
   const failureRates = new Map<string, FailureRate>();
   const usedAt = new Map<string, number>();
   const destinations = new WeakMap<PeerLink, Destination>();
@@ -154,6 +156,12 @@
     sender.send({type: 'learnt', learnt: learntRoutes.all()});
   };
 
+  const keepRecord = (node: string, record: BackendRecord | undefined): void => {
+    if (record !== undefined) {
+      backendRecords.put(node, record);
+    }
+  };
+
   const onMessage = (sender: MessageSender, message: Message, body: Buffer, from: string): void => {
     switch (message.type) {
       case 'ping':
@@ -198,7 +206,13 @@
         return;
       }
 
+      case 'state': {
+        keepRecord(from, message.record);
+        return;
+      }
+
       case 'welcome': {
+        keepRecord(from, message.record);
         requestNewerState(sender, message.known);
         sendLearntRoutes(sender);
         return;
@@ -207,8 +221,7 @@
       case 'call':
       case 'cancel':
       case 'load':
-      case 'result':
-      case 'state': {
+      case 'result': {
         log.write('warn', 'message-unexpected', {type: message.type, from});
       }
     }
@@ -222,7 +235,9 @@
       log,
       // The links to the readers of the store bring new configurations, so they are pinged often.
       linkCount: () => contacts.has(member.node) ? 1 : links.open().length,
-      createHello: () => ({type: 'hello', member: self, known: known()}),
+      createHello: () => ({
+        type: 'hello', member: self, known: known(), record: backendRecords.of(member.node),
+      }),
       createPing: () => ({type: 'ping', sentAt: now(), known: known()}),
       onMessage(link, message, body) {
         onMessage(link, message, body, member.node);
@@ -236,7 +251,7 @@
     log,
     inboundProxy,
     createWelcome: () => ({
-      type: 'welcome', member: self, known: known(), state: inboundProxy.state(),
+      type: 'welcome', member: self, known: known(), state: inboundProxy.state(), record: inboundProxy.record(),
     }),
     createPong: () => ({type: 'pong', known: known(), load: inboundProxy.load()}),
     onMessage(link: IncomingLink, message, body) {
@@ -387,7 +402,7 @@
     candidates,
     isConnecting: service => [...rings.backends(service).values()].flat().some(({node}) => node !== self.node && links.linkTo(node) !== undefined && links.reachability(node) === 'connecting'),
     publishBackendState(state) {
-      server.broadcast({type: 'state', state});
+      server.broadcast({type: 'state', state, record: inboundProxy.record()});
     },
     announceVersions() {
       const message: Message = {type: 'known', known: known()};
--- a/src/mesh/inbound-proxy.ts
+++ b/src/mesh/inbound-proxy.ts
@@ -8,11 +8,12 @@
 } from './announcement.js';
 import {createBackendConnectionPool, type RunningExchange} from './backend-connection-pool.js';
 import type {ExchangeResult} from './backend-connection.js';
+import {mergeRecord} from './backend-records.js';
 import {createCallRateLimit} from './call-rate-limit.js';
 import type {DecisionLog} from './decision-log.js';
 import {createBackendLoadTracker} from './backend-load-tracker.js';
 import type {
-  BackendLoad, BackendState, CallHeader, RefusalReason, CallResult,
+  BackendLoad, BackendRecord, BackendState, CallHeader, RefusalReason, CallResult,
 } from './message.js';
 import type {BackendStatement, HttpDialect} from './http-dialect.js';
 import {createDispatchRecords} from './dispatch-records.js';
@@ -38,6 +39,10 @@
   leave: (instance: string) => void;
   /** Reports the backend server as draining to the other processes, because this process is stopping. */
   drain: () => void;
+  /** What the backend server has stated about itself, to this process or to others that have reported it; undefined when nothing is known. */
+  record: () => BackendRecord | undefined;
+  /** Applies what another process knows of the backend server of this host; it matters after a restart of this process. */
+  recall: (record: BackendRecord, from: string) => void;
   /** Applies everything that depends on time: queue timeouts, the end of a drain, missed announcements, and the expiry of records and connections. */
   tick: () => void;
   /** Restarts the announcement timeout; called after this process was suspended, when announcements that arrived meanwhile have not been read yet. */
@@ -118,6 +123,8 @@
   const loadTracker = createBackendLoadTracker(now, options.retryWindowMs);
   let connectFailures = 0;
   const rateLimit = createCallRateLimit(now);
+  /** What other processes know of the backend server. */
+  let recalled: BackendRecord | undefined;
   const queue = createQueue();
   const calls = new Map<string, ActiveCall>();
   const dispatchRecords = createDispatchRecords(now);
@@ -205,12 +212,30 @@
 
   const targetBackend = (): Announcement => localBackend.kind === 'left' ? localBackend.previous! : (localBackend as {announcement: Announcement}).announcement;
 
+  const record = (): BackendRecord | undefined => {
+    if (localBackend.kind === 'none') {
+      return recalled;
+    }
+
+    const {instance, startedAt} = targetBackend();
+    const isLeaving = localBackend.kind === 'left' || localBackend.drainingSince !== undefined;
+    return {
+      instance, startedAt, isLeaving, ratePerSecond: rateLimit.perSecond(),
+    };
+  };
+
+  /** Takes the backend server out of use until its next announcement; what it has stated still holds then. */
+  const forgetBackend = (): void => {
+    recalled = record();
+    localBackend = {kind: 'none'};
+    publishState();
+  };
+
   const recordConnectFailure = (cause: string): void => {
     connectFailures++;
     if (connectFailures === CONNECT_FAILURES_MAX && localBackend.kind === 'announced') {
       log.write('warn', 'backend-unreachable', {instance: localBackend.announcement.instance, cause});
-      localBackend = {kind: 'none'};
-      publishState();
+      forgetBackend();
     }
   };
 
@@ -218,12 +243,13 @@
     const previous = rateLimit.perSecond();
     if (rateLimit.applyStatement(perSecond, dispatchedAt)) {
       log.write('info', 'backend-rate-limit', {instance: targetBackend().instance, perSecond: rateLimit.perSecond() ?? null, previous: previous ?? null});
+      publishState();
     }
   };
 
-  const markLeaving = (): void => {
+  const markLeaving = (since: number): void => {
     const previous = localBackend;
-    localBackend = applyLeaving(localBackend, now());
+    localBackend = applyLeaving(localBackend, since);
     if (localBackend !== previous) {
       log.write('info', 'backend-states-leaving', {instance: targetBackend().instance, running: loadTracker.running(), queued: queue.length});
       publishState();
@@ -238,7 +264,23 @@
 
     applyRate(ratePerSecond, startedAt);
     if (isLeaving) {
-      markLeaving();
+      markLeaving(now());
+    }
+  };
+
+  /** Applies what other processes know of the announced backend server; it may have left long ago, so it gets no further calls then. */
+  const applyRecalled = (): void => {
+    if (localBackend.kind !== 'announced' || recalled?.startedAt !== localBackend.announcement.startedAt || recalled.instance !== localBackend.announcement.instance) {
+      return;
+    }
+
+    if (recalled.isLeaving) {
+      markLeaving(Number.NEGATIVE_INFINITY);
+    }
+
+    if (recalled.ratePerSecond !== undefined && rateLimit.recall(recalled.ratePerSecond)) {
+      log.write('info', 'backend-rate-limit', {instance: recalled.instance, perSecond: recalled.ratePerSecond, previous: null});
+      publishState();
     }
   };
 
@@ -387,8 +429,7 @@
   const expireSilentBackend = (): void => {
     if (localBackend.kind === 'announced' && now() - localBackend.receivedAt > options.announcementMs * MISSED_ANNOUNCEMENTS_MAX) {
       log.write('warn', 'backend-silent', {instance: localBackend.announcement.instance, silentMs: Math.round(now() - localBackend.receivedAt)});
-      localBackend = {kind: 'none'};
-      publishState();
+      forgetBackend();
     }
   };
 
@@ -437,6 +478,7 @@
           rateLimit.reset();
           pool.reset(announcement.address);
           log.write('info', 'backend-announced', {...announcement});
+          applyRecalled();
           publishState();
           break;
         }
@@ -471,6 +513,12 @@
         publishState();
       }
     },
+    record,
+    recall(known, from) {
+      recalled = mergeRecord(recalled, known);
+      log.write('info', 'backend-recalled', {...known, from});
+      applyRecalled();
+    },
     drain() {
       stopping = true;
       publishState();
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -35,6 +35,17 @@
   | {kind: 'absent'}
   | {kind: 'ready' | 'draining'; service: string; instance: string; load: BackendLoad; coldMs: number};
 
+/** What the backend server with this instance id and start time has stated about itself, in responses and announcements. */
+export type BackendRecord = {
+  instance: string;
+  /** Start of the backend server, in milliseconds since the Unix epoch. */
+  startedAt: number;
+  /** Whether it leaves or has left. */
+  isLeaving: boolean;
+  /** Calls per second that it takes; undefined when it names no limit. */
+  ratePerSecond: number | undefined;
+};
+
 /** Reason why a call was refused before the backend server ran it. */
 export type RefusalReason =
   | 'backend-absent'
@@ -97,9 +108,11 @@
 
 /** Message over a link; the body of a `call`, `result` or `configuration` follows it in the frame. */
 export type Message =
-  | {type: 'hello'; member: Member; known: KnownVersions}
-  | {type: 'welcome'; member: Member; known: KnownVersions; state: BackendState}
-  | {type: 'state'; state: BackendState}
+  /** `record`: what the sender knows of the receiver's backend server. */
+  | {type: 'hello'; member: Member; known: KnownVersions; record: BackendRecord | undefined}
+  /** `record`: what the sender knows of its own backend server. */
+  | {type: 'welcome'; member: Member; known: KnownVersions; state: BackendState; record: BackendRecord | undefined}
+  | {type: 'state'; state: BackendState; record: BackendRecord | undefined}
   | {type: 'call'; id: number; sentAt: number; call: CallHeader}
   | {type: 'cancel'; id: number}
   | {type: 'result'; id: number; result: CallResult; load: BackendLoad | undefined}
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -172,6 +172,7 @@
       case 'state': {
         state = message.state;
         sentSinceReport = 0;
+        options.onMessage(link, message, body);
         return;
       }
 
--- a/src/mesh/peer-server.ts
+++ b/src/mesh/peer-server.ts
@@ -133,6 +133,10 @@
       switch (message.type) {
         case 'hello': {
           member = message.member;
+          if (message.record !== undefined) {
+            inboundProxy.recall(message.record, member.node);
+          }
+
           send(options.createWelcome());
           options.onMessage(link, message, body);
           return;
