--- a/src/mesh/object-watcher.ts
+++ b/src/mesh/object-watcher.ts
@@ -64,12 +64,12 @@
     backoffMs = Math.min(BACKOFF_MAX_MS, backoffMs * 2);
   };
 
-  const markSynced = (): void => {
+  const markSynced = (revision: number): void => {
     backoffMs = BACKOFF_MIN_MS;
     options.onRead();
     if (!synced) {
       synced = true;
-      log.write('info', 'store-reached', {kind});
+      log.write('info', 'store-reached', {kind, revision});
     }
   };
 
@@ -80,7 +80,7 @@
       return undefined;
     }
 
-    markSynced();
+    markSynced(listed.value.revision);
     listedOnce = true;
     objects.clear();
     for (const object of listed.value.objects) {
@@ -104,7 +104,7 @@
       return revision;
     }
 
-    markSynced();
+    markSynced(watched.value.revision);
     for (const {kind: change, object} of watched.value.events) {
       if (change === 'deleted') {
         objects.delete(object.name);
