--- a/src/mesh/object-store.ts
+++ b/src/mesh/object-store.ts
@@ -4,7 +4,7 @@
 /** Object in the store. */
 export type StoredObject = {
   name: string;
-  /** Revision of the store at the last change of the object; it increases with each change of any object. */
+  /** Revision of the store at the last change of the object. Revisions increase with each change of any object, and whatever is read after a restore of the store from a copy has a higher one than anything before. */
   revision: number;
   value: unknown;
 };
@@ -18,7 +18,7 @@
   /** The object has another revision than expected, or already exists. */
   | {kind: 'conflict'; message: string; current: StoredObject | undefined}
   | {kind: 'not-found'; message: string}
-  /** The store no longer holds the history from the requested revision on. */
+  /** The store no longer holds the history from the requested revision on, because it has dropped it or has been restored from a copy. */
   | {kind: 'history-gone'; message: string}
   | {kind: 'rejected'; message: string};
 
--- a/src/mesh/object-watcher.ts
+++ b/src/mesh/object-watcher.ts
@@ -30,6 +30,8 @@
 
 /** Longest wait of one watch request, in milliseconds. The store allows 30 s, but a silent connection must be detected before the store drops the history. */
 export const WATCH_MS = 9000;
+/** Wait of the first watch request after an interruption, in milliseconds: the store may have been restored meanwhile, and its response is to show that at once. */
+const RESUMED_WATCH_MS = 1;
 /** Interval at which an inactive watcher checks whether it has become active, in milliseconds. */
 const INACTIVE_POLL_MS = 100;
 const BACKOFF_MIN_MS = 100;
@@ -93,7 +95,7 @@
   };
 
   const watch = async (revision: number): Promise<number | undefined> => {
-    const watched = await store.watch(kind, revision, WATCH_MS);
+    const watched = await store.watch(kind, revision, synced ? WATCH_MS : RESUMED_WATCH_MS);
     if (watched.kind === 'error') {
       if (watched.error.kind === 'history-gone') {
         log.write('info', 'store-history-gone', {kind, revision});
