fix(mesh): notice a suspension of the host at every reading of the clock

One of the faults that operators of similar systems reported: a process that was suspended acts on a permission that has run out meanwhile. It could happen here: the clock took a suspension into account at the next tick only, and the first callbacks after one may be those of sockets, so a call could be dispatched to a backend server whose drain time had passed, or with a deadline that was over.

clock.spec.ts, 'work that runs first after a suspension', failed before. The tick still learns how long the suspension was.

--- a/src/mesh/__tests__/clock.spec.ts
+++ b/src/mesh/__tests__/clock.spec.ts
@@ -29,3 +29,15 @@
     t.is(clock.now() - before, elapsed);
   });
 }
+
+test('work that runs first after a suspension, before any periodic work, sees the time that has passed', t => {
+  let monotonicNow = 1000;
+  let wallClockNow = 5000;
+  const clock = createSuspendAwareClock(() => monotonicNow, () => wallClockNow);
+  const permittedUntil = clock.now() + 2000;
+  monotonicNow += 10;
+  wallClockNow += 4010;
+  t.true(clock.now() > permittedUntil);
+  t.is(clock.detectSuspension(), 4000);
+  t.is(clock.detectSuspension(), 0);
+});
--- a/src/mesh/clock.ts
+++ b/src/mesh/clock.ts
@@ -3,7 +3,7 @@
 
 /** Monotonic clock that includes the time during which the host was suspended. */
 export type SuspendAwareClock = Clock & {
-  /** Checks for a suspension since the last call and returns its length in milliseconds, or 0; must be called often. */
+  /** Returns the time of suspension since the last call, in milliseconds, or 0. */
   detectSuspension: () => number;
 };
 
@@ -13,21 +13,28 @@
 /** Creates the clock from a monotonic and a wall clock, both in milliseconds. */
 export const createSuspendAwareClock = (monotonic: () => number = () => performance.now(), wallClock: () => number = Date.now): SuspendAwareClock => {
   let suspendedMs = 0;
+  let reportedMs = 0;
   let offset = wallClock() - monotonic();
-  const detectSuspension = (): number => {
-    const current = wallClock() - monotonic();
-    const jump = current - offset;
-    offset = current;
-    if (jump < SUSPENSION_MIN_MS) {
-      return 0;
+
+  /** Every reading looks for a suspension: after one, the first callbacks may be those of sockets, with calls that are no longer allowed. */
+  const now = (): number => {
+    const time = monotonic();
+    const currentOffset = wallClock() - time;
+    if (currentOffset - offset >= SUSPENSION_MIN_MS) {
+      suspendedMs += currentOffset - offset;
     }
 
-    suspendedMs += jump;
-    return jump;
+    offset = currentOffset;
+    return time + suspendedMs;
   };
 
   return {
-    now: () => monotonic() + suspendedMs,
-    detectSuspension,
+    now,
+    detectSuspension() {
+      now();
+      const unreportedMs = suspendedMs - reportedMs;
+      reportedMs = suspendedMs;
+      return unreportedMs;
+    },
   };
 };
