refactor(mesh): move the status of the backend server out of the inbound proxy

What is known of the backend server (announcements, statements, what other processes recall) and whether it may get calls is now backend-status.ts; the proxy keeps queue, dispatch and results.

--- a/src/mesh/announcement.ts
+++ b/src/mesh/announcement.ts
@@ -21,7 +21,7 @@
 export type LocalBackend =
   | {kind: 'none'}
   | {kind: 'announced'; announcement: Announcement; receivedAt: number; drainingSince: number | undefined}
-  | {kind: 'left'; instance: string; startedAt: number; leftAt: number; previous: Announcement | undefined};
+  | {kind: 'left'; instance: string; startedAt: number; leftAt: number; previous: Announcement};
 
 /** Effect of an announcement on the known state. */
 export type AnnouncementChange = 'new-instance' | 'draining' | 'refreshed' | 'outdated';
--- /dev/null
+++ b/src/mesh/backend-status.ts
@@ -0,0 +1,236 @@
+/** Status of the backend server of this host: whether it may get calls and how fast, from its announcements, its responses and what other processes know of it. */
+import {
+  applyAnnouncement, applyDeparture, applyLeaving, type Announcement, type LocalBackend,
+} from './announcement.js';
+import {mergeRecord} from './backend-records.js';
+import {createCallRateLimit, type CallRateLimit} from './call-rate-limit.js';
+import type {DecisionLog} from './decision-log.js';
+import type {BackendStatement} from './http-dialect.js';
+import type {BackendRecord, RefusalReason} from './message.js';
+
+/** Dispatch of a call: the start of the backend server that it went to, and its time in milliseconds of the clock. */
+export type Dispatch = {backend: Announcement; startedAt: number};
+
+/** Status of the backend server of this host. */
+export type BackendStatus = {
+  /** Limit of the rate of calls. */
+  rateLimit: Pick<CallRateLimit, 'perSecond' | 'waitMs' | 'recordDispatch'>;
+  /** Applies an announcement. */
+  announce: (announcement: Announcement) => void;
+  /** Applies a deregistration. */
+  leave: (instance: string) => void;
+  /** Applies what a backend server states in the response to a call; a statement of one that has been replaced since concerns no later call. */
+  applyStatement: (statement: BackendStatement, dispatch: Dispatch) => void;
+  /** Applies what another process knows. */
+  recall: (record: BackendRecord, from: string) => void;
+  /** What is to be remembered; undefined when nothing is known. */
+  record: () => BackendRecord | undefined;
+  /** Records that a connection could not be opened; after several in a row the backend server counts as absent. */
+  recordConnectFailure: (cause: string) => void;
+  recordConnected: () => void;
+  /** Takes a backend server out of use that has stopped to announce itself; called periodically. */
+  expire: () => void;
+  resetAnnouncementTimeout: () => void;
+  /** Announced backend server; undefined when there is none or it has left. */
+  announced: () => Extract<LocalBackend, {kind: 'announced'}> | undefined;
+  /** Backend server that calls are dispatched to: the announced one, or one that has left and still receives calls for part of the drain time. */
+  target: () => Announcement | undefined;
+  /** Reason why no call may be dispatched now; undefined when calls may be. */
+  unavailableReason: () => RefusalReason | undefined;
+  hasLeft: () => boolean;
+};
+
+/** Options of the status. */
+export type BackendStatusOptions = {
+  now: () => number;
+  log: DecisionLog;
+  /** Longest time for which a draining or leaving backend server may still receive calls, in milliseconds. */
+  drainMs: number;
+  /** Interval at which the backend server announces itself, in milliseconds. */
+  announcementMs: number;
+  /** Calls that run and wait, for the log. */
+  callCounts: () => {running: number; queued: number};
+  /** Called with the first announcement of a backend server, before other processes are informed. */
+  onReplaced: (announcement: Announcement) => void;
+  /** Called when anything that other processes have to know has changed. */
+  onChange: () => void;
+};
+
+/** Share of the drain time in which calls from processes that have not learned of the drain are still dispatched; the rest covers their transit to the backend server. */
+const DRAIN_ACCEPT_SHARE = 0.4;
+/** Announcements that may be missed before the backend server counts as absent. */
+const MISSED_ANNOUNCEMENTS_MAX = 4;
+/** Consecutive failed connects after which the backend server counts as absent until its next announcement. */
+const CONNECT_FAILURES_MAX = 2;
+
+/** Creates the status without a backend server. */
+export const createBackendStatus = (options: BackendStatusOptions): BackendStatus => {
+  const {now, log} = options;
+  const rateLimit = createCallRateLimit(now);
+  let local: LocalBackend = {kind: 'none'};
+  /** What is remembered of a backend server while it is not announced. */
+  let recalled: BackendRecord | undefined;
+  let connectFailures = 0;
+
+  const target = (): Announcement | undefined => {
+    switch (local.kind) {
+      case 'none': {
+        return undefined;
+      }
+
+      case 'announced': {
+        return local.announcement;
+      }
+
+      case 'left': {
+        return local.previous;
+      }
+    }
+  };
+
+  const drainingSince = (): number | undefined => local.kind === 'left' ? local.leftAt : (local.kind === 'announced' ? local.drainingSince : undefined);
+
+  const record = (): BackendRecord | undefined => {
+    const backend = target();
+    return backend === undefined
+      ? recalled
+      : {
+        instance: backend.instance, startedAt: backend.startedAt, isLeaving: drainingSince() !== undefined, ratePerSecond: rateLimit.perSecond(),
+      };
+  };
+
+  /** Takes the backend server out of use until its next announcement; what it has stated still holds then. */
+  const takeOutOfUse = (): void => {
+    recalled = record();
+    local = {kind: 'none'};
+    options.onChange();
+  };
+
+  const logRate = (previous: number | undefined): void => {
+    log.write('info', 'backend-rate-limit', {instance: target()?.instance, perSecond: rateLimit.perSecond() ?? null, previous: previous ?? null});
+    options.onChange();
+  };
+
+  const markLeaving = (since: number): void => {
+    const previous = local;
+    local = applyLeaving(local, since);
+    if (local !== previous) {
+      log.write('info', 'backend-states-leaving', {instance: target()?.instance, ...options.callCounts()});
+      options.onChange();
+    }
+  };
+
+  /** Applies what is remembered of the announced backend server; it may have left long ago, so it gets no further calls then. */
+  const applyRecalled = (): void => {
+    if (local.kind !== 'announced' || recalled?.startedAt !== local.announcement.startedAt || recalled.instance !== local.announcement.instance) {
+      return;
+    }
+
+    if (recalled.isLeaving) {
+      markLeaving(Number.NEGATIVE_INFINITY);
+    }
+
+    if (recalled.ratePerSecond !== undefined && rateLimit.recall(recalled.ratePerSecond)) {
+      logRate(undefined);
+    }
+  };
+
+  const announceNew = (announcement: Announcement): void => {
+    connectFailures = 0;
+    rateLimit.reset();
+    options.onReplaced(announcement);
+    log.write('info', 'backend-announced', {...announcement});
+    applyRecalled();
+    options.onChange();
+  };
+
+  return {
+    rateLimit,
+    announce(announcement) {
+      const update = applyAnnouncement(local, announcement, now());
+      local = update.local;
+      const {instance, sequence} = announcement;
+      switch (update.change) {
+        case 'new-instance': {
+          announceNew(announcement);
+          break;
+        }
+
+        case 'draining': {
+          log.write('info', 'backend-draining', {instance, sequence, ...options.callCounts()});
+          options.onChange();
+          break;
+        }
+
+        case 'outdated': {
+          log.write('info', 'announcement-outdated', {instance, sequence});
+          break;
+        }
+
+        case 'refreshed': {
+          break;
+        }
+      }
+    },
+    leave(instance) {
+      const previous = local;
+      local = applyDeparture(local, instance, now());
+      log.write('info', 'backend-left', {instance, known: local !== previous, ...options.callCounts()});
+      if (local !== previous) {
+        options.onChange();
+      }
+    },
+    applyStatement({ratePerSecond, isLeaving}, {backend, startedAt}) {
+      if (target()?.startedAt !== backend.startedAt) {
+        return;
+      }
+
+      const previous = rateLimit.perSecond();
+      if (rateLimit.applyStatement(ratePerSecond, startedAt)) {
+        logRate(previous);
+      }
+
+      if (isLeaving) {
+        markLeaving(now());
+      }
+    },
+    recall(known, from) {
+      recalled = mergeRecord(recalled, known);
+      log.write('info', 'backend-recalled', {...known, from});
+      applyRecalled();
+    },
+    record,
+    recordConnectFailure(cause) {
+      connectFailures++;
+      if (connectFailures === CONNECT_FAILURES_MAX && local.kind === 'announced') {
+        log.write('warn', 'backend-unreachable', {instance: local.announcement.instance, cause});
+        takeOutOfUse();
+      }
+    },
+    recordConnected() {
+      connectFailures = 0;
+    },
+    expire() {
+      if (local.kind === 'announced' && now() - local.receivedAt > options.announcementMs * MISSED_ANNOUNCEMENTS_MAX) {
+        log.write('warn', 'backend-silent', {instance: local.announcement.instance, silentMs: Math.round(now() - local.receivedAt)});
+        takeOutOfUse();
+      }
+    },
+    resetAnnouncementTimeout() {
+      if (local.kind === 'announced') {
+        local = {...local, receivedAt: now()};
+      }
+    },
+    announced: () => local.kind === 'announced' ? local : undefined,
+    target,
+    unavailableReason() {
+      const since = drainingSince();
+      if (target() === undefined) {
+        return 'backend-absent';
+      }
+
+      return since !== undefined && now() - since > options.drainMs * DRAIN_ACCEPT_SHARE ? 'backend-draining' : undefined;
+    },
+    hasLeft: () => local.kind === 'left',
+  };
+};
--- a/src/mesh/inbound-proxy.ts
+++ b/src/mesh/inbound-proxy.ts
@@ -3,19 +3,16 @@
 import {
   createQueue, enqueue, removeOverdue, removeQueued, takeNext, type QueuedCall,
 } from '../decisions/inbound/queue.js';
-import {
-  applyAnnouncement, applyDeparture, applyLeaving, type Announcement, type LocalBackend,
-} from './announcement.js';
+import type {Announcement} from './announcement.js';
 import {createBackendConnectionPool, type RunningExchange} from './backend-connection-pool.js';
 import type {ExchangeResult} from './backend-connection.js';
-import {mergeRecord} from './backend-records.js';
-import {createCallRateLimit} from './call-rate-limit.js';
+import {createBackendStatus, type Dispatch} from './backend-status.js';
 import type {DecisionLog} from './decision-log.js';
 import {createBackendLoadTracker} from './backend-load-tracker.js';
 import type {
   BackendLoad, BackendRecord, BackendState, CallHeader, RefusalReason, CallResult,
 } from './message.js';
-import type {BackendStatement, HttpDialect} from './http-dialect.js';
+import type {HttpDialect} from './http-dialect.js';
 import {createDispatchRecords} from './dispatch-records.js';
 
 /** A call to the backend server of this host. */
@@ -88,14 +85,8 @@
   onStateChange: (state: BackendState) => void;
 };
 
-/** Share of the drain time in which calls from processes that have not learned of the drain are still dispatched; the rest covers their transit to the backend server. */
-const DRAIN_ACCEPT_SHARE = 0.4;
-/** Announcements that may be missed before the backend server counts as absent. */
-const MISSED_ANNOUNCEMENTS_MAX = 4;
 /** Share of the remaining time that a call may spend in the queue; the rest is needed to run it. */
 const QUEUE_WAIT_SHARE = 0.5;
-/** Consecutive failed connects after which the backend server counts as absent until its next announcement. */
-const CONNECT_FAILURES_MAX = 2;
 const RETRY_AFTER_MIN_MS = 50;
 
 /** Responses with this status or above are failures; their duration is left out of the service times. */
@@ -108,7 +99,7 @@
   inbound: InboundCall;
   arrivedAt: number;
   deadlineAt: number;
-  run: {exchange: RunningExchange | undefined; startedAt: number; backend: Announcement} | undefined;
+  run: (Dispatch & {exchange: RunningExchange | undefined}) | undefined;
   ended: boolean;
 };
 
@@ -118,13 +109,8 @@
 /** Creates an inbound proxy without a backend server. */
 export const createInboundProxy = (options: InboundProxyOptions): InboundProxy => {
   const {now, log, dialect} = options;
-  let localBackend: LocalBackend = {kind: 'none'};
   let stopping = false;
   const loadTracker = createBackendLoadTracker(now, options.retryWindowMs);
-  let connectFailures = 0;
-  const rateLimit = createCallRateLimit(now);
-  /** What other processes know of the backend server. */
-  let recalled: BackendRecord | undefined;
   const queue = createQueue();
   const calls = new Map<string, ActiveCall>();
   const dispatchRecords = createDispatchRecords(now);
@@ -137,21 +123,36 @@
     },
   });
 
-  const currentAnnouncement = (): Announcement | undefined => localBackend.kind === 'announced' ? localBackend.announcement : undefined;
-  /** Concurrency limit; a backend server that left keeps its limit, as it still receives calls for part of the drain time. */
+  const backendStatus = createBackendStatus({
+    now,
+    log,
+    drainMs: options.drainMs,
+    announcementMs: options.announcementMs,
+    callCounts: () => ({running: loadTracker.running(), queued: queue.length}),
+    onReplaced({address}) {
+      loadTracker.reset();
+      pool.reset(address);
+    },
+    onChange() {
+      publishState();
+    },
+  });
+  const {rateLimit} = backendStatus;
+
   const limit = (): number => {
-    const backend = currentAnnouncement() ?? (localBackend.kind === 'left' ? localBackend.previous : undefined);
+    const backend = backendStatus.target();
     return backend === undefined ? 0 : Math.min(backend.slots, options.connectionLimit(backend.service));
   };
 
   const load = (route?: string): BackendLoad => loadTracker.report({queued: queue.length, limit: limit(), perSecondMax: rateLimit.perSecond()}, route);
 
   const state = (): BackendState => {
-    if (localBackend.kind !== 'announced') {
+    const announced = backendStatus.announced();
+    if (announced === undefined) {
       return {kind: 'absent'};
     }
 
-    const {announcement, drainingSince, receivedAt} = localBackend;
+    const {announcement, drainingSince, receivedAt} = announced;
     return {
       kind: drainingSince !== undefined || stopping ? 'draining' : 'ready',
       service: announcement.service,
@@ -200,99 +201,15 @@
     }, NO_BODY);
   };
 
-  /** Reason why no call may be dispatched now, or undefined when calls may be. */
-  const unavailableReason = (): RefusalReason | undefined => {
-    if (localBackend.kind === 'none' || (localBackend.kind === 'left' && localBackend.previous === undefined)) {
-      return 'backend-absent';
-    }
-
-    const drainingSince = localBackend.kind === 'left' ? localBackend.leftAt : localBackend.drainingSince;
-    return drainingSince !== undefined && now() - drainingSince > options.drainMs * DRAIN_ACCEPT_SHARE ? 'backend-draining' : undefined;
-  };
-
-  const targetBackend = (): Announcement => localBackend.kind === 'left' ? localBackend.previous! : (localBackend as {announcement: Announcement}).announcement;
-
-  const record = (): BackendRecord | undefined => {
-    if (localBackend.kind === 'none') {
-      return recalled;
-    }
-
-    const {instance, startedAt} = targetBackend();
-    const isLeaving = localBackend.kind === 'left' || localBackend.drainingSince !== undefined;
-    return {
-      instance, startedAt, isLeaving, ratePerSecond: rateLimit.perSecond(),
-    };
-  };
-
-  /** Takes the backend server out of use until its next announcement; what it has stated still holds then. */
-  const forgetBackend = (): void => {
-    recalled = record();
-    localBackend = {kind: 'none'};
-    publishState();
-  };
-
-  const recordConnectFailure = (cause: string): void => {
-    connectFailures++;
-    if (connectFailures === CONNECT_FAILURES_MAX && localBackend.kind === 'announced') {
-      log.write('warn', 'backend-unreachable', {instance: localBackend.announcement.instance, cause});
-      forgetBackend();
-    }
-  };
-
-  const applyRate = (perSecond: number | undefined, dispatchedAt: number): void => {
-    const previous = rateLimit.perSecond();
-    if (rateLimit.applyStatement(perSecond, dispatchedAt)) {
-      log.write('info', 'backend-rate-limit', {instance: targetBackend().instance, perSecond: rateLimit.perSecond() ?? null, previous: previous ?? null});
-      publishState();
-    }
-  };
-
-  const markLeaving = (since: number): void => {
-    const previous = localBackend;
-    localBackend = applyLeaving(localBackend, since);
-    if (localBackend !== previous) {
-      log.write('info', 'backend-states-leaving', {instance: targetBackend().instance, running: loadTracker.running(), queued: queue.length});
-      publishState();
-    }
-  };
-
-  /** Applies what a backend server states in a response; a statement of one that has been replaced since concerns no later call. */
-  const applyStatement = ({ratePerSecond, isLeaving}: BackendStatement, {backend, startedAt}: {backend: Announcement; startedAt: number}): void => {
-    if (localBackend.kind === 'none' || targetBackend().startedAt !== backend.startedAt) {
-      return;
-    }
-
-    applyRate(ratePerSecond, startedAt);
-    if (isLeaving) {
-      markLeaving(now());
-    }
-  };
-
-  /** Applies what other processes know of the announced backend server; it may have left long ago, so it gets no further calls then. */
-  const applyRecalled = (): void => {
-    if (localBackend.kind !== 'announced' || recalled?.startedAt !== localBackend.announcement.startedAt || recalled.instance !== localBackend.announcement.instance) {
-      return;
-    }
-
-    if (recalled.isLeaving) {
-      markLeaving(Number.NEGATIVE_INFINITY);
-    }
-
-    if (recalled.ratePerSecond !== undefined && rateLimit.recall(recalled.ratePerSecond)) {
-      log.write('info', 'backend-rate-limit', {instance: recalled.instance, perSecond: recalled.ratePerSecond, previous: null});
-      publishState();
-    }
-  };
-
   const handleExchangeResult = (active: ActiveCall, result: ExchangeResult): void => {
     const {call} = active.inbound;
     const run = {route: call.route, startedAt: active.run!.startedAt};
     loadTracker.recordEnd(run);
     switch (result.kind) {
       case 'answered': {
-        connectFailures = 0;
+        backendStatus.recordConnected();
         const metadata = dialect.readResponse(result.status, result.rawHeaders);
-        applyStatement(metadata.statement, active.run!);
+        backendStatus.applyStatement(metadata.statement, active.run!);
         if (metadata.notRun) {
           dispatchRecords.remove(call.requestId);
           refuse(active, 'backend-refused', true);
@@ -316,7 +233,7 @@
       }
 
       case 'not-sent': {
-        recordConnectFailure(result.cause);
+        backendStatus.recordConnectFailure(result.cause);
         dispatchRecords.remove(call.requestId);
         refuse(active, 'backend-unreachable');
         break;
@@ -348,7 +265,7 @@
     const startedAt = now();
     rateLimit.recordDispatch();
     loadTracker.recordStart({route: call.route, startedAt});
-    const backend = targetBackend();
+    const backend = backendStatus.target()!;
     active.run = {startedAt, backend, exchange: undefined};
     active.run.exchange = pool.run({
       requestId: call.requestId,
@@ -378,7 +295,7 @@
       }
 
       const active = calls.get(taken.callId)!;
-      const unavailable = unavailableReason();
+      const unavailable = backendStatus.unavailableReason();
       if (unavailable === undefined) {
         dispatch(active);
       } else {
@@ -426,13 +343,6 @@
     });
   };
 
-  const expireSilentBackend = (): void => {
-    if (localBackend.kind === 'announced' && now() - localBackend.receivedAt > options.announcementMs * MISSED_ANNOUNCEMENTS_MAX) {
-      log.write('warn', 'backend-silent', {instance: localBackend.announcement.instance, silentMs: Math.round(now() - localBackend.receivedAt)});
-      forgetBackend();
-    }
-  };
-
   return {
     submit(inbound) {
       const active: ActiveCall = {
@@ -440,10 +350,10 @@
       };
       calls.set(inbound.key, active);
       loadTracker.recordArrival(inbound.call.isRepeat);
-      const unavailable = unavailableReason();
+      const unavailable = backendStatus.unavailableReason();
       if (unavailable !== undefined) {
         refuse(active, unavailable);
-      } else if (targetBackend().service !== inbound.call.service) {
+      } else if (backendStatus.target()?.service !== inbound.call.service) {
         refuse(active, 'other-service');
       } else if (inbound.call.remainingMs <= 0) {
         refuse(active, 'deadline-passed');
@@ -469,56 +379,12 @@
       }
     },
     announce(announcement) {
-      const update = applyAnnouncement(localBackend, announcement, now());
-      localBackend = update.local;
-      switch (update.change) {
-        case 'new-instance': {
-          connectFailures = 0;
-          loadTracker.reset();
-          rateLimit.reset();
-          pool.reset(announcement.address);
-          log.write('info', 'backend-announced', {...announcement});
-          applyRecalled();
-          publishState();
-          break;
-        }
-
-        case 'draining': {
-          log.write('info', 'backend-draining', {
-            instance: announcement.instance, sequence: announcement.sequence, running: loadTracker.running(), queued: queue.length,
-          });
-          publishState();
-          break;
-        }
-
-        case 'outdated': {
-          log.write('info', 'announcement-outdated', {instance: announcement.instance, sequence: announcement.sequence});
-          break;
-        }
-
-        case 'refreshed': {
-          break;
-        }
-      }
-
+      backendStatus.announce(announcement);
       dispatchQueued();
     },
-    leave(instance) {
-      const previous = localBackend;
-      localBackend = applyDeparture(localBackend, instance, now());
-      log.write('info', 'backend-left', {
-        instance, known: localBackend !== previous, running: loadTracker.running(), queued: queue.length,
-      });
-      if (localBackend !== previous) {
-        publishState();
-      }
-    },
-    record,
-    recall(known, from) {
-      recalled = mergeRecord(recalled, known);
-      log.write('info', 'backend-recalled', {...known, from});
-      applyRecalled();
-    },
+    leave: backendStatus.leave,
+    record: backendStatus.record,
+    recall: backendStatus.recall,
     drain() {
       stopping = true;
       publishState();
@@ -529,26 +395,22 @@
         refuse(calls.get(callId)!, 'queue-time');
       }
 
-      const unavailable = unavailableReason();
+      const unavailable = backendStatus.unavailableReason();
       if (unavailable !== undefined && queue.length > 0) {
         refuseQueued(unavailable);
       }
 
-      expireSilentBackend();
+      backendStatus.expire();
       dispatchRecords.removeExpired();
       pool.closeExpired();
       dispatchQueued();
     },
-    resetAnnouncementTimeout() {
-      if (localBackend.kind === 'announced') {
-        localBackend = {...localBackend, receivedAt: now()};
-      }
-    },
+    resetAnnouncementTimeout: backendStatus.resetAnnouncementTimeout,
     state,
     load,
     inFlight: () => calls.size,
     runningRoutes: loadTracker.runningRoutes,
-    hasBackendLeft: () => localBackend.kind === 'left',
+    hasBackendLeft: backendStatus.hasLeft,
     close: pool.close,
   };
 };
