fix(mesh): remember a deregistration that arrives before any announcement

One of the faults that operators of similar systems reported: after a restart of a process, a server that had left was in use again. It could happen here: a restarted process acknowledged a deregistration of a backend server that it had not heard of yet, forgot it, and took a late announcement for a new start.

It now keeps that deregistration for 30 s; an announcement of that instance counts only if the backend server has started since.

backend-status.spec.ts, 'one that was deregistered before this process knew it', failed before; its eight other cases passed and bound the change.

--- /dev/null
+++ b/src/mesh/__tests__/backend-status.spec.ts
@@ -0,0 +1,103 @@
+/** Guards against a backend server that is in use again after it has left, by whatever order announcements, deregistrations and reports of other processes arrive. */
+import test from 'ava';
+import {createManualClock} from '../../shared/clock.js';
+import {createBackendStatus, type BackendStatus} from '../backend-status.js';
+import {createDecisionLog} from '../decision-log.js';
+
+const DRAIN_MS = 2000;
+/** Wall clock at the start of each case, in milliseconds since the Unix epoch. */
+const EPOCH_MS = 1_000_000;
+
+const start = () => {
+  const clock = createManualClock();
+  const status = createBackendStatus({
+    now: clock.now,
+    wallClock: () => EPOCH_MS + clock.now(),
+    log: createDecisionLog({
+      node: 'h1', level: 'error', linesPerSecond: {
+        debug: 0, info: 0, warn: 0, error: 0,
+      },
+    }),
+    drainMs: DRAIN_MS,
+    announcementMs: 1000,
+    callCounts: () => ({running: 0, queued: 0}),
+    onReplaced: () => undefined,
+    onChange: () => undefined,
+  });
+  return {clock, status};
+};
+
+/** Announces the instance i1 unless stated otherwise; it has started before the case begins. */
+const announce = (status: BackendStatus, changes: {sequence?: number; startedAt?: number; state?: 'ready' | 'draining'} = {}): void => {
+  status.announce({
+    instance: 'i1', service: 's', address: '127.0.0.1:1', slots: 10, state: 'ready', sequence: 1, startedAt: EPOCH_MS - 5000, coldMs: 0, ...changes,
+  });
+};
+
+const known = {
+  instance: 'i1', startedAt: EPOCH_MS - 5000, isLeaving: true, ratePerSecond: undefined,
+};
+
+const cases: Array<{title: string; happen: (status: BackendStatus) => void; isInUse: boolean}> = [
+  {
+    title: 'an announced backend server is in use', happen: announce, isInUse: true,
+  },
+  {
+    title: 'a draining one is not', isInUse: false, happen(status) {
+      announce(status, {state: 'draining'});
+      announce(status, {sequence: 2});
+    },
+  },
+  {
+    title: 'a deregistered one is not', isInUse: false, happen(status) {
+      announce(status);
+      status.leave('i1');
+      announce(status, {sequence: 2});
+    },
+  },
+  {
+    title: 'one that was deregistered before this process knew it is not, when its announcement arrives late', isInUse: false, happen(status) {
+      status.leave('i1');
+      announce(status);
+    },
+  },
+  {
+    title: 'one that starts again with its id after such a deregistration is in use', isInUse: true, happen(status) {
+      status.leave('i1');
+      announce(status, {startedAt: EPOCH_MS + 1});
+    },
+  },
+  {
+    title: 'a deregistration of another instance changes nothing', isInUse: true, happen(status) {
+      status.leave('i0');
+      announce(status);
+    },
+  },
+  {
+    title: 'one that another process knows to leave is not', isInUse: false, happen(status) {
+      status.recall(known, 'h2');
+      announce(status);
+    },
+  },
+  {
+    title: 'a report that comes after the announcement counts as well', isInUse: false, happen(status) {
+      announce(status);
+      status.recall(known, 'h2');
+    },
+  },
+  {
+    title: 'a report on an earlier start changes nothing', isInUse: true, happen(status) {
+      status.recall({...known, startedAt: EPOCH_MS - 9000}, 'h2');
+      announce(status);
+    },
+  },
+];
+
+for (const {title, happen, isInUse} of cases) {
+  test(title, t => {
+    const {clock, status} = start();
+    happen(status);
+    clock.advance(DRAIN_MS);
+    t.is(status.unavailableReason() === undefined, isInUse);
+  });
+}
--- a/src/mesh/backend-status.ts
+++ b/src/mesh/backend-status.ts
@@ -43,6 +43,8 @@
 /** Options of the status. */
 export type BackendStatusOptions = {
   now: () => number;
+  /** Time in milliseconds since the Unix epoch. @default Date.now */
+  wallClock?: () => number;
   log: DecisionLog;
   /** Longest time for which a draining or leaving backend server may still receive calls, in milliseconds. */
   drainMs: number;
@@ -63,13 +65,20 @@
 /** Consecutive failed connects after which the backend server counts as absent until its next announcement. */
 const CONNECT_FAILURES_MAX = 2;
 
+/** Time for which the deregistration of a backend server that was never announced here is kept, in milliseconds: announcements may be seconds late. */
+const DEPARTURE_MEMORY_MS = 30_000;
+
+/** Deregistration of a backend server that was never announced here, as after a restart of this process; `leftAt` is in milliseconds since the Unix epoch. */
+type Departure = {instance: string; leftAt: number; expiresAt: number};
+
 /** Creates the status without a backend server. */
 export const createBackendStatus = (options: BackendStatusOptions): BackendStatus => {
-  const {now, log} = options;
+  const {now, log, wallClock = Date.now} = options;
   const rateLimit = createCallRateLimit(now);
   let local: LocalBackend = {kind: 'none'};
   /** What is remembered of a backend server while it is not announced. */
   let recalled: BackendRecord | undefined;
+  let departure: Departure | undefined;
   let connectFailures = 0;
 
   const target = (): Announcement | undefined => {
@@ -135,6 +144,10 @@
     }
   };
 
+  /** Whether an announcement is a late one of a backend server that has deregistered; one that has started again since has a later start. */
+  const isFromDeparted = ({instance, startedAt}: Announcement): boolean =>
+    departure?.instance === instance && startedAt <= departure.leftAt && now() < departure.expiresAt;
+
   const announceNew = (announcement: Announcement): void => {
     connectFailures = 0;
     rateLimit.reset();
@@ -147,9 +160,14 @@
   return {
     rateLimit,
     announce(announcement) {
+      const {instance, sequence} = announcement;
+      if (isFromDeparted(announcement)) {
+        log.write('info', 'announcement-outdated', {instance, sequence});
+        return;
+      }
+
       const update = applyAnnouncement(local, announcement, now());
       local = update.local;
-      const {instance, sequence} = announcement;
       switch (update.change) {
         case 'new-instance': {
           announceNew(announcement);
@@ -176,7 +194,9 @@
       const previous = local;
       local = applyDeparture(local, instance, now());
       log.write('info', 'backend-left', {instance, known: local !== previous, ...options.callCounts()});
-      if (local !== previous) {
+      if (local === previous) {
+        departure = {instance, leftAt: wallClock(), expiresAt: now() + DEPARTURE_MEMORY_MS};
+      } else {
         options.onChange();
       }
     },
