refactor(mesh): move the exchange of state between processes out of the fleet

What processes tell each other (versions, configuration, members, learnt routes, statements of backend servers) is now state-exchange.ts; fleet.ts keeps links, candidates and loads.

--- a/src/mesh/fleet.ts
+++ b/src/mesh/fleet.ts
@@ -1,14 +1,13 @@
 /** Links to the other processes of the fleet, and the state that is exchanged over them. */
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {ServiceLoad} from './admission.js';
-import {createBackendRecords} from './backend-records.js';
 import type {DecisionLog} from './decision-log.js';
 import type {InboundProxy} from './inbound-proxy.js';
 import type {LearntRouteSpread} from './learnt-routes.js';
 import {createLinkTable} from './link-table.js';
 import type {MemberDirectory} from './member-directory.js';
 import type {
-  BackendRecord, BackendState, CallHeader, CallResult, KnownVersions, Member, Message,
+  BackendState, CallHeader, CallResult, Member, Message,
 } from './message.js';
 import {createPeerLink, type PeerLink} from './peer-link.js';
 import {createPeerServer, type IncomingLink} from './peer-server.js';
@@ -18,6 +17,7 @@
 import {
   estimateCallCounts, estimateServiceLoad, type BackendCounts, type LoadSample,
 } from './service-estimate.js';
+import {createStateExchange} from './state-exchange.js';
 import {WATCH_MS} from './object-watcher.js';
 import {chooseReaders} from './store-readers.js';
 import {chooseSubset, createRings, type Rings} from './subset.js';
@@ -80,8 +80,6 @@
 const FAILURE_RATE_HALF_LIFE_MS = 2000;
 /** Minimum interval between load messages while calls are queued, in milliseconds; admission reacts to the load within about a second. */
 const LOAD_INTERVAL_MS = 250;
-/** Minimum interval between two requests for the same newer state, over all links, in milliseconds. */
-const REQUEST_INTERVAL_MS = 200;
 /** Interval at which the wanted links are determined, in milliseconds. */
 const LINK_REVIEW_INTERVAL_MS = 400;
 /** Number of services whose links are kept open without use; with more services, links are opened on first use. */
@@ -96,19 +94,18 @@
 const START_WAIT_MS = 1500;
 
 type FailureRate = {rate: number; updatedAt: number};
-type MessageSender = {send: (message: Message, body?: Buffer) => void};
 
 /** Creates the fleet; it listens after `start`, and connects to members as they become known and needed. */
 export const createFleet = (options: FleetOptions): Fleet => {
   const {self, now, log, inboundProxy, directory, learntRoutes} = options;
-  const backendRecords = createBackendRecords();
+  const stateExchange = createStateExchange({
+    now, log, directory, learntRoutes, configuration: options.configuration, onConfiguration: options.onConfiguration,
+  });
+  const {known} = stateExchange;
   const failureRates = new Map<string, FailureRate>();
   const usedAt = new Map<string, number>();
   const destinations = new WeakMap<PeerLink, Destination>();
   const createdAt = now();
-  let storeReadAt = Number.NEGATIVE_INFINITY;
-  let configurationRequestedAt = Number.NEGATIVE_INFINITY;
-  let membersRequestedAt = Number.NEGATIVE_INFINITY;
   let localSequence = 0;
   let loadPublishedAt = Number.NEGATIVE_INFINITY;
   let publishedQueueLength = 0;
@@ -117,115 +114,6 @@
   let rings: Rings = createRings([self]);
   let isReader = false;
   let contacts: ReadonlySet<string> = new Set();
-  let encodedConfiguration: {version: number; body: Buffer} | undefined;
-
-  const known = (): KnownVersions => ({
-    configuration: options.configuration()?.version ?? 0,
-    members: directory.revision(),
-    storeAgeMs: Number.isFinite(storeReadAt) ? Math.round(now() - storeReadAt) : undefined,
-  });
-
-  const requestNewerState = (sender: MessageSender, peer: KnownVersions): void => {
-    const own = known();
-    storeReadAt = Math.max(storeReadAt, peer.storeAgeMs === undefined ? Number.NEGATIVE_INFINITY : now() - peer.storeAgeMs);
-    if (peer.configuration > own.configuration && now() - configurationRequestedAt > REQUEST_INTERVAL_MS) {
-      configurationRequestedAt = now();
-      sender.send({type: 'configuration-wanted'});
-    }
-
-    if (peer.members > own.members && now() - membersRequestedAt > REQUEST_INTERVAL_MS) {
-      membersRequestedAt = now();
-      sender.send({type: 'members-wanted', since: own.members});
-    }
-  };
-
-  const sendConfiguration = (sender: MessageSender): void => {
-    const configuration = options.configuration();
-    if (configuration === undefined) {
-      return;
-    }
-
-    if (encodedConfiguration?.version !== configuration.version) {
-      encodedConfiguration = {version: configuration.version, body: Buffer.from(JSON.stringify(configuration))};
-    }
-
-    sender.send({type: 'configuration', version: configuration.version}, encodedConfiguration.body);
-  };
-
-  const sendLearntRoutes = (sender: MessageSender): void => {
-    sender.send({type: 'learnt', learnt: learntRoutes.all()});
-  };
-
-  const keepRecord = (node: string, record: BackendRecord | undefined): void => {
-    if (record !== undefined) {
-      backendRecords.put(node, record);
-    }
-  };
-
-  const onMessage = (sender: MessageSender, message: Message, body: Buffer, from: string): void => {
-    switch (message.type) {
-      case 'ping':
-      case 'pong':
-      case 'known': {
-        requestNewerState(sender, message.known);
-        return;
-      }
-
-      case 'configuration-wanted': {
-        sendConfiguration(sender);
-        return;
-      }
-
-      case 'configuration': {
-        if (message.version > known().configuration) {
-          options.onConfiguration(JSON.parse(body.toString()) as RoutingConfiguration, from);
-        }
-
-        return;
-      }
-
-      case 'members-wanted': {
-        sender.send({type: 'members', changes: directory.changesSince(message.since)});
-        return;
-      }
-
-      case 'members': {
-        directory.applyChanges(message.changes);
-        return;
-      }
-
-      case 'learnt': {
-        learntRoutes.merge(message.learnt);
-        return;
-      }
-
-      case 'hello': {
-        directory.learn(message.member);
-        requestNewerState(sender, message.known);
-        sendLearntRoutes(sender);
-        return;
-      }
-
-      case 'state': {
-        keepRecord(from, message.record);
-        return;
-      }
-
-      case 'welcome': {
-        keepRecord(from, message.record);
-        requestNewerState(sender, message.known);
-        sendLearntRoutes(sender);
-        return;
-      }
-
-      case 'call':
-      case 'cancel':
-      case 'load':
-      case 'result': {
-        log.write('warn', 'message-unexpected', {type: message.type, from});
-      }
-    }
-  };
 
   const links = createLinkTable({
     now,
@@ -236,11 +124,11 @@
       // The links to the readers of the store bring new configurations, so they are pinged often.
       linkCount: () => contacts.has(member.node) ? 1 : links.open().length,
       createHello: () => ({
-        type: 'hello', member: self, known: known(), record: backendRecords.of(member.node),
+        type: 'hello', member: self, known: known(), record: stateExchange.backendRecords.of(member.node),
       }),
       createPing: () => ({type: 'ping', sentAt: now(), known: known()}),
       onMessage(link, message, body) {
-        onMessage(link, message, body, member.node);
+        stateExchange.onMessage(link, message, body, member.node);
       },
     }),
   });
@@ -255,7 +143,7 @@
     }),
     createPong: () => ({type: 'pong', known: known(), load: inboundProxy.load()}),
     onMessage(link: IncomingLink, message, body) {
-      onMessage(link, message, body, link.member()?.node ?? 'unknown');
+      stateExchange.onMessage(link, message, body, link.member()?.node ?? 'unknown');
     },
   });
 
@@ -419,12 +307,10 @@
     callCounts: service => estimateCallCounts(loadSamples(service, () => true), backendCounts(service)),
     services: () => rings.services().has(self.service) ? rings.services() : new Set([...rings.services(), self.service]),
     isStoreReader() {
-      const heardAt = Math.max(storeReadAt, createdAt - STORE_AGE_MAX_MS + START_WAIT_MS);
+      const heardAt = Math.max(stateExchange.storeReadAt(), createdAt - STORE_AGE_MAX_MS + START_WAIT_MS);
       return isReader || now() - heardAt > STORE_AGE_MAX_MS;
     },
-    recordStoreRead() {
-      storeReadAt = now();
-    },
+    recordStoreRead: stateExchange.recordStoreRead,
     tick() {
       links.tick();
       if (now() - reviewedAt >= LINK_REVIEW_INTERVAL_MS) {
--- /dev/null
+++ b/src/mesh/state-exchange.ts
@@ -0,0 +1,167 @@
+/** Exchanges state with other processes over the links: versions, the configuration, members, learnt routes, and what backend servers have stated. */
+import {Buffer} from 'node:buffer';
+import {createBackendRecords, type BackendRecords} from './backend-records.js';
+import type {DecisionLog} from './decision-log.js';
+import type {LearntRouteSpread} from './learnt-routes.js';
+import type {MemberDirectory} from './member-directory.js';
+import type {BackendRecord, KnownVersions, Message} from './message.js';
+import type {RoutingConfiguration} from './routing-configuration.js';
+
+/** Link over which a message can be answered. */
+export type MessageSender = {send: (message: Message, body?: Buffer) => void};
+
+/** State of this process that other processes share. */
+export type StateExchange = {
+  /** Versions that this process knows. */
+  known: () => KnownVersions;
+  /** What the backend servers of other hosts have stated. */
+  backendRecords: Pick<BackendRecords, 'of'>;
+  /** Handles a message about state, and logs any other one; `from` is the process that sent it. */
+  onMessage: (sender: MessageSender, message: Message, body: Buffer, from: string) => void;
+  /** Records that the store has answered this process. */
+  recordStoreRead: () => void;
+  /** Time at which the store was last read, as far as this process has heard, in milliseconds of the clock; negative infinity when it never was. */
+  storeReadAt: () => number;
+};
+
+/** Options of the exchange. */
+export type StateExchangeOptions = {
+  now: () => number;
+  log: DecisionLog;
+  directory: MemberDirectory;
+  learntRoutes: LearntRouteSpread;
+  configuration: () => RoutingConfiguration | undefined;
+  /** Called with each newer configuration that a peer sends; `from` is the peer. */
+  onConfiguration: (configuration: RoutingConfiguration, from: string) => void;
+};
+
+/** Minimum interval between two requests for the same newer state, over all links, in milliseconds. */
+const REQUEST_INTERVAL_MS = 200;
+
+/** Creates the exchange; nothing is known from other processes yet. */
+export const createStateExchange = (options: StateExchangeOptions): StateExchange => {
+  const {now, log, directory, learntRoutes} = options;
+  const backendRecords = createBackendRecords();
+  let storeReadAt = Number.NEGATIVE_INFINITY;
+  let configurationRequestedAt = Number.NEGATIVE_INFINITY;
+  let membersRequestedAt = Number.NEGATIVE_INFINITY;
+  let encodedConfiguration: {version: number; body: Buffer} | undefined;
+
+  const known = (): KnownVersions => ({
+    configuration: options.configuration()?.version ?? 0,
+    members: directory.revision(),
+    storeAgeMs: Number.isFinite(storeReadAt) ? Math.round(now() - storeReadAt) : undefined,
+  });
+
+  const requestNewerState = (sender: MessageSender, peer: KnownVersions): void => {
+    const own = known();
+    storeReadAt = Math.max(storeReadAt, peer.storeAgeMs === undefined ? Number.NEGATIVE_INFINITY : now() - peer.storeAgeMs);
+    if (peer.configuration > own.configuration && now() - configurationRequestedAt > REQUEST_INTERVAL_MS) {
+      configurationRequestedAt = now();
+      sender.send({type: 'configuration-wanted'});
+    }
+
+    if (peer.members > own.members && now() - membersRequestedAt > REQUEST_INTERVAL_MS) {
+      membersRequestedAt = now();
+      sender.send({type: 'members-wanted', since: own.members});
+    }
+  };
+
+  const sendConfiguration = (sender: MessageSender): void => {
+    const configuration = options.configuration();
+    if (configuration === undefined) {
+      return;
+    }
+
+    if (encodedConfiguration?.version !== configuration.version) {
+      encodedConfiguration = {version: configuration.version, body: Buffer.from(JSON.stringify(configuration))};
+    }
+
+    sender.send({type: 'configuration', version: configuration.version}, encodedConfiguration.body);
+  };
+
+  const sendLearntRoutes = (sender: MessageSender): void => {
+    sender.send({type: 'learnt', learnt: learntRoutes.all()});
+  };
+
+  const keepRecord = (node: string, record: BackendRecord | undefined): void => {
+    if (record !== undefined) {
+      backendRecords.put(node, record);
+    }
+  };
+
+  const onMessage = (sender: MessageSender, message: Message, body: Buffer, from: string): void => {
+    switch (message.type) {
+      case 'ping':
+      case 'pong':
+      case 'known': {
+        requestNewerState(sender, message.known);
+        return;
+      }
+
+      case 'configuration-wanted': {
+        sendConfiguration(sender);
+        return;
+      }
+
+      case 'configuration': {
+        if (message.version > known().configuration) {
+          options.onConfiguration(JSON.parse(body.toString()) as RoutingConfiguration, from);
+        }
+
+        return;
+      }
+
+      case 'members-wanted': {
+        sender.send({type: 'members', changes: directory.changesSince(message.since)});
+        return;
+      }
+
+      case 'members': {
+        directory.applyChanges(message.changes);
+        return;
+      }
+
+      case 'learnt': {
+        learntRoutes.merge(message.learnt);
+        return;
+      }
+
+      case 'hello': {
+        directory.learn(message.member);
+        requestNewerState(sender, message.known);
+        sendLearntRoutes(sender);
+        return;
+      }
+
+      case 'state': {
+        keepRecord(from, message.record);
+        return;
+      }
+
+      case 'welcome': {
+        keepRecord(from, message.record);
+        requestNewerState(sender, message.known);
+        sendLearntRoutes(sender);
+        return;
+      }
+
+      case 'call':
+      case 'cancel':
+      case 'load':
+      case 'result': {
+        log.write('warn', 'message-unexpected', {type: message.type, from});
+      }
+    }
+  };
+
+  return {
+    known,
+    backendRecords,
+    onMessage,
+    recordStoreRead() {
+      storeReadAt = now();
+    },
+    storeReadAt: () => storeReadAt,
+  };
+};
