--- a/src/emulator/platform/emulator.ts
+++ b/src/emulator/platform/emulator.ts
@@ -1,11 +1,14 @@
 /** Emulator of the platform's object API over HTTP, for tests and measurements. docs/platform-api.md specifies the API. */
-import {Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {faultsSchema, NO_FAULTS, type Faults} from './faults.js';
 import {
-  createStore, VALUE_MAX_BYTES, type Change, type Condition, type Snapshot, type StoreError,
+  parseCondition, parseJson, parseRoute, readBody, type Route,
+} from './request.js';
+import {send, sendStoreError} from './response.js';
+import {
+  createStore, VALUE_MAX_BYTES, type Change, type Snapshot,
 } from './store.js';
 
 /** Options of the platform emulator. */
@@ -45,95 +48,8 @@
   restore: (snapshot: Snapshot) => void;
 };
 
-type Route =
-  | {kind: 'object'; objectKind: string; name: string}
-  | {kind: 'list'; objectKind: string}
-  | {kind: 'watch'; objectKind: string; after: number}
-  | {kind: 'admin'; operation: string}
-  | {kind: 'unknown'};
-
 type Watch = {objectKind: string; response: ServerResponse; afterVersion: number; bookmarks: NodeJS.Timeout};
 
-const ADMIN_PATH_SEGMENT = '.emulator';
-
-// JSON escapes and white space can make a body larger than the value it encodes; the excess of a larger body is discarded and the request is rejected.
-const BODY_MAX_BYTES = 4 * VALUE_MAX_BYTES;
-
-const parseRoute = (request: IncomingMessage): Route => {
-  const url = new URL(request.url ?? '/', 'http://platform');
-  const [prefix = '', objectKind = '', name = '', ...rest] = url.pathname.slice(1).split('/').map(part => decodeURIComponent(part));
-  const after = Number(url.searchParams.get('after') ?? 0);
-  switch (prefix) {
-    case ADMIN_PATH_SEGMENT: {
-      return {kind: 'admin', operation: objectKind};
-    }
-
-    case 'objects': {
-      return objectKind === '' || rest.length > 0
-        ? {kind: 'unknown'}
-        : (name === '' ? {kind: 'list', objectKind} : {kind: 'object', objectKind, name});
-    }
-
-    case 'watch': {
-      return objectKind === '' || !Number.isSafeInteger(after) ? {kind: 'unknown'} : {kind: 'watch', objectKind, after};
-    }
-
-    default: {
-      return {kind: 'unknown'};
-    }
-  }
-};
-
-const parseCondition = (request: IncomingMessage): Condition | undefined => {
-  if (request.headers['if-none-match'] === '*') {
-    return {kind: 'absent'};
-  }
-
-  const version = Number(request.headers['if-match'] ?? Number.NaN);
-  return Number.isSafeInteger(version) ? {kind: 'version', version} : undefined;
-};
-
-const readBody = async (request: IncomingMessage): Promise<string | undefined> => {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    if (bytes <= BODY_MAX_BYTES) {
-      chunks.push(chunk);
-    }
-  }
-
-  return bytes > BODY_MAX_BYTES ? undefined : Buffer.concat(chunks).toString();
-};
-
-const parseJson = (text: string): {value: unknown} | undefined => {
-  try {
-    return {value: JSON.parse(text) as unknown};
-  } catch {
-    return undefined;
-  }
-};
-
-const send = (response: ServerResponse, status: number, body: unknown): void => {
-  if (!response.destroyed) {
-    response.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify(body));
-  }
-};
-
-const sendStoreError = (response: ServerResponse, error: StoreError): void => {
-  switch (error.kind) {
-    case 'conflict': {
-      send(response, 409, {message: 'the condition does not hold; read the object and decide again', current: error.current ?? null});
-      break;
-    }
-
-    case 'too-large': {
-      send(response, 413, {message: `the value has ${error.bytes} bytes; at most ${VALUE_MAX_BYTES} are stored`});
-      break;
-    }
-  }
-};
-
 const toJsonLine = (change: Change): string => `${JSON.stringify(change)}\n`;
 
 /** Creates a platform emulator without objects; it listens after `start`. */
