--- a/src/decisions/inbound/queue.ts
+++ b/src/decisions/inbound/queue.ts
@@ -72,6 +72,12 @@
   return removed!;
 };
 
+/** Number of calls that are served before a new call of a priority. */
+export const countAhead = (queue: Queue, priority: number): number => queue.priorities
+  .slice(0, priority + 1)
+  .flatMap(callsByKind => [...callsByKind?.values() ?? []])
+  .reduce((total, calls) => total + calls.length, 0);
+
 /** Removes a call; returns whether it was in the queue. */
 export const removeQueued = (queue: Queue, position: Pick<QueuedCall, 'priority' | 'requestKind'>, callId: string): boolean => {
   const calls = queue.priorities[position.priority]?.get(position.requestKind) ?? [];
--- a/src/mesh/inbound-proxy.ts
+++ b/src/mesh/inbound-proxy.ts
@@ -1,7 +1,7 @@
 /** Inbound proxy: every call to the backend server of this host passes through it. It refuses, queues and dispatches calls, drains, and runs non-idempotent calls at most once. */
 import {Buffer} from 'node:buffer';
 import {
-  createQueue, enqueue, removeOverdue, removeQueued, takeNext, type QueuedCall,
+  countAhead, createQueue, enqueue, removeOverdue, removeQueued, takeNext, type QueuedCall,
 } from '../decisions/inbound/queue.js';
 import type {Announcement} from './announcement.js';
 import {createBackendConnectionPool, type RunningExchange} from './backend-connection-pool.js';
@@ -304,30 +304,11 @@
     }
   };
 
-  const refuseQueued = (reason: RefusalReason): void => {
-    for (const {callId} of removeOverdue(queue, Number.POSITIVE_INFINITY)) {
-      refuse(calls.get(callId)!, reason);
-    }
-  };
-
-  const countQueuedAhead = (priority: number): number => {
-    let ahead = 0;
-    for (const [index, callsByRoute] of queue.priorities.entries()) {
-      if (index <= priority) {
-        for (const waitingCalls of callsByRoute?.values() ?? []) {
-          ahead += waitingCalls.length;
-        }
-      }
-    }
-
-    return ahead;
-  };
-
   const enqueueOrRefuse = (active: ActiveCall): void => {
     const {call, key} = active.inbound;
     const remainingMs = active.deadlineAt - now();
     const waitMaxMs = Math.min(remainingMs * QUEUE_WAIT_SHARE, Math.max(call.targetMs, 0) + loadTracker.serviceMs());
-    const ahead = countQueuedAhead(call.priority);
+    const ahead = countAhead(queue, call.priority);
     if (expectedWaitMs(ahead) > waitMaxMs) {
       refuse(active, 'queue-full');
       return;
@@ -390,14 +371,15 @@
       publishState();
     },
     tick() {
-      const overdue = removeOverdue(queue, now());
-      for (const {callId} of overdue) {
+      for (const {callId} of removeOverdue(queue, now())) {
         refuse(calls.get(callId)!, 'queue-time');
       }
 
       const unavailable = backendStatus.unavailableReason();
-      if (unavailable !== undefined && queue.length > 0) {
-        refuseQueued(unavailable);
+      if (unavailable !== undefined) {
+        for (const {callId} of removeOverdue(queue, Number.POSITIVE_INFINITY)) {
+          refuse(calls.get(callId)!, unavailable);
+        }
       }
 
       backendStatus.expire();
