perf(mesh): publish a rate limit only when it has changed by a tenth

A backend server may name another limit in each response, and each change sent its state over all accepted links. Other processes now hear of a limit when it is named, lifted, or differs by a tenth from what they know; the limit that is applied stays exact.

--- a/src/mesh/__tests__/backend-status.spec.ts
+++ b/src/mesh/__tests__/backend-status.spec.ts
@@ -10,6 +10,7 @@
 
 const start = () => {
   const clock = createManualClock();
+  let changes = 0;
   const status = createBackendStatus({
     now: clock.now,
     wallClock: () => EPOCH_MS + clock.now(),
@@ -22,9 +23,11 @@
     announcementMs: 1000,
     callCounts: () => ({running: 0, queued: 0}),
     onReplaced: () => undefined,
-    onChange: () => undefined,
+    onChange() {
+      changes++;
+    },
   });
-  return {clock, status};
+  return {clock, status, changes: () => changes};
 };
 
 /** Announces the instance i1 unless stated otherwise; it has started before the case begins. */
@@ -101,3 +104,24 @@
     t.is(status.unavailableReason() === undefined, isInUse);
   });
 }
+
+const rateCases: Array<{title: string; rateOf: (response: number) => number | undefined; changes: number}> = [
+  {title: 'a limit that is named again and again', rateOf: () => 10, changes: 1},
+  {title: 'a limit that varies a little with each response', rateOf: response => 10 + ((response % 9) / 10), changes: 1},
+  {title: 'a limit that grows by a hundredth with each response, to the double', rateOf: response => 10 * (1.01 ** Math.min(response, 70)), changes: 8},
+  {title: 'a limit that is lifted at the end', rateOf: response => response < 99 ? 10 : undefined, changes: 2},
+];
+
+for (const {title, rateOf, changes: expected} of rateCases) {
+  test(`other processes hear of ${title} only when it differs from what they know`, t => {
+    const {status, changes} = start();
+    announce(status);
+    const before = changes();
+    for (let response = 0; response < 100; response++) {
+      status.applyStatement({ratePerSecond: rateOf(response), isLeaving: false}, {backend: status.target()!, startedAt: 0});
+    }
+
+    t.is(changes() - before, expected);
+    t.is(status.rateLimit.perSecond(), rateOf(99));
+  });
+}
--- a/src/mesh/backend-status.ts
+++ b/src/mesh/backend-status.ts
@@ -65,6 +65,9 @@
 /** Consecutive failed connects after which the backend server counts as absent until its next announcement. */
 const CONNECT_FAILURES_MAX = 2;
 
+/** Relative change of a rate limit that other processes hear of; a limit may vary with each response. */
+const PUBLISHED_RATE_CHANGE = 0.1;
+
 /** Time for which the deregistration of a backend server that was never announced here is kept, in milliseconds: announcements may be seconds late. */
 const DEPARTURE_MEMORY_MS = 30_000;
 
@@ -79,6 +82,7 @@
   /** What is remembered of a backend server while it is not announced. */
   let recalled: BackendRecord | undefined;
   let departure: Departure | undefined;
+  let publishedRate: number | undefined;
   let connectFailures = 0;
 
   const target = (): Announcement | undefined => {
@@ -115,8 +119,18 @@
     options.onChange();
   };
 
-  const logRate = (previous: number | undefined): void => {
-    log.write('info', 'backend-rate-limit', {instance: target()?.instance, perSecond: rateLimit.perSecond() ?? null, previous: previous ?? null});
+  /** Publishes the rate limit when it differs noticeably from what other processes know. */
+  const publishRate = (): void => {
+    const perSecond = rateLimit.perSecond();
+    const isKnown = perSecond !== undefined && publishedRate !== undefined
+      ? Math.abs(perSecond - publishedRate) <= PUBLISHED_RATE_CHANGE * publishedRate
+      : perSecond === publishedRate;
+    if (isKnown) {
+      return;
+    }
+
+    log.write('info', 'backend-rate-limit', {instance: target()?.instance, perSecond: perSecond ?? null, previous: publishedRate ?? null});
+    publishedRate = perSecond;
     options.onChange();
   };
 
@@ -140,7 +154,7 @@
     }
 
     if (recalled.ratePerSecond !== undefined && rateLimit.recall(recalled.ratePerSecond)) {
-      logRate(undefined);
+      publishRate();
     }
   };
 
@@ -151,6 +165,7 @@
   const announceNew = (announcement: Announcement): void => {
     connectFailures = 0;
     rateLimit.reset();
+    publishedRate = undefined;
     options.onReplaced(announcement);
     log.write('info', 'backend-announced', {...announcement});
     applyRecalled();
@@ -205,9 +220,8 @@
         return;
       }
 
-      const previous = rateLimit.perSecond();
       if (rateLimit.applyStatement(ratePerSecond, startedAt)) {
-        logRate(previous);
+        publishRate();
       }
 
       if (isLeaving) {
