--- a/src/mesh/inbound-proxy.ts
+++ b/src/mesh/inbound-proxy.ts
@@ -194,6 +194,7 @@
       running: loadTracker.running(),
       queued: queue.length,
       limit: limit(),
+      perSecond: rateLimit.perSecond(),
       serviceMs: Math.round(loadTracker.serviceMs()),
     });
     complete(active, {
