--- a/src/measure/slopes/__tests__/capacity.spec.ts
+++ b/src/measure/slopes/__tests__/capacity.spec.ts
@@ -5,9 +5,9 @@
 import {createRandom} from '../../../shared/random.js';
 import {hashObjects} from '../../../objects/configuration.js';
 import {validateObjects} from '../../../objects/validation.js';
-import {
-  estimateBreakingPoints, estimateLimits, estimatePeaks, estimateRoles, TARGET, valueAt, ZONE_MEMBERS,
-} from '../capacity.js';
+import {estimateBreakingPoints, estimateLimits, estimatePeaks} from '../capacity.js';
+import {TARGET, valueAt, ZONE_MEMBERS} from '../capacity-costs.js';
+import {estimateRoles} from '../role-estimates.js';
 import {fitLine, median, type Point} from '../line-fit.js';
 import {formatNumber} from '../format.js';
 import {
