fix(mesh): pause before listing again when the history is gone time after time

A store whose lists cannot be watched from, for example one that answers from several eras, got a list and a watch without end and without a pause from each reader. The first list after a lost history still follows at once; further ones wait 100 ms to 1 s until a watch succeeds. The new case of object-watcher.spec.ts failed before: no pause in 100 turns.

--- a/src/mesh/__tests__/object-watcher.spec.ts
+++ b/src/mesh/__tests__/object-watcher.spec.ts
@@ -1,6 +1,6 @@
 /** Guards against a process that starts and learns of the store's objects late, and against requests of processes that are not to read the store. */
 import test from 'ava';
-import {ok} from '../../shared/result.js';
+import {fail, ok} from '../../shared/result.js';
 import {createDecisionLog} from '../decision-log.js';
 import type {ObjectStore} from '../object-store.js';
 import {startObjectWatcher} from '../object-watcher.js';
@@ -55,3 +55,32 @@
     t.is(calls.includes('watch'), isWatched);
   });
 }
+
+test('a store that refuses to continue from each of its own lists gets further ones after growing pauses', async t => {
+  let lists = 0;
+  const pauses: number[] = [];
+  const store: Pick<ObjectStore, 'list' | 'watch'> = {
+    async list() {
+      lists++;
+      return ok({objects: [], revision: 3});
+    },
+    async watch() {
+      await turn();
+      return fail({kind: 'history-gone', message: 'gone'});
+    },
+  };
+  const watcher = startObjectWatcher({
+    kind: 'k', store: store as ObjectStore, log, random: () => 0.5, isActive: () => true, onRead: () => undefined, onChange: () => undefined, async sleep(milliseconds) {
+      pauses.push(milliseconds);
+      await turn();
+    },
+  });
+  for (let turns = 0; turns < 100; turns++) {
+    await turn(); // eslint-disable-line no-await-in-loop
+  }
+
+  watcher.stop();
+  t.true(lists > 2);
+  t.true(pauses.filter(milliseconds => milliseconds > 0).length >= lists - 2);
+  t.is(Math.max(...pauses), 1000);
+});
--- a/src/mesh/object-watcher.ts
+++ b/src/mesh/object-watcher.ts
@@ -52,6 +52,8 @@
   /** A process that starts has to know at once what the store holds. */
   let listedOnce = false;
   let backoffMs = BACKOFF_MIN_MS;
+  /** Pause before the next list if the history is gone again before a watch has succeeded, in milliseconds. */
+  let relistDelayMs = 0;
 
   const handleError = async (error: StoreError, during: string): Promise<void> => {
     if (synced) {
@@ -99,6 +101,8 @@
     if (watched.kind === 'error') {
       if (watched.error.kind === 'history-gone') {
         log.write('info', 'store-history-gone', {kind, revision});
+        await sleep(relistDelayMs * (0.5 + random()));
+        relistDelayMs = Math.min(BACKOFF_MAX_MS, Math.max(BACKOFF_MIN_MS, relistDelayMs * 2));
         return undefined;
       }
 
@@ -107,6 +111,7 @@
     }
 
     markSynced(watched.value.revision);
+    relistDelayMs = 0;
     for (const {kind: change, object} of watched.value.events) {
       if (change === 'deleted') {
         objects.delete(object.name);
