fix(mesh): keep a statement that arrives while the backend server is out of use

A backend server whose announcements had been silent for four intervals counts as absent; a response to a call sent before, with Server-Leaving, went back to the caller, but was not kept, and the next announcement put the backend server in use again. It is now remembered like what other processes report.

backend-status.spec.ts, 'one that states its leaving in a response while its announcements are silent', failed before; a second case guards the limit.

--- a/src/mesh/__tests__/backend-status.spec.ts
+++ b/src/mesh/__tests__/backend-status.spec.ts
@@ -1,6 +1,6 @@
 /** Guards against a backend server that is in use again after it has left, by whatever order announcements, deregistrations and reports of other processes arrive. */
 import test from 'ava';
-import {createManualClock} from '../../shared/clock.js';
+import {createManualClock, type ManualClock} from '../../shared/clock.js';
 import {createBackendStatus, type BackendStatus} from '../backend-status.js';
 import {createDecisionLog} from '../decision-log.js';
 
@@ -41,9 +41,21 @@
   instance: 'i1', startedAt: EPOCH_MS - 5000, isLeaving: true, ratePerSecond: undefined,
 };
 
-const cases: Array<{title: string; happen: (status: BackendStatus) => void; isInUse: boolean}> = [
+const cases: Array<{title: string; happen: (status: BackendStatus, clock: ManualClock) => void; isInUse: boolean}> = [
   {
-    title: 'an announced backend server is in use', happen: announce, isInUse: true,
+    title: 'one that states its leaving in a response while its announcements are silent is not', isInUse: false, happen(status, clock) {
+      announce(status);
+      const dispatch = {backend: status.target()!, startedAt: clock.now()};
+      clock.advance(10_000);
+      status.expire();
+      status.applyStatement({ratePerSecond: undefined, isLeaving: true}, dispatch);
+      announce(status, {sequence: 2});
+    },
+  },
+  {
+    title: 'an announced backend server is in use', isInUse: true, happen(status) {
+      announce(status);
+    },
   },
   {
     title: 'a draining one is not', isInUse: false, happen(status) {
@@ -99,7 +111,7 @@
 for (const {title, happen, isInUse} of cases) {
   test(title, t => {
     const {clock, status} = start();
-    happen(status);
+    happen(status, clock);
     clock.advance(DRAIN_MS);
     t.is(status.unavailableReason() === undefined, isInUse);
   });
@@ -125,3 +137,16 @@
     t.is(status.rateLimit.perSecond(), rateOf(99));
   });
 }
+
+test('a limit is not lifted by a response that arrives while the announcements are silent', t => {
+  const {clock, status} = start();
+  announce(status);
+  const dispatch = {backend: status.target()!, startedAt: clock.now()};
+  status.applyStatement({ratePerSecond: 10, isLeaving: false}, dispatch);
+  clock.advance(10_000);
+  status.expire();
+  t.is(status.target(), undefined);
+  status.applyStatement({ratePerSecond: undefined, isLeaving: false}, dispatch);
+  announce(status, {sequence: 2});
+  t.is(status.rateLimit.perSecond(), 10);
+});
--- a/src/mesh/backend-status.ts
+++ b/src/mesh/backend-status.ts
@@ -216,6 +216,14 @@
       }
     },
     applyStatement({ratePerSecond, isLeaving}, {backend, startedAt}) {
+      if (local.kind === 'none') {
+        recalled = mergeRecord(recalled, {
+          instance: backend.instance, startedAt: backend.startedAt, isLeaving, ratePerSecond: ratePerSecond ?? recalled?.ratePerSecond,
+        });
+        options.onChange();
+        return;
+      }
+
       if (target()?.startedAt !== backend.startedAt) {
         return;
       }
