fix(mesh): continue a change from the last report of the watcher

Cause: the store's revision also grows with changes of other kinds, and a watch without events moved the watcher's revision past that of the member list. The next change then began after the list's revision and was ignored, by the rule that changes must not leave a gap. Readers learnt of new processes only when these had listed the store after their own write and passed that list on.

The watcher now reports each change as continuing from its last report. The new case of object-watcher.spec.ts fails without it.

--- a/src/mesh/__tests__/object-watcher.spec.ts
+++ b/src/mesh/__tests__/object-watcher.spec.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import {fail, ok} from '../../shared/result.js';
 import {createDecisionLog} from '../decision-log.js';
+import {createMemberDirectory} from '../member-directory.js';
 import type {ObjectStore} from '../object-store.js';
 import {startObjectWatcher} from '../object-watcher.js';
 
@@ -84,3 +85,40 @@
   t.true(pauses.filter(milliseconds => milliseconds > 0).length >= lists - 2);
   t.is(Math.max(...pauses), 1000);
 });
+
+test('a change that follows watches without events is reported as continuing from the last report', async t => {
+  // The revision of the store also grows with changes of other kinds, which a watch of this kind does not show.
+  const answers = [{events: [], revision: 5}, {events: [], revision: 9}, {events: [{kind: 'changed' as const, object: {name: 'a', revision: 10, value: 1}}], revision: 10}];
+  const watchedFrom: number[] = [];
+  const directory = createMemberDirectory();
+  const store: Pick<ObjectStore, 'list' | 'watch'> = {
+    list: async () => ok({objects: [], revision: 3}),
+    async watch(_kind, revision) {
+      watchedFrom.push(revision);
+      await turn();
+      return ok(answers.shift() ?? {events: [], revision: 10});
+    },
+  };
+  const watcher = startObjectWatcher({
+    kind: 'k', store: store as ObjectStore, log, random: () => 0, isActive: () => true, onRead: () => undefined, sleep: turn, onChange(change) {
+      if (change.kind === 'listed') {
+        directory.applySnapshot([], change.revision);
+      } else {
+        directory.applyChanges({
+          since: change.since, revision: change.revision, removed: [], listed: change.events.map(({object}) => ({
+            revision: object.revision, member: {
+              node: object.name, address: 'a', zone: 'z', service: 's',
+            },
+          })),
+        });
+      }
+    },
+  });
+  for (let turns = 0; turns < 50; turns++) {
+    await turn(); // eslint-disable-line no-await-in-loop
+  }
+
+  watcher.stop();
+  t.deepEqual(watchedFrom.slice(0, 4), [3, 5, 9, 10]);
+  t.deepEqual(directory.members().map(({node}) => node), ['a']);
+});
--- a/src/mesh/object-watcher.ts
+++ b/src/mesh/object-watcher.ts
@@ -8,7 +8,7 @@
 /** What was read from the store, with all objects of the kind and the revision of the store that they reflect. */
 export type ObjectChange =
   | {kind: 'listed'; objects: ReadonlyMap<string, StoredObject>; revision: number}
-  /** `events` are all changes after revision `since`. */
+  /** `events` are all changes after revision `since`, which is that of the previous report. */
   | {kind: 'changed'; objects: ReadonlyMap<string, StoredObject>; revision: number; since: number; events: readonly StoreEvent[]};
 
 /** Options of an object watcher. */
@@ -51,6 +51,8 @@
   let synced = false;
   /** A process that starts has to know at once what the store holds. */
   let listedOnce = false;
+  /** Revision of the last report; a watch without events moves the revision to continue from, but reports nothing. */
+  let reportedRevision = 0;
   let backoffMs = BACKOFF_MIN_MS;
   /** Pause before the next list if the history is gone again before a watch has succeeded, in milliseconds. */
   let relistDelayMs = 0;
@@ -91,6 +93,7 @@
       objects.set(object.name, object);
     }
 
+    reportedRevision = listed.value.revision;
     options.onChange({kind: 'listed', objects, revision: listed.value.revision});
     await sleep(options.batchMs ?? 0);
     return listed.value.revision;
@@ -121,8 +124,10 @@
     }
 
     if (watched.value.events.length > 0) {
+      const since = reportedRevision;
+      reportedRevision = watched.value.revision;
       options.onChange({
-        kind: 'changed', objects, revision: watched.value.revision, since: revision, events: watched.value.events,
+        kind: 'changed', objects, revision: watched.value.revision, since, events: watched.value.events,
       });
       await sleep(options.batchMs ?? 0);
     }
