fix(mesh): read the store when no recent reading is known, not when the readers are unreachable

Callers got requests handled by a version that had been replaced seconds before, at hosts that reached the store. Cause: the readers of a zone were chosen by open links. When the store did not answer them, all others waited for 12 s.

Readings are exchanged instead, each counted once, and a process that knows of none within 0.6 of the bound reads itself, in growing groups by rank.

--- a/src/mesh/__tests__/object-watcher.spec.ts
+++ b/src/mesh/__tests__/object-watcher.spec.ts
@@ -42,7 +42,7 @@
       },
     };
     const watcher = startObjectWatcher({
-      kind: 'k', store: store as ObjectStore, log, random: () => 0, isActive: () => isActive, onRead: () => undefined, onChange({kind, revision}) {
+      kind: 'k', store: store as ObjectStore, log, random: () => 0, isActive: () => isActive, now: () => performance.now(), onRead: () => undefined, onChange({kind, revision}) {
         changes.push(`${kind} ${revision}`);
       }, sleep: turn,
     });
@@ -71,7 +71,7 @@
     },
   };
   const watcher = startObjectWatcher({
-    kind: 'k', store: store as ObjectStore, log, random: () => 0.5, isActive: () => true, onRead: () => undefined, onChange: () => undefined, async sleep(milliseconds) {
+    kind: 'k', store: store as ObjectStore, log, random: () => 0.5, isActive: () => true, now: () => performance.now(), onRead: () => undefined, onChange: () => undefined, async sleep(milliseconds) {
       pauses.push(milliseconds);
       await turn();
     },
@@ -100,7 +100,7 @@
     },
   };
   const watcher = startObjectWatcher({
-    kind: 'k', store: store as ObjectStore, log, random: () => 0, isActive: () => true, onRead: () => undefined, sleep: turn, onChange(change) {
+    kind: 'k', store: store as ObjectStore, log, random: () => 0, isActive: () => true, now: () => performance.now(), onRead: () => undefined, sleep: turn, onChange(change) {
       if (change.kind === 'listed') {
         directory.applySnapshot([], change.revision);
       } else {
--- a/src/mesh/__tests__/peer-link.spec.ts
+++ b/src/mesh/__tests__/peer-link.spec.ts
@@ -14,7 +14,9 @@
   },
 });
 
-const known: KnownVersions = {configuration: 0, members: 0, storeAgeMs: undefined};
+const known: KnownVersions = {
+  configuration: 0, members: 0, reading: undefined, ownReadingAgeMs: undefined,
+};
 
 const createCall = (idempotent: boolean): CallHeader => ({
   requestId: 'r', service: 's', method: 'GET', path: '/', rawHeaders: [], idempotent, isRepeat: false, priority: 0, route: 'r', remainingMs: 1000, targetMs: 1000,
--- a/src/mesh/fleet.ts
+++ b/src/mesh/fleet.ts
@@ -1,5 +1,6 @@
 /** Links to the other processes of the fleet, and the state that is exchanged over them. */
 import type {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
 import type {ServiceLoad} from './admission.js';
 import type {DecisionLog} from './decision-log.js';
 import type {InboundProxy} from './inbound-proxy.js';
@@ -18,8 +19,7 @@
   estimateCallCounts, estimateServiceLoad, type BackendCounts, type LoadSample,
 } from './service-estimate.js';
 import {createStateExchange} from './state-exchange.js';
-import {WATCH_MS} from './object-watcher.js';
-import {chooseReaders} from './store-readers.js';
+import {createStoreReaders, readingTimes, type StoreReaders} from './store-readers.js';
 import {chooseSubset, createRings, type Rings} from './subset.js';
 
 /** Destination of one attempt: a backend server, reached directly or through the process on its host. */
@@ -48,10 +48,10 @@
   callCounts: (service: string) => CountedCalls | undefined;
   /** Services of the members, always including the service of this host. */
   services: () => ReadonlySet<string>;
-  /** Whether this process is one of those that watch the store for their zone, or has not heard of a reading of the store for too long. */
-  isStoreReader: () => boolean;
-  /** Records that the store has answered this process. */
-  recordStoreRead: () => void;
+  /** Part of this process in reading the store. */
+  storeReaders: Pick<StoreReaders, 'isReader' | 'isLastingReader' | 'retryMaxMs'>;
+  /** Records that this process has read the configuration as the store held it at a time of the clock. */
+  recordStoreRead: (readAt: number) => void;
   /** Drives the links and publishes what is due; called periodically. */
   tick: () => void;
   /** Restarts the liveness timers of all links; called after this process was suspended. */
@@ -69,6 +69,8 @@
   inboundProxy: InboundProxy;
   directory: MemberDirectory;
   learntRoutes: LearntRouteSpread;
+  /** Time after its confirmation by the store from which a version of the configuration must be in force, in milliseconds. */
+  configurationMs: number;
   configuration: () => RoutingConfiguration | undefined;
   /** Called with each newer configuration that a peer sends; `from` is the peer. */
   onConfiguration: (configuration: RoutingConfiguration, from: string) => void;
@@ -88,31 +90,36 @@
 const UNUSED_SERVICE_MS = 60_000;
 /** Links over which a process that does not read the store passes on a new version; the readers use all of theirs. */
 const ANNOUNCED_LINKS_MAX = 8;
-/** Time without word of a reading of the store after which a process reads it itself, in milliseconds: longer than a watch takes and its news travels. */
-const STORE_AGE_MAX_MS = WATCH_MS + 3000;
-/** Time after the start in which a process counts on the readers of its zone, in milliseconds. */
-const START_WAIT_MS = 1500;
 
 type FailureRate = {rate: number; updatedAt: number};
 
 /** Creates the fleet; it listens after `start`, and connects to members as they become known and needed. */
 export const createFleet = (options: FleetOptions): Fleet => {
   const {self, now, log, inboundProxy, directory, learntRoutes} = options;
+  const storeReaders = createStoreReaders({
+    zone: self.zone,
+    self: self.node,
+    life: randomUUID().slice(0, 8),
+    now,
+    times: readingTimes(options.configurationMs),
+    onNews() {
+      announceVersions();
+    },
+  });
   const stateExchange = createStateExchange({
-    now, log, directory, learntRoutes, configuration: options.configuration, onConfiguration: options.onConfiguration,
+    now, log, directory, learntRoutes, storeReaders, configuration: options.configuration, onConfiguration: options.onConfiguration,
   });
   const {known} = stateExchange;
   const failureRates = new Map<string, FailureRate>();
   const usedAt = new Map<string, number>();
   const destinations = new WeakMap<PeerLink, Destination>();
-  const createdAt = now();
   let localSequence = 0;
   let loadPublishedAt = Number.NEGATIVE_INFINITY;
   let publishedQueueLength = 0;
   let reviewedAt = Number.NEGATIVE_INFINITY;
   let ringGeneration = -1;
   let rings: Rings = createRings([self]);
-  let isReader = false;
+  let wasReader = false;
   let contacts: ReadonlySet<string> = new Set();
 
   const links = createLinkTable({
@@ -212,12 +219,11 @@
     if (ringGeneration !== directory.generation()) {
       ringGeneration = directory.generation();
       rings = createRings(directory.entryOf(self.node) === undefined ? [...directory.members(), self] : directory.members());
+      storeReaders.setMembers(rings.callers(self.zone).map(({node}) => node), directory.revision() > 0);
     }
 
     const zoneMembers = rings.callers(self.zone);
-    const choice = chooseReaders(self.zone, zoneMembers.map(({node}) => node), self.node, links.reachability);
-    isReader = choice.isReader && directory.revision() > 0;
-    contacts = new Set(choice.contacts);
+    contacts = new Set(storeReaders.contacts(links.reachability));
     const contactMembers = zoneMembers.filter(({node}) => contacts.has(node));
     const subsets = wantedServices().flatMap(service => chooseSubset(rings, self, service, links.isUsable));
     links.setWanted([...new Map([...contactMembers, ...subsets].map(member => [member.node, member])).values()]);
@@ -285,6 +291,28 @@
     }
   };
 
+  const announceVersions = (): void => {
+    const message: Message = {type: 'known', known: known()};
+    const open = links.open();
+    for (const {link} of storeReaders.isReader() ? open : open.slice(0, ANNOUNCED_LINKS_MAX)) {
+      link.send(message);
+    }
+
+    if (storeReaders.isReader()) {
+      server.broadcast(message);
+    }
+  };
+
+  /** Logs when this process begins or ends to read the store. */
+  const recordReaderChange = (): void => {
+    const isReader = storeReaders.isReader();
+    if (isReader !== wasReader) {
+      wasReader = isReader;
+      const latest = storeReaders.latest();
+      log.write('info', isReader ? 'store-reading-begun' : 'store-reading-ended', {rank: storeReaders.rank(), lastReader: latest?.reader, ageMs: latest === undefined ? undefined : Math.round(now() - latest.readAt)});
+    }
+  };
+
   return {
     start: server.start,
     candidates,
@@ -292,27 +320,19 @@
     publishBackendState(state) {
       server.broadcast({type: 'state', state, record: inboundProxy.record()});
     },
-    announceVersions() {
-      const message: Message = {type: 'known', known: known()};
-      const open = links.open();
-      for (const {link} of isReader ? open : open.slice(0, ANNOUNCED_LINKS_MAX)) {
-        link.send(message);
-      }
-
-      if (isReader) {
-        server.broadcast(message);
-      }
-    },
+    announceVersions,
     serviceLoad: service => estimateServiceLoad(loadSamples(service, ({kind}) => kind === 'ready'), backendCounts(service)),
     callCounts: service => estimateCallCounts(loadSamples(service, () => true), backendCounts(service)),
     services: () => rings.services().has(self.service) ? rings.services() : new Set([...rings.services(), self.service]),
-    isStoreReader() {
-      const heardAt = Math.max(stateExchange.storeReadAt(), createdAt - STORE_AGE_MAX_MS + START_WAIT_MS);
-      return isReader || now() - heardAt > STORE_AGE_MAX_MS;
+    storeReaders,
+    recordStoreRead(readAt) {
+      storeReaders.recordOwn(readAt);
+      server.broadcast({type: 'known', known: known()}, ({zone}) => zone === self.zone);
     },
-    recordStoreRead: stateExchange.recordStoreRead,
     tick() {
       links.tick();
+      storeReaders.tick();
+      recordReaderChange();
       if (now() - reviewedAt >= LINK_REVIEW_INTERVAL_MS) {
         directory.removeUnlisted(node => links.linkTo(node) !== undefined && links.reachability(node) !== 'unreachable');
         reviewLinks();
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -97,13 +97,18 @@
   targetMs: number;
 };
 
+/** Reading of the store by the process `reader`; `life` differs with each of its starts, and `sequence` increases with each of its readings. */
+export type ReportedReading = {reader: string; life: string; sequence: number; ageMs: number};
+
 /** What a process knows, so that a peer can ask for what is newer; 0 for nothing. */
 export type KnownVersions = {
   configuration: number;
   /** Revision of the member list. */
   members: number;
-  /** Time since the store was last read by this process or by one that it heard of, in milliseconds; undefined when it never was. */
-  storeAgeMs: number | undefined;
+  /** Last reading of the configuration in the store, by this process or by one that it heard of, whose result it has; undefined when there was none. */
+  reading: ReportedReading | undefined;
+  /** Time since this process itself last read the configuration in the store, in milliseconds; undefined when it never did. */
+  ownReadingAgeMs: number | undefined;
 };
 
 /** Message over a link; the body of a `call`, `result` or `configuration` follows it in the frame. */
@@ -121,8 +126,8 @@
   /** Tells a peer of a new version at once; over an accepted link as well. */
   | {type: 'known'; known: KnownVersions}
   | {type: 'configuration-wanted'}
-  /** The body is the configuration in JSON, which is the same for all peers. */
-  | {type: 'configuration'; version: number}
+  /** The body is the configuration in JSON, which is the same for all peers; its version is that of `known`. */
+  | {type: 'configuration'; known: KnownVersions}
   | {type: 'members-wanted'; since: number}
   | {type: 'members'; changes: MemberChanges}
   /** Load of the backend server, sent unrequested while calls are queued. */
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -10,7 +10,7 @@
 import {createInboundProxy, type InboundProxy, type DownstreamFailures} from './inbound-proxy.js';
 import {createCallerListener} from './caller-listener.js';
 import {createFleet} from './fleet.js';
-import {startObjectWatcher, type ObjectChange} from './object-watcher.js';
+import {startObjectWatcher, type ObjectChange, type ObjectWatcher} from './object-watcher.js';
 import type {BackendState, Member} from './message.js';
 import type {ObjectStore, StoredObject} from './object-store.js';
 import type {HttpDialect} from './http-dialect.js';
@@ -21,6 +21,7 @@
 import {createRouteTable, type RouteTable} from './route-table.js';
 import type {RoutingConfiguration} from './routing-configuration.js';
 import type {HostSettings} from './settings.js';
+import {readingTimes} from './store-readers.js';
 
 /** Options of a host node. */
 export type NodeOptions = {
@@ -165,7 +166,7 @@
   };
 
   const fleet = createFleet({
-    self, now, log, inboundProxy, directory, learntRoutes, configuration: () => routeTable?.configuration, onConfiguration: applyConfiguration,
+    self, now, log, inboundProxy, directory, learntRoutes, configurationMs: settings.bounds.configurationMs, configuration: () => routeTable?.configuration, onConfiguration: applyConfiguration,
   });
 
   const budget = createRetryBudget({
@@ -217,7 +218,7 @@
   const registration = createRegistration({
     self, store, log, random,
   });
-  const watchers: Array<{stop: () => void}> = [];
+  const watchers: ObjectWatcher[] = [];
   let tickTimer: NodeJS.Timeout | undefined;
   let lastTickAt = now();
   let reconciledRevision = 0;
@@ -251,6 +252,10 @@
     lastTickAt = now();
 
     fleet.tick();
+    for (const watcher of watchers) {
+      watcher.wake();
+    }
+
     reconcileRegistration();
     inboundProxy.tick();
     updateAdmission();
@@ -261,14 +266,19 @@
   };
 
   const watchStore = (): void => {
+    const {watchMs, responseMs} = readingTimes(settings.bounds.configurationMs);
     watchers.push(
       startObjectWatcher({
         kind: options.configurationKind,
         store,
         log,
         random,
+        now,
+        watchMs,
+        responseMs,
+        backoffMaxMs: fleet.storeReaders.retryMaxMs,
         onRead: fleet.recordStoreRead,
-        isActive: fleet.isStoreReader,
+        isActive: fleet.storeReaders.isReader,
         onChange({objects}) {
           const configuration = options.readConfiguration(objects);
           if (configuration !== undefined) {
@@ -281,8 +291,9 @@
         store,
         log,
         random,
-        onRead: fleet.recordStoreRead,
-        isActive: fleet.isStoreReader,
+        now,
+        onRead: () => undefined,
+        isActive: fleet.storeReaders.isLastingReader,
         batchMs: MEMBER_BATCH_MS,
         onChange(change) {
           applyMemberChange(directory, change);
--- a/src/mesh/object-store.ts
+++ b/src/mesh/object-store.ts
@@ -27,12 +27,12 @@
 
 /** Client of the object store. */
 export type ObjectStore = {
-  /** Lists all objects of a kind, with the revision from which a watch has to continue. */
-  list: (kind: string) => Promise<Result<{objects: StoredObject[]; revision: number}, StoreError>>;
+  /** Lists all objects of a kind, with the revision from which a watch has to continue. Each request fails after `timeoutMs`. */
+  list: (kind: string, timeoutMs?: number) => Promise<Result<{objects: StoredObject[]; revision: number}, StoreError>>;
   create: (kind: string, name: string, value: unknown) => Promise<Result<StoredObject, StoreError>>;
   replace: (kind: string, name: string, value: unknown, expectedRevision: number) => Promise<Result<StoredObject, StoreError>>;
   remove: (kind: string, name: string, expectedRevision: number) => Promise<Result<undefined, StoreError>>;
-  /** Waits up to `waitMs` for changes after a revision. */
-  watch: (kind: string, revision: number, waitMs: number) => Promise<Result<{events: StoreEvent[]; revision: number}, StoreError>>;
+  /** Waits up to `waitMs` for changes after a revision; the response may take `marginMs` longer. */
+  watch: (kind: string, revision: number, waitMs: number, marginMs?: number) => Promise<Result<{events: StoreEvent[]; revision: number}, StoreError>>;
   close: () => void;
 };
--- a/src/mesh/peer-server.ts
+++ b/src/mesh/peer-server.ts
@@ -10,8 +10,8 @@
 /** Listener for the links of other processes. */
 export type PeerServer = {
   start: () => Promise<void>;
-  /** Sends a message over all accepted links, for example a new state of the backend server. */
-  broadcast: (message: Message) => void;
+  /** Sends a message over the accepted links, for example a new state of the backend server; with `isReceiver`, only to members that it accepts. */
+  broadcast: (message: Message, isReceiver?: (member: Member) => boolean) => void;
   /** Restarts the liveness timers; called after this process was suspended, when data that arrived meanwhile has not been read yet. */
   resetLiveness: () => void;
   close: () => void;
@@ -209,9 +209,12 @@
 
   return {
     start: async () => listenOn(server, options.address, ACCEPT_BACKLOG),
-    broadcast(message) {
+    broadcast(message, isReceiver = () => true) {
       for (const link of links) {
-        link.send(message);
+        const member = link.member();
+        if (member === undefined || isReceiver(member)) {
+          link.send(message);
+        }
       }
     },
     resetLiveness() {
--- a/src/mesh/settings.ts
+++ b/src/mesh/settings.ts
@@ -31,6 +31,8 @@
   /** Interval of the backend server's announcements. */
   announcementMs: positive,
   bounds: z.object({
+    /** Time after its confirmation by the store from which a version of the configuration must be in force. @default 2000 */
+    configurationMs: z._default(positive, 2000),
     /** Time after the start of a drain or a deregistration from which the backend server must get no more calls. */
     drainMs: positive,
     /** Grace period between the stop signal and the end of the process. */
--- a/src/mesh/state-exchange.ts
+++ b/src/mesh/state-exchange.ts
@@ -4,8 +4,11 @@
 import type {DecisionLog} from './decision-log.js';
 import type {LearntRouteSpread} from './learnt-routes.js';
 import type {MemberDirectory} from './member-directory.js';
-import type {BackendRecord, KnownVersions, Message} from './message.js';
+import type {
+  BackendRecord, KnownVersions, Message, ReportedReading,
+} from './message.js';
 import type {RoutingConfiguration} from './routing-configuration.js';
+import type {StoreReaders} from './store-readers.js';
 
 /** Link over which a message can be answered. */
 export type MessageSender = {send: (message: Message, body?: Buffer) => void};
@@ -18,10 +21,6 @@
   backendRecords: Pick<BackendRecords, 'of'>;
   /** Handles a message about state, and logs any other one; `from` is the process that sent it. */
   onMessage: (sender: MessageSender, message: Message, body: Buffer, from: string) => void;
-  /** Records that the store has answered this process. */
-  recordStoreRead: () => void;
-  /** Time at which the store was last read, as far as this process has heard, in milliseconds of the clock; negative infinity when it never was. */
-  storeReadAt: () => number;
 };
 
 /** Options of the exchange. */
@@ -30,6 +29,7 @@
   log: DecisionLog;
   directory: MemberDirectory;
   learntRoutes: LearntRouteSpread;
+  storeReaders: Pick<StoreReaders, 'latest' | 'ownAt' | 'recordPeer'>;
   configuration: () => RoutingConfiguration | undefined;
   /** Called with each newer configuration that a peer sends; `from` is the peer. */
   onConfiguration: (configuration: RoutingConfiguration, from: string) => void;
@@ -40,22 +40,45 @@
 
 /** Creates the exchange; nothing is known from other processes yet. */
 export const createStateExchange = (options: StateExchangeOptions): StateExchange => {
-  const {now, log, directory, learntRoutes} = options;
+  const {now, log, directory, learntRoutes, storeReaders} = options;
   const backendRecords = createBackendRecords();
-  let storeReadAt = Number.NEGATIVE_INFINITY;
   let configurationRequestedAt = Number.NEGATIVE_INFINITY;
   let membersRequestedAt = Number.NEGATIVE_INFINITY;
   let encodedConfiguration: {version: number; body: Buffer} | undefined;
 
+  const knownReading = (): ReportedReading | undefined => {
+    const latest = storeReaders.latest();
+    return latest === undefined
+      ? undefined
+      : {
+        reader: latest.reader, life: latest.life, sequence: latest.sequence, ageMs: Math.ceil(now() - latest.readAt),
+      };
+  };
+
   const known = (): KnownVersions => ({
     configuration: options.configuration()?.version ?? 0,
     members: directory.revision(),
-    storeAgeMs: Number.isFinite(storeReadAt) ? Math.round(now() - storeReadAt) : undefined,
+    reading: knownReading(),
+    ownReadingAgeMs: Number.isFinite(storeReaders.ownAt()) ? Math.ceil(now() - storeReaders.ownAt()) : undefined,
   });
 
-  const requestNewerState = (sender: MessageSender, peer: KnownVersions): void => {
+  /** Records the readings of a peer; one that found a newer version than this process has counts only once the version has arrived. */
+  const recordReadings = (from: string, peer: KnownVersions): void => {
+    const {configuration, reading, ownReadingAgeMs} = peer;
+    const isReflected = configuration <= known().configuration;
+    storeReaders.recordPeer(from, {
+      ownAt: ownReadingAgeMs === undefined ? Number.NEGATIVE_INFINITY : now() - ownReadingAgeMs,
+      latest: reading === undefined || !isReflected
+        ? undefined
+        : {
+          reader: reading.reader, life: reading.life, sequence: reading.sequence, readAt: now() - reading.ageMs,
+        },
+    });
+  };
+
+  const requestNewerState = (sender: MessageSender, peer: KnownVersions, from: string): void => {
     const own = known();
-    storeReadAt = Math.max(storeReadAt, peer.storeAgeMs === undefined ? Number.NEGATIVE_INFINITY : now() - peer.storeAgeMs);
+    recordReadings(from, peer);
     if (peer.configuration > own.configuration && now() - configurationRequestedAt > REQUEST_INTERVAL_MS) {
       configurationRequestedAt = now();
       sender.send({type: 'configuration-wanted'});
@@ -77,7 +100,7 @@
       encodedConfiguration = {version: configuration.version, body: Buffer.from(JSON.stringify(configuration))};
     }
 
-    sender.send({type: 'configuration', version: configuration.version}, encodedConfiguration.body);
+    sender.send({type: 'configuration', known: known()}, encodedConfiguration.body);
   };
 
   const sendLearntRoutes = (sender: MessageSender): void => {
@@ -95,7 +118,7 @@
       case 'ping':
       case 'pong':
       case 'known': {
-        requestNewerState(sender, message.known);
+        requestNewerState(sender, message.known, from);
         return;
       }
 
@@ -105,10 +128,11 @@
       }
 
       case 'configuration': {
-        if (message.version > known().configuration) {
+        if (message.known.configuration > known().configuration) {
           options.onConfiguration(JSON.parse(body.toString()) as RoutingConfiguration, from);
         }
 
+        recordReadings(from, message.known);
         return;
       }
 
@@ -129,7 +153,7 @@
 
       case 'hello': {
         directory.learn(message.member);
-        requestNewerState(sender, message.known);
+        requestNewerState(sender, message.known, from);
         sendLearntRoutes(sender);
         return;
       }
@@ -141,7 +165,7 @@
 
       case 'welcome': {
         keepRecord(from, message.record);
-        requestNewerState(sender, message.known);
+        requestNewerState(sender, message.known, from);
         sendLearntRoutes(sender);
         return;
       }
@@ -159,9 +183,5 @@
     known,
     backendRecords,
     onMessage,
-    recordStoreRead() {
-      storeReadAt = now();
-    },
-    storeReadAt: () => storeReadAt,
   };
 };
