fix(mesh): refuse a request that has crashed three backend servers

Callers lost up to 20 requests with each crash while one request, resent under new ids, ended one backend server after the other. Cause: the outcome of a run was kept with the id, and the loss of a call was taken for a fault of the connection. Ruled out: crashes by load (each crash has the same path among the calls it ends, none has a response for it) and the retry budget.

Requests are identified by content. A crash is told from a lost connection by a refused connect, blamed on the running contents with most crashes, and shared with all processes. From two crashes on such contents run one at a time at a backend server, from three they are refused. A run that ends clears them.

--- a/src/cli/__tests__/request-trace.spec.ts
+++ b/src/cli/__tests__/request-trace.spec.ts
@@ -51,6 +51,21 @@
   },
 ];
 
+test('a request that is held back because of crashes shows each crash that its content is blamed for, and no others', t => {
+  const crash = (time: string, id: string, content: string): string => JSON.stringify({
+    time: `2026-05-01T09:59:${time}Z`, level: 'warn', node: 'door', event: 'backend-crashed', crash: id, running: 2, blamed: [{request: 'r0', content}, {request: 'r9', content: 'other'}],
+  });
+  const trace = readTrace('r1', [[
+    crash('10.000', 'i1/1', 'deadly'),
+    crash('20.000', 'i2/1', 'deadly'),
+    crash('30.000', 'i3/1', 'another'),
+    line('00.000', 'entry', 'request-held-back', {content: 'deadly', crashes: 3}),
+    line('00.001', 'entry', 'request-ended', {outcome: 'not-run', reason: 'crash-suspect'}),
+  ].join('\n')]);
+  t.deepEqual(trace.lines.map(({event}) => event), ['backend-crashed', 'backend-crashed', 'request-held-back', 'request-ended']);
+  t.notRegex(renderTrace(trace), /other/u);
+});
+
 for (const {title, texts, events, cause} of cases) {
   test(title, t => {
     const trace = readTrace('r1', texts);
--- a/src/cli/request-trace.ts
+++ b/src/cli/request-trace.ts
@@ -16,8 +16,10 @@
   'foreign-answer-skipped',
   'answer-not-genuine',
   'unframed-answer',
+  'backend-crashed',
   'request-retried',
   'caller-gone',
+  'request-held-back',
   'request-ended',
 ];
 
@@ -63,12 +65,29 @@
   return ordered;
 };
 
+type LogLine = Record<string, unknown>;
+
+/** Reduces the line of a crash to what it says of one content. */
+const selectBlamed = (line: LogLine, contents: ReadonlySet<unknown>): LogLine[] => {
+  const blamed = Array.isArray(line.blamed) ? (line.blamed as LogLine[]).filter(({content}) => contents.has(content)) : [];
+  return blamed.length === 0 ? [] : [{...line, blamed}];
+};
+
+/** Lines of the crashes for which a request was held back; those of later requests with the same content are left out. */
+const crashLines = (logLines: readonly LogLine[], requestLines: readonly LogLine[]): LogLine[] => {
+  const heldBack = requestLines.filter(({event}) => event === 'request-held-back');
+  const contents = new Set(heldBack.map(({content}) => content));
+  const until = Math.max(...heldBack.map(({time}) => Date.parse(String(time)))) + CLOCK_SKEW_MAX_MS;
+  return logLines.filter(({event, time}) => event === 'backend-crashed' && Date.parse(String(time)) <= until).flatMap(line => selectBlamed(line, contents));
+};
+
 /** Collects the log lines about a request from the contents of log files. */
 export const readTrace = (requestId: string, texts: readonly string[]): RequestTrace => {
   const parsed = texts.flatMap(text => text.split('\n')).filter(text => text.trim() !== '').map(text => parseLogLine(text));
-  const logLines = parsed.filter(value => value !== undefined && typeof value.event === 'string');
-  const requestLines = logLines.filter(value => value!.request === requestId).map(value => toTraceLine(value!));
-  return {lines: sortLines(requestLines), unreadable: parsed.length - logLines.length};
+  const logLines = parsed.filter(value => value !== undefined).filter(value => typeof value.event === 'string');
+  const requestLines = logLines.filter(value => value.request === requestId);
+  const lines = [...crashLines(logLines, requestLines), ...requestLines].map(value => toTraceLine(value));
+  return {lines: sortLines(lines), unreadable: parsed.length - logLines.length};
 };
 
 /** Renders a trace as text, one line per event. */
--- a/src/mesh/__tests__/peer-link.spec.ts
+++ b/src/mesh/__tests__/peer-link.spec.ts
@@ -19,7 +19,7 @@
 };
 
 const createCall = (idempotent: boolean): CallHeader => ({
-  requestId: 'r', service: 's', method: 'GET', path: '/', rawHeaders: [], idempotent, isRepeat: false, priority: 0, route: 'r', remainingMs: 1000, targetMs: 1000,
+  requestId: 'r', service: 's', method: 'GET', path: '/', rawHeaders: [], idempotent, isRepeat: false, priority: 0, route: 'r', remainingMs: 1000, targetMs: 1000, crashRecord: undefined, isTrial: false,
 });
 
 const start = async (t: ExecutionContext, answers: (message: Message) => Message | undefined) => {
--- a/src/mesh/__tests__/zone-simulation.ts
+++ b/src/mesh/__tests__/zone-simulation.ts
@@ -8,6 +8,7 @@
 import type {RoutingConfiguration} from '../routing-configuration.js';
 import {createStateExchange, type StateExchange} from '../state-exchange.js';
 import {createStoreReaders, readingTimes, type StoreReaders} from '../store-readers.js';
+import {createAgenda} from './agenda.js';
 
 /** `silent`: the store sends no response; `refused`: it refuses at once; `suspended`: the process does not run; `restarted`: it has lost its state and gets no response. */
 export type Failure = 'silent' | 'refused' | 'suspended' | 'restarted';
@@ -75,58 +76,6 @@
   },
 });
 
-type Event = {at: number; order: number; run: () => void};
-
-/** Binary heap of events by time. */
-const createAgenda = (): {add: (at: number, run: () => void) => void; takeUntil: (at: number) => Event | undefined} => {
-  const heap: Event[] = [];
-  let order = 0;
-  const isBefore = (a: Event, b: Event): boolean => a.at < b.at || (a.at === b.at && a.order < b.order);
-  const swap = (a: number, b: number): void => {
-    [heap[a], heap[b]] = [heap[b]!, heap[a]!];
-  };
-
-  const sink = (): void => {
-    for (let index = 0; ;) {
-      const left = (2 * index) + 1;
-      const right = left + 1;
-      let least = index;
-      least = left < heap.length && isBefore(heap[left]!, heap[least]!) ? left : least;
-      least = right < heap.length && isBefore(heap[right]!, heap[least]!) ? right : least;
-      if (least === index) {
-        return;
-      }
-
-      swap(index, least);
-      index = least;
-    }
-  };
-
-  return {
-    add(at, run) {
-      order++;
-      heap.push({at, order, run});
-      for (let index = heap.length - 1; index > 0 && isBefore(heap[index]!, heap[(index - 1) >> 1]!); index = (index - 1) >> 1) { // eslint-disable-line no-bitwise
-        swap(index, (index - 1) >> 1); // eslint-disable-line no-bitwise
-      }
-    },
-    takeUntil(at) {
-      const first = heap[0];
-      if (first === undefined || first.at > at) {
-        return undefined;
-      }
-
-      const last = heap.pop()!;
-      if (heap.length > 0) {
-        heap[0] = last;
-        sink();
-      }
-
-      return first;
-    },
-  };
-};
-
 /** Creates a zone whose processes start within a moment of each other. */
 export const createZone = ({size, boundMs, seed}: {size: number; boundMs: number; seed: number}): Zone => {
   const random = createRandom(seed);
@@ -317,6 +266,7 @@
         all: () => ({origins: [], edges: [], dependencies: []}), merge: () => undefined,
       } as unknown as ReturnType<typeof createLearntRouteSpread>,
       storeReaders: process.readers,
+      crashGuard: {all: () => [], merge: () => undefined},
       configuration: () => process.configuration,
       onConfiguration(configuration) {
         apply(process, configuration);
--- a/src/mesh/fleet.ts
+++ b/src/mesh/fleet.ts
@@ -1,7 +1,10 @@
 /** Links to the other processes of the fleet, and the state that is exchanged over them. */
 import type {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
+import type {Random} from '../shared/random.js';
 import type {ServiceLoad} from './admission.js';
+import type {CrashGuard} from './crash-guard.js';
+import type {CrashRecord} from './crash-records.js';
 import type {DecisionLog} from './decision-log.js';
 import type {InboundProxy} from './inbound-proxy.js';
 import type {LearntRouteSpread} from './learnt-routes.js';
@@ -52,6 +55,8 @@
   storeReaders: Pick<StoreReaders, 'isReader' | 'isLastingReader' | 'retryMaxMs'>;
   /** Records that this process has read the configuration as the store held it at a time of the clock. */
   recordStoreRead: (readAt: number) => void;
+  /** Sends records of crashes: to all linked processes those that this process has found out, to some of them those that it passes on. */
+  publishCrashes: (records: CrashRecord[], isOwn: boolean) => void;
   /** Drives the links and publishes what is due; called periodically. */
   tick: () => void;
   /** Restarts the liveness timers of all links; called after this process was suspended. */
@@ -69,6 +74,8 @@
   inboundProxy: InboundProxy;
   directory: MemberDirectory;
   learntRoutes: LearntRouteSpread;
+  crashGuard: Pick<CrashGuard, 'all' | 'merge'>;
+  random: Random;
   /** Time after its confirmation by the store from which a version of the configuration must be in force, in milliseconds. */
   configurationMs: number;
   configuration: () => RoutingConfiguration | undefined;
@@ -91,8 +98,14 @@
 /** Links over which a process that does not read the store passes on a new version; the readers use all of theirs. */
 const ANNOUNCED_LINKS_MAX = 8;
 
+/** Links, chosen at random, over which a process passes on what it has heard; with so many, all but a few in ten thousand processes are reached. */
+const PASSED_ON_LINKS = 8;
+
 type FailureRate = {rate: number; updatedAt: number};
 
+const takeRandom = <Item>(items: readonly Item[], count: number, random: Random): Item[] =>
+  items.map(item => ({item, position: random()})).sort((a, b) => a.position - b.position).slice(0, count).map(({item}) => item);
+
 /** Creates the fleet; it listens after `start`, and connects to members as they become known and needed. */
 export const createFleet = (options: FleetOptions): Fleet => {
   const {self, now, log, inboundProxy, directory, learntRoutes} = options;
@@ -107,7 +120,7 @@
     },
   });
   const stateExchange = createStateExchange({
-    now, log, directory, learntRoutes, storeReaders, configuration: options.configuration, onConfiguration: options.onConfiguration,
+    now, log, directory, learntRoutes, storeReaders, crashGuard: options.crashGuard, configuration: options.configuration, onConfiguration: options.onConfiguration,
   });
   const {known} = stateExchange;
   const failureRates = new Map<string, FailureRate>();
@@ -321,6 +334,16 @@
       server.broadcast({type: 'state', state, record: inboundProxy.record()});
     },
     announceVersions,
+    publishCrashes(records, isOwn) {
+      const open = links.open().map(({link}) => link);
+      if (isOwn) {
+        server.broadcast({type: 'crashes', records});
+      }
+
+      for (const link of isOwn ? open : takeRandom(open, PASSED_ON_LINKS, options.random)) {
+        link.send({type: 'crashes', records});
+      }
+    },
     serviceLoad: service => estimateServiceLoad(loadSamples(service, ({kind}) => kind === 'ready'), backendCounts(service)),
     callCounts: service => estimateCallCounts(loadSamples(service, () => true), backendCounts(service)),
     services: () => rings.services().has(self.service) ? rings.services() : new Set([...rings.services(), self.service]),
--- a/src/mesh/http-dialect.ts
+++ b/src/mesh/http-dialect.ts
@@ -32,6 +32,8 @@
   readRequest: (headers: IncomingHttpHeaders) => RequestMetadata;
   /** Request headers that are forwarded to the backend server, with the caller service added. Other headers that the system sets itself are removed. */
   forwardedRequestHeaders: (rawHeaders: readonly string[], callerService: string) => string[];
+  /** Reads the caller service from forwarded headers. */
+  readCaller: (rawHeaders: readonly string[]) => string | undefined;
   /** Request headers that are added for the backend server: the expected instance and the remaining time. */
   addedRequestHeaders: (instance: string, remainingMs: number) => string[];
   readResponse: (status: number, rawHeaders: readonly string[]) => ResponseMetadata;
--- a/src/mesh/inbound-proxy.ts
+++ b/src/mesh/inbound-proxy.ts
@@ -7,6 +7,8 @@
 import {createBackendConnectionPool, type RunningExchange} from './backend-connection-pool.js';
 import type {ExchangeResult} from './backend-connection.js';
 import {createBackendStatus, type Dispatch} from './backend-status.js';
+import {createCrashDetector} from './crash-detector.js';
+import type {CrashGuard} from './crash-guard.js';
 import type {DecisionLog} from './decision-log.js';
 import {createBackendLoadTracker} from './backend-load-tracker.js';
 import type {
@@ -77,6 +79,7 @@
   retryWindowMs: number;
   /** Interval at which the backend server announces itself, in milliseconds. */
   announcementMs: number;
+  crashGuard: Pick<CrashGuard, 'assess' | 'merge' | 'recordCrash' | 'recordEnd'>;
   /** Recent failures of calls made from this host. */
   downstreamFailures: () => DownstreamFailures;
   /** Number of connections that a backend server of a service accepts. */
@@ -108,11 +111,13 @@
 
 /** Creates an inbound proxy without a backend server. */
 export const createInboundProxy = (options: InboundProxyOptions): InboundProxy => {
-  const {now, log, dialect} = options;
+  const {now, log, dialect, crashGuard} = options;
   let stopping = false;
   const loadTracker = createBackendLoadTracker(now, options.retryWindowMs);
   const queue = createQueue();
   const calls = new Map<string, ActiveCall>();
+  /** Calls that the backend server is running. */
+  const runningCalls = new Set<ActiveCall>();
   const dispatchRecords = createDispatchRecords(now);
   const pool = createBackendConnectionPool({
     dialect,
@@ -139,6 +144,13 @@
   });
   const {rateLimit} = backendStatus;
 
+  const crashDetector = createCrashDetector<InboundCall>({
+    onCrash({instance, startedAt}, lost) {
+      backendStatus.recordConnectFailure('the backend server has crashed');
+      crashGuard.recordCrash({id: `${instance}/${startedAt}`, at: Date.now()}, lost);
+    },
+  });
+
   const limit = (): number => {
     const backend = backendStatus.target();
     return backend === undefined ? 0 : Math.min(backend.slots, options.connectionLimit(backend.service));
@@ -206,6 +218,7 @@
     const {call} = active.inbound;
     const run = {route: call.route, startedAt: active.run!.startedAt};
     loadTracker.recordEnd(run);
+    runningCalls.delete(active);
     switch (result.kind) {
       case 'answered': {
         backendStatus.recordConnected();
@@ -218,6 +231,7 @@
         }
 
         const failures = options.downstreamFailures();
+        crashGuard.recordEnd(call, active.inbound.body);
         if (result.status < FIRST_SERVER_ERROR_STATUS) {
           loadTracker.recordSuccess(run);
         }
@@ -244,9 +258,15 @@
         if (!active.ended) {
           log.count('door_losses', 'connection');
           log.write('warn', 'backend-lost', {request: call.requestId, cause: result.cause, ranMs: Math.round(now() - active.run!.startedAt)});
+          crashDetector.recordLoss({
+            call: active.inbound,
+            backend: active.run!.backend,
+            release() {
+              complete(active, {kind: 'lost', cause: result.cause}, NO_BODY);
+            },
+          });
         }
 
-        complete(active, {kind: 'lost', cause: result.cause}, NO_BODY);
         break;
       }
     }
@@ -254,8 +274,30 @@
     dispatchQueued();
   };
 
+  /** Whether a call may only run while no other one like it does. It may have become so while it was running. */
+  const isIsolated = ({inbound: {call, body}}: ActiveCall): boolean => {
+    const kind = crashGuard.assess(call, body)?.suspicion.kind;
+    return kind !== undefined && kind !== 'suspected';
+  };
+
+  /** Whether a call may not run now because it is blamed for crashes. */
+  const isHeldBack = (active: ActiveCall): boolean => {
+    const {call, body} = active.inbound;
+    const kind = crashGuard.assess(call, body)?.suspicion.kind;
+    if ((kind === 'blocked' || kind === 'on-trial') && !call.isTrial) {
+      return true;
+    }
+
+    return kind !== undefined && kind !== 'suspected' && [...runningCalls].some(running => isIsolated(running));
+  };
+
   const dispatch = (active: ActiveCall): void => {
     const {call, body} = active.inbound;
+    if (isHeldBack(active)) {
+      refuse(active, 'crash-suspect');
+      return;
+    }
+
     const remainingMs = Math.floor(active.deadlineAt - now());
     if (!call.idempotent && !dispatchRecords.record(call.requestId)) {
       log.write('warn', 'repeat-prevented', {request: call.requestId});
@@ -263,6 +305,7 @@
       return;
     }
 
+    runningCalls.add(active);
     const startedAt = now();
     rateLimit.recordDispatch();
     loadTracker.recordStart({route: call.route, startedAt});
@@ -330,6 +373,10 @@
       const active: ActiveCall = {
         inbound, arrivedAt: now(), deadlineAt: now() + inbound.call.remainingMs, run: undefined, ended: false,
       };
+      if (inbound.call.crashRecord !== undefined) {
+        crashGuard.merge([inbound.call.crashRecord]);
+      }
+
       calls.set(inbound.key, active);
       loadTracker.recordArrival(inbound.call.isRepeat);
       const unavailable = backendStatus.unavailableReason();
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -1,4 +1,5 @@
 /** Messages between the processes of the fleet, as they travel in the frames of `frame.ts`. */
+import type {CrashRecord} from './crash-records.js';
 import type {LearntRoutes} from './learnt-routes.js';
 import type {MemberChanges} from './member-directory.js';
 import type {CountedCalls} from './retry-budget.js';
@@ -56,6 +57,8 @@
   | 'rate-limit'
   | 'queue-time'
   | 'deadline-passed'
+  /** The request is blamed for crashes of backend servers, and is not run now. */
+  | 'crash-suspect'
   | 'memory-full'
   | 'other-service'
   /** The process on the backend server's host did not answer a liveness check, so the call was not sent. */
@@ -95,6 +98,10 @@
   remainingMs: number;
   /** Time that is left until the target latency of the route is exceeded, in milliseconds. */
   targetMs: number;
+  /** Crashes that the sender knows the request to be blamed for; undefined when it knows of none. */
+  crashRecord: CrashRecord | undefined;
+  /** Whether the request runs although it is blocked, to find out whether it still crashes the backend server. */
+  isTrial: boolean;
 };
 
 /** Reading of the store by the process `reader`; `life` differs with each of its starts, and `sequence` increases with each of its readings. */
@@ -126,10 +133,12 @@
   /** Tells a peer of a new version at once; over an accepted link as well. */
   | {type: 'known'; known: KnownVersions}
   | {type: 'configuration-wanted'}
-  /** The body is the configuration in JSON, which is the same for all peers; its version is that of `known`. */
-  | {type: 'configuration'; known: KnownVersions}
+  /** The body is the configuration in JSON, which is the same for all peers. `known` is missing from processes of earlier versions of this program. */
+  | {type: 'configuration'; version: number; known: KnownVersions | undefined}
   | {type: 'members-wanted'; since: number}
   | {type: 'members'; changes: MemberChanges}
   /** Load of the backend server, sent unrequested while calls are queued. */
   | {type: 'load'; load: BackendLoad}
-  | {type: 'learnt'; learnt: LearntRoutes};
+  | {type: 'learnt'; learnt: LearntRoutes}
+  /** Requests that are blamed for crashes of backend servers, or cleared of them. */
+  | {type: 'crashes'; records: CrashRecord[]};
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -5,6 +5,7 @@
 import {createRequestMetrics, type RequestMetrics} from './request-metrics.js';
 import {createClientRoutes} from './client-routes.js';
 import {createSuspendAwareClock} from './clock.js';
+import {createCrashGuard} from './crash-guard.js';
 import type {DecisionLog} from './decision-log.js';
 import {createDependencies} from './dependencies.js';
 import {createInboundProxy, type InboundProxy, type DownstreamFailures} from './inbound-proxy.js';
@@ -17,6 +18,7 @@
 import {createLearntRouteSpread} from './learnt-routes.js';
 import {createMemberDirectory, type ListedMember, type MemberDirectory} from './member-directory.js';
 import {createRegistration, MEMBER_KIND, decodeMember} from './registration.js';
+import {createRequestContent} from './request-content.js';
 import {createRetryBudget} from './retry-budget.js';
 import {createRouteTable, type RouteTable} from './route-table.js';
 import type {RoutingConfiguration} from './routing-configuration.js';
@@ -140,10 +142,22 @@
     now, clientRoutes, callGraph, dependencies,
   });
 
+  const crashGuard = createCrashGuard({
+    now,
+    log,
+    self: settings.node,
+    nodes: () => directory.members().map(({node}) => node),
+    content: createRequestContent(options.dialect.readCaller),
+    publish(records, isOwn) {
+      fleet.publishCrashes(records, isOwn);
+    },
+  });
+
   const inboundProxy = createInboundProxy({
     dialect: options.dialect,
     now,
     log,
+    crashGuard,
     drainMs: settings.bounds.drainMs,
     retryWindowMs: settings.bounds.retryWindowMs,
     announcementMs: settings.announcementMs,
@@ -166,7 +180,7 @@
   };
 
   const fleet = createFleet({
-    self, now, log, inboundProxy, directory, learntRoutes, configurationMs: settings.bounds.configurationMs, configuration: () => routeTable?.configuration, onConfiguration: applyConfiguration,
+    self, now, log, random, inboundProxy, directory, learntRoutes, crashGuard, configurationMs: settings.bounds.configurationMs, configuration: () => routeTable?.configuration, onConfiguration: applyConfiguration,
   });
 
   const budget = createRetryBudget({
@@ -198,6 +212,7 @@
     random,
     fleet,
     budget,
+    crashGuard,
     admission,
     dependencies,
     isClientRoute: clientRoutes.has,
@@ -258,6 +273,7 @@
 
     reconcileRegistration();
     inboundProxy.tick();
+    crashGuard.tick();
     updateAdmission();
     if (now() - dependenciesDerivedAt > DEPENDENCY_INTERVAL_MS) {
       dependenciesDerivedAt = now();
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -202,6 +202,7 @@
       case 'cancel':
       case 'configuration':
       case 'configuration-wanted':
+      case 'crashes':
       case 'hello':
       case 'known':
       case 'learnt':
--- a/src/mesh/peer-server.ts
+++ b/src/mesh/peer-server.ts
@@ -161,6 +161,7 @@
 
         case 'configuration':
         case 'configuration-wanted':
+        case 'crashes':
         case 'known':
         case 'learnt':
         case 'load':
--- a/src/mesh/request-forwarder.ts
+++ b/src/mesh/request-forwarder.ts
@@ -2,6 +2,7 @@
 import type {Buffer} from 'node:buffer';
 import type {Random} from '../shared/random.js';
 import type {AdmissionController} from './admission.js';
+import type {CrashGuard, SuspectedContent} from './crash-guard.js';
 import type {DecisionLog} from './decision-log.js';
 import type {Dependencies} from './dependencies.js';
 import type {Destination, Fleet} from './fleet.js';
@@ -21,6 +22,8 @@
   | 'no-room-below'
   | 'attempts-spent'
   | 'retry-budget-spent'
+  /** The request is blamed for crashes of backend servers. */
+  | 'crash-suspect'
   | 'outcome-unknown';
 
 /** Final outcome of a request; `lackingBelow` names the overloaded services that made calls of the backend server fail. */
@@ -64,6 +67,7 @@
   /** Zone of this host. */
   zone: string;
   budget: RetryBudget;
+  crashGuard: Pick<CrashGuard, 'assess' | 'beginTrial' | 'recordFor'>;
   admission: Pick<AdmissionController, 'admit' | 'admittedShare'>;
   dependencies: Pick<Dependencies, 'recordOutcome'>;
   /** Whether clients send requests to the route. Only those pass admission control: refusing a call within a running request would waste the work done for it. */
@@ -97,6 +101,10 @@
   let attempts = 0;
   let refusals = 0;
   let mayHaveRun = false;
+  /** Whether this request is the one that is run although its content is blocked. */
+  let isTrial = false;
+  /** Whether the last backend server asked refused the request because of crashes. */
+  let isHeldBack = false;
   let retryAfterMs = 0;
   let ended = false;
   let pendingSend: {cancel: () => void} | undefined;
@@ -172,7 +180,31 @@
     return budget.tryAcquire(request.service, request.rank) ? undefined : 'retry-budget-spent';
   };
 
+  /** What is known against the request; undefined when it may be sent without more ado. */
+  const findSuspicion = (): SuspectedContent | undefined => options.crashGuard.assess(request, request.body);
+
+  /** Ends the request if it is blocked, or has been on trial; returns whether it did. */
+  const failIfBlocked = (suspected: SuspectedContent | undefined): boolean => {
+    if (suspected === undefined || (isTrial && attempts === 0)) {
+      return false;
+    }
+
+    const {content, suspicion} = suspected;
+    if (suspicion.kind !== 'blocked' && !isTrial) {
+      return false;
+    }
+
+    retryAfterMs = suspicion.kind === 'blocked' ? suspicion.retryAfterMs : retryAfterMs;
+    log.write('info', 'request-held-back', {request: request.requestId, content, crashes: suspicion.crashes});
+    fail('crash-suspect');
+    return true;
+  };
+
   const retry = (cause: string, node: string): void => {
+    if (failIfBlocked(findSuspicion())) {
+      return;
+    }
+
     const obstacle = findRetryObstacle();
     if (obstacle === undefined) {
       log.count('retries', cause);
@@ -206,6 +238,7 @@
   const handleRefusal = (destination: Destination, result: Extract<CallResult, {kind: 'refused'}>): void => {
     retryAfterMs = retryAfterMs === 0 ? result.retryAfterMs : Math.min(retryAfterMs, result.retryAfterMs);
     refusals++;
+    isHeldBack = result.reason === 'crash-suspect';
     if (result.reason === 'deadline-passed') {
       fail('deadline');
       return;
@@ -219,7 +252,7 @@
 
     attempts--;
     if (refusals >= REFUSALS_MAX) {
-      fail('no-room');
+      fail(isHeldBack ? 'crash-suspect' : 'no-room');
     } else {
       sendAttempt();
     }
@@ -268,10 +301,20 @@
     }
 
     if (candidate === undefined) {
-      fail(refusals === 0 ? 'no-backend-server' : 'no-room');
+      fail(refusals === 0 ? 'no-backend-server' : (isHeldBack ? 'crash-suspect' : 'no-room'));
       return;
     }
 
+    const suspected = findSuspicion();
+    if (failIfBlocked(suspected)) {
+      return;
+    }
+
+    if (suspected?.suspicion.kind === 'on-trial') {
+      isTrial = true;
+      options.crashGuard.beginTrial(suspected.content);
+    }
+
     triedNodes.add(candidate.node);
     attempts++;
     if (attempts === 1 && refusals === 0) {
@@ -290,6 +333,8 @@
       route: route.name,
       remainingMs: request.deadlineAt - now(),
       targetMs: request.arrivedAt + route.targetMs - now(),
+      crashRecord: suspected === undefined ? undefined : options.crashGuard.recordFor(suspected),
+      isTrial,
     };
     log.write('debug', 'request-sent', {
       request: request.requestId, route: route.name, to: candidate.node, sends: attempts, load: candidate.load,
--- a/src/mesh/state-exchange.ts
+++ b/src/mesh/state-exchange.ts
@@ -1,6 +1,7 @@
 /** Exchanges state with other processes over the links: versions, the configuration, members, learnt routes, and what backend servers have stated. */
 import {Buffer} from 'node:buffer';
 import {createBackendRecords, type BackendRecords} from './backend-records.js';
+import type {CrashGuard} from './crash-guard.js';
 import type {DecisionLog} from './decision-log.js';
 import type {LearntRouteSpread} from './learnt-routes.js';
 import type {MemberDirectory} from './member-directory.js';
@@ -29,6 +30,7 @@
   log: DecisionLog;
   directory: MemberDirectory;
   learntRoutes: LearntRouteSpread;
+  crashGuard: Pick<CrashGuard, 'all' | 'merge'>;
   storeReaders: Pick<StoreReaders, 'latest' | 'ownAt' | 'recordPeer'>;
   configuration: () => RoutingConfiguration | undefined;
   /** Called with each newer configuration that a peer sends; `from` is the peer. */
@@ -40,7 +42,7 @@
 
 /** Creates the exchange; nothing is known from other processes yet. */
 export const createStateExchange = (options: StateExchangeOptions): StateExchange => {
-  const {now, log, directory, learntRoutes, storeReaders} = options;
+  const {now, log, directory, learntRoutes, storeReaders, crashGuard} = options;
   const backendRecords = createBackendRecords();
   let configurationRequestedAt = Number.NEGATIVE_INFINITY;
   let membersRequestedAt = Number.NEGATIVE_INFINITY;
@@ -100,13 +102,20 @@
       encodedConfiguration = {version: configuration.version, body: Buffer.from(JSON.stringify(configuration))};
     }
 
-    sender.send({type: 'configuration', known: known()}, encodedConfiguration.body);
+    sender.send({type: 'configuration', version: configuration.version, known: known()}, encodedConfiguration.body);
   };
 
   const sendLearntRoutes = (sender: MessageSender): void => {
     sender.send({type: 'learnt', learnt: learntRoutes.all()});
   };
 
+  const sendCrashRecords = (sender: MessageSender): void => {
+    const records = crashGuard.all();
+    if (records.length > 0) {
+      sender.send({type: 'crashes', records});
+    }
+  };
+
   const keepRecord = (node: string, record: BackendRecord | undefined): void => {
     if (record !== undefined) {
       backendRecords.put(node, record);
@@ -128,11 +137,14 @@
       }
 
       case 'configuration': {
-        if (message.known.configuration > known().configuration) {
+        if (message.version > known().configuration) {
           options.onConfiguration(JSON.parse(body.toString()) as RoutingConfiguration, from);
         }
 
-        recordReadings(from, message.known);
+        if (message.known !== undefined) {
+          recordReadings(from, message.known);
+        }
+
         return;
       }
 
@@ -155,6 +167,7 @@
         directory.learn(message.member);
         requestNewerState(sender, message.known, from);
         sendLearntRoutes(sender);
+        sendCrashRecords(sender);
         return;
       }
 
@@ -167,6 +180,12 @@
         keepRecord(from, message.record);
         requestNewerState(sender, message.known, from);
         sendLearntRoutes(sender);
+        sendCrashRecords(sender);
+        return;
+      }
+
+      case 'crashes': {
+        crashGuard.merge(message.records);
         return;
       }
 
