--- a/src/mesh/inbound-proxy.ts
+++ b/src/mesh/inbound-proxy.ts
@@ -4,27 +4,22 @@
   countAhead, createQueue, enqueue, removeOverdue, removeQueued, takeNext, type QueuedCall,
 } from '../decisions/inbound/queue.js';
 import type {Announcement} from './announcement.js';
-import {createBackendConnectionPool, type RunningExchange} from './backend-connection-pool.js';
+import {createBackendConnectionPool} from './backend-connection-pool.js';
 import type {ExchangeResult} from './backend-connection.js';
-import {createBackendStatus, type Dispatch} from './backend-status.js';
+import {createBackendStatus} from './backend-status.js';
 import {createCrashDetector} from './crash-detector.js';
 import type {CrashGuard} from './crash-guard.js';
 import type {DecisionLog} from './decision-log.js';
 import {createBackendLoadTracker} from './backend-load-tracker.js';
 import type {
-  BackendLoad, BackendRecord, BackendState, CallHeader, RefusalReason, CallResult,
+  BackendLoad, BackendRecord, BackendState, RefusalReason, CallResult,
 } from './message.js';
 import type {HttpDialect} from './http-dialect.js';
 import {createDispatchRecords} from './dispatch-records.js';
-
-/** A call to the backend server of this host. */
-export type InboundCall = {
-  /** Unique within this process. */
-  key: string;
-  call: CallHeader;
-  body: Buffer;
-  onResult: (result: CallResult, body: Buffer) => void;
-};
+import {
+  overloadedSince, type ActiveCall, type DownstreamFailures, type InboundCall,
+} from './inbound-call.js';
+import {createSuspectIsolation} from './suspect-isolation.js';
 
 /** Passes calls from this and other processes to the backend server of this host. */
 export type InboundProxy = {
@@ -60,14 +55,6 @@
   close: () => void;
 };
 
-/** Recent failures of calls that were made from this host, which may belong to a call that its backend server is running. */
-export type DownstreamFailures = {
-  /** Time of the last failure, in milliseconds of the clock. */
-  lastFailureAt: number;
-  /** Time of the last failure caused by an overloaded service, by that service. */
-  overloadedAt: Map<string, number>;
-};
-
 /** Options of the inbound proxy. */
 export type InboundProxyOptions = {
   dialect: HttpDialect;
@@ -97,18 +84,6 @@
 
 const NO_BODY = Buffer.alloc(0);
 
-/** A call from its arrival to its result; `run` is set once it has been dispatched. */
-type ActiveCall = {
-  inbound: InboundCall;
-  arrivedAt: number;
-  deadlineAt: number;
-  run: (Dispatch & {exchange: RunningExchange | undefined}) | undefined;
-  ended: boolean;
-};
-
-const overloadedSince = ({overloadedAt}: DownstreamFailures, startedAt: number): string[] =>
-  [...overloadedAt].filter(([, at]) => at >= startedAt).map(([service]) => service);
-
 /** Creates an inbound proxy without a backend server. */
 export const createInboundProxy = (options: InboundProxyOptions): InboundProxy => {
   const {now, log, dialect, crashGuard} = options;
@@ -116,9 +91,8 @@
   const loadTracker = createBackendLoadTracker(now, options.retryWindowMs);
   const queue = createQueue();
   const calls = new Map<string, ActiveCall>();
-  /** Calls that the backend server is running. */
-  const runningCalls = new Set<ActiveCall>();
   const dispatchRecords = createDispatchRecords(now);
+  const suspectIsolation = createSuspectIsolation(crashGuard);
   const pool = createBackendConnectionPool({
     dialect,
     now,
@@ -218,7 +192,7 @@
     const {call} = active.inbound;
     const run = {route: call.route, startedAt: active.run!.startedAt};
     loadTracker.recordEnd(run);
-    runningCalls.delete(active);
+    suspectIsolation.recordEnd(active.inbound);
     switch (result.kind) {
       case 'answered': {
         backendStatus.recordConnected();
@@ -274,26 +248,9 @@
     dispatchQueued();
   };
 
-  /** Whether a call may only run while no other one like it does. It may have become so while it was running. */
-  const isIsolated = ({inbound: {call, body}}: ActiveCall): boolean => {
-    const kind = crashGuard.assess(call, body)?.suspicion.kind;
-    return kind !== undefined && kind !== 'suspected';
-  };
-
-  /** Whether a call may not run now because it is blamed for crashes. */
-  const isHeldBack = (active: ActiveCall): boolean => {
-    const {call, body} = active.inbound;
-    const kind = crashGuard.assess(call, body)?.suspicion.kind;
-    if ((kind === 'blocked' || kind === 'on-trial') && !call.isTrial) {
-      return true;
-    }
-
-    return kind !== undefined && kind !== 'suspected' && [...runningCalls].some(running => isIsolated(running));
-  };
-
   const dispatch = (active: ActiveCall): void => {
     const {call, body} = active.inbound;
-    if (isHeldBack(active)) {
+    if (!suspectIsolation.mayRun(active.inbound)) {
       refuse(active, 'crash-suspect');
       return;
     }
@@ -305,7 +262,7 @@
       return;
     }
 
-    runningCalls.add(active);
+    suspectIsolation.recordStart(active.inbound);
     const startedAt = now();
     rateLimit.recordDispatch();
     loadTracker.recordStart({route: call.route, startedAt});
