fix(mesh): count a refused probe only against the backend server that crashed

A probe that ends after the next start was announced would have taken that one out of use sooner. Found by reading; the crash detector now has a test of its own, which passed before this change too (the guard is in its caller, without a test).

--- a/src/mesh/inbound-proxy.ts
+++ b/src/mesh/inbound-proxy.ts
@@ -120,7 +120,11 @@
 
   const crashDetector = createCrashDetector<InboundCall>({
     onCrash({instance, startedAt}, lost) {
-      backendStatus.recordConnectFailure('the backend server has crashed');
+      // The next one may have been announced while the crash was being detected.
+      if (backendStatus.target()?.startedAt === startedAt) {
+        backendStatus.recordConnectFailure('the backend server has crashed');
+      }
+
       crashGuard.recordCrash({id: `${instance}/${startedAt}`, at: Date.now()}, lost);
     },
   });
