fix(mesh): keep blocked requests in the store

Cause: the records were in memory only.

The process that saw the last crash keeps the blocked contents in its member entry; all read them with the member list at their start.

--- a/src/mesh/__tests__/registration.spec.ts
+++ b/src/mesh/__tests__/registration.spec.ts
@@ -3,7 +3,9 @@
 import {fail, ok, type Result} from '../../shared/result.js';
 import {createDecisionLog} from '../decision-log.js';
 import type {ObjectStore, StoredObject, StoreError} from '../object-store.js';
+import type {CrashRecord} from '../crash-records.js';
 import {createRegistration, decodeMember} from '../registration.js';
+import {decodeCrashRecords} from '../stored-crash-records.js';
 import {createMembers} from './members.js';
 
 const [self] = createMembers(1, 1, ['s']) as [ReturnType<typeof createMembers>[number]];
@@ -116,3 +118,48 @@
   await settle();
   t.is(fake.stored(), undefined);
 });
+
+const crashRecord = {content: 'deadly', blamed: [{id: 'b/1', at: 1}], cleared: []};
+const otherRecord = {content: 'other', blamed: [{id: 'b/2', at: 2}], cleared: []};
+
+const recordCases: Array<{title: string; firstWrite: FirstWrite; kept: unknown[]; set?: unknown[]; expected: unknown[]}> = [
+  {
+    title: 'those found out while the first write is under way are written', firstWrite: 'done', kept: [], set: [crashRecord], expected: [crashRecord],
+  },
+  {
+    title: 'those found out are written when the answer to the first write is lost', firstWrite: 'done-but-unanswered', kept: [], set: [crashRecord], expected: [crashRecord],
+  },
+  {
+    title: 'those of an earlier life stay after a restart', firstWrite: 'done', kept: [crashRecord], expected: [crashRecord],
+  },
+  {
+    title: 'those of an earlier life stay after a restart with a lost write', firstWrite: 'not-done', kept: [crashRecord], expected: [crashRecord],
+  },
+  {
+    title: 'those found out after a restart replace those of an earlier life', firstWrite: 'done', kept: [crashRecord], set: [otherRecord], expected: [otherRecord],
+  },
+  {
+    title: 'those that no longer hold are removed', firstWrite: 'done', kept: [crashRecord], set: [], expected: [],
+  },
+];
+
+for (const {title, firstWrite, kept, set, expected} of recordCases) {
+  test(`records of blocked requests: ${title}`, async t => {
+    const existing = kept.length === 0 ? undefined : {name: self.node, revision: 7, value: {...OWN_VALUE, crashRecords: kept}};
+    const {store, stored} = createStore(firstWrite, existing);
+    const registration = createRegistration({
+      self, store, log, random: () => 0,
+    });
+    t.teardown(registration.close);
+    registration.register();
+    if (set !== undefined) {
+      registration.setCrashRecords(set as CrashRecord[]);
+    }
+
+    const hasExpected = (): boolean => JSON.stringify(decodeCrashRecords(stored()?.value)) === JSON.stringify(expected);
+    await settle();
+    await waitFor(hasExpected);
+    t.true(hasExpected());
+    t.deepEqual(decodeMember(stored()!), self);
+  });
+}
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -25,6 +25,7 @@
 import type {RoutingConfiguration} from './routing-configuration.js';
 import type {HostSettings} from './settings.js';
 import {readingTimes} from './store-readers.js';
+import {decodeCrashRecords} from './stored-crash-records.js';
 
 /** Options of a host node. */
 export type NodeOptions = {
@@ -99,6 +100,19 @@
   }
 };
 
+/** Objects that a list or a watch has shown, without deleted ones. */
+const changedObjects = (change: ObjectChange): StoredObject[] => {
+  switch (change.kind) {
+    case 'listed': {
+      return [...change.objects.values()];
+    }
+
+    case 'changed': {
+      return change.events.filter(({kind}) => kind === 'changed').map(({object}) => object);
+    }
+  }
+};
+
 const sleep = async (milliseconds: number): Promise<void> => new Promise(resolve => {
   setTimeout(resolve, milliseconds);
 });
@@ -152,6 +166,9 @@
     publish(records, isOwn) {
       fleet.publishCrashes(records, isOwn);
     },
+    persist(records) {
+      registration.setCrashRecords(records);
+    },
   });
 
   const inboundProxy = createInboundProxy({
@@ -314,6 +331,10 @@
         batchMs: MEMBER_BATCH_MS,
         onChange(change) {
           applyMemberChange(directory, change);
+          for (const {name, value} of changedObjects(change)) {
+            crashGuard.restore(decodeCrashRecords(value), name === settings.node);
+          }
+
           fleet.announceVersions();
         },
       }),
