perf(mesh): choose the process that tries a blocked request once a block

The order of all processes was computed for each request with a blocked content, which grows with the fleet; the new case of crash-records.spec.ts saw 100 orders for 100 requests before, one now. Found by reading.

--- a/src/mesh/__tests__/crash-records.spec.ts
+++ b/src/mesh/__tests__/crash-records.spec.ts
@@ -100,6 +100,24 @@
   t.is(kindsNow().filter(kind => kind === 'on-trial').length, 1);
 });
 
+test('the processes are put in order once a block, not for each request', t => {
+  const time = {now: 0};
+  let orders = 0;
+  const records = createCrashRecords({
+    now: () => time.now, self: 'none', nodes() {
+      orders++;
+      return ['a', 'b', 'c'];
+    },
+  });
+  blameTimes(records, 'deadly', 3);
+  time.now = BLOCK_MS;
+  for (let request = 0; request < 100; request++) {
+    t.is(records.assess('deadly').kind, 'blocked');
+  }
+
+  t.is(orders, 1);
+});
+
 test('the records are bounded, and blocked requests are dropped last', t => {
   const records = createRecords();
   blameTimes(records, 'deadly', 3);
--- a/src/mesh/crash-records.ts
+++ b/src/mesh/crash-records.ts
@@ -76,7 +76,14 @@
 const COMMON_CAUSE_MS = 20;
 
 /** `blamed` holds the time of each crash by its id. */
-type Entry = {blamed: Map<string, number>; cleared: Set<string>; changedAt: number; triedAt: number};
+type Entry = {
+  blamed: Map<string, number>;
+  cleared: Set<string>;
+  /** Time at which the last crash became known. */
+  changedAt: number;
+  /** Time at which the content was last tried again, or left to another process. */
+  triedAt: number;
+};
 
 /** Number of the crashes that a content is not cleared of; those with a common cause count as one. */
 const countOf = ({blamed, cleared}: Entry): number => {
@@ -166,14 +173,20 @@
 
   const blockMs = (crashes: number): number => BLOCK_MS * (2 ** (crashes - BLOCKED_CRASHES));
 
-  const assessBlocked = (content: string, {changedAt, triedAt}: Entry, crashes: number): Suspicion => {
-    const blockedUntil = Math.max(changedAt, triedAt) + blockMs(crashes);
+  const assessBlocked = (content: string, entry: Entry, crashes: number): Suspicion => {
+    const blockedUntil = Math.max(entry.changedAt, entry.triedAt) + blockMs(crashes);
     if (now() < blockedUntil) {
       return {kind: 'blocked', crashes, retryAfterMs: blockedUntil - now()};
     }
 
     const [chosen] = rendezvousOrder(content, options.nodes());
-    return chosen === undefined || chosen === self ? {kind: 'on-trial', crashes} : {kind: 'blocked', crashes, retryAfterMs: blockMs(crashes)};
+    if (chosen === undefined || chosen === self) {
+      return {kind: 'on-trial', crashes};
+    }
+
+    // The next choice is made after as long again, so that the order of all processes is not computed for each request.
+    entry.triedAt = now();
+    return {kind: 'blocked', crashes, retryAfterMs: blockMs(crashes)};
   };
 
   const mergeRecord = ({content, blamed, cleared}: CrashRecord): CrashRecord | undefined => {
