fix(mesh): clear a request of crashes only after a response with a length

A response without a length ends with its connection, so that of a backend server which crashed looks complete and would clear the request at fault. Found by reading; no run has shown it.

--- a/src/mesh/inbound-proxy.ts
+++ b/src/mesh/inbound-proxy.ts
@@ -209,7 +209,11 @@
         }
 
         const failures = options.downstreamFailures();
-        crashGuard.recordEnd(call, active.inbound.body);
+        // Without a length, the response of a backend server that crashed meanwhile looks complete.
+        if (result.framed) {
+          crashGuard.recordEnd(call, active.inbound.body);
+        }
+
         if (result.status < FIRST_SERVER_ERROR_STATUS) {
           loadTracker.recordSuccess(run);
         }
