--- a/src/emulator/backend-server/backend-server.ts
+++ b/src/emulator/backend-server/backend-server.ts
@@ -1,23 +1,23 @@
 /** Emulated backend server over HTTP, with slots, a queue, service times, sub-calls and injected faults. */
-import {Buffer} from 'node:buffer';
-import {
-  createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {Agent} from 'undici';
-import {splitAddress} from '../../shared/address.js';
 import {CALL_TOKEN_HEADER, DEADLINE_HEADER, REQUEST_ID_HEADER} from '../../shared/constants.js';
 import {createRandom} from '../../shared/random.js';
+import {createAdminServer} from './admin-server.js';
 import {startAnnouncement, type Announcement} from './announcement.js';
 import {createCounters, createCounterReport, type CounterReport} from './counters.js';
+import {
+  firstHeaderValue, listen, readBody, respond, respondJson,
+} from './http.js';
 import {
   CALL_PATH_HEADER, checkMessage, encodeMessage, ATTEMPT_HEADER,
 } from './message.js';
 import type {Run, RunEnd} from './runs.js';
 import {coldStartFactor, drawServiceTime} from './service-time.js';
 import {
-  backendServerSettingsSchema, controlCommandSchema, type BackendServerSettingsInput, type ControlCommand, type EmulatedRequestKind,
+  backendServerSettingsSchema, type BackendServerSettingsInput, type ControlCommand, type EmulatedRequestKind,
 } from './settings.js';
 import {createSlotPool} from './slot-pool.js';
 import {runSubCalls, type SubCallOutcome} from './sub-calls.js';
@@ -49,32 +49,6 @@
 const matchesPath = (pattern: string, path: string): boolean =>
   pattern.endsWith('*') ? path.startsWith(pattern.slice(0, -1)) : path === pattern;
 
-const listen = async (server: Server, address: string): Promise<string> => new Promise((resolve, reject) => {
-  server.once('error', reject);
-  server.listen(splitAddress(address), () => {
-    const bound = server.address() as AddressInfo;
-    resolve(`${bound.address}:${bound.port}`);
-  });
-});
-
-const readBody = async (request: IncomingMessage): Promise<Buffer> => Buffer.concat(await request.toArray() as Buffer[]);
-
-const firstHeaderValue = (request: IncomingMessage, name: string): string | undefined => {
-  const value = request.headers[name];
-  return Array.isArray(value) ? value[0] : value;
-};
-
-const respond = (response: ServerResponse, status: number, body: Buffer | string = '', headers: Record<string, string> = {}) => {
-  if (!response.destroyed && !response.headersSent) {
-    response.writeHead(status, {'content-length': Buffer.byteLength(body), ...headers});
-    response.end(body);
-  }
-};
-
-const respondJson = (response: ServerResponse, value: unknown) => {
-  respond(response, 200, JSON.stringify(value), {'content-type': 'application/json'});
-};
-
 const sleepUnlessAborted = async (milliseconds: number, signal: AbortSignal): Promise<boolean> => {
   try {
     await delay(milliseconds, undefined, {signal});
@@ -396,44 +370,7 @@
     }
   };
 
-  const handleControl = async (request: IncomingMessage, response: ServerResponse) => {
-    const body = await readBody(request);
-    const command = controlCommandSchema.safeParse(JSON.parse(body.toString()));
-    if (!command.success) {
-      respond(response, 400, command.error.message);
-      return;
-    }
-
-    respondJson(response, {taken: command.data.kind});
-    control(command.data);
-  };
-
-  const handleAdmin = async (request: IncomingMessage, response: ServerResponse) => {
-    switch (request.url ?? '') {
-      case '/counters': {
-        respondJson(response, counterReport());
-        return;
-      }
-
-      case '/runs': {
-        respondJson(response, runs);
-        return;
-      }
-
-      case '/control': {
-        await handleControl(request, response);
-        return;
-      }
-
-      default: {
-        respond(response, 404, 'use /counters, /runs or /control');
-      }
-    }
-  };
-
-  const adminServer = createServer((request, response) => {
-    void handleAdmin(request, response);
-  });
+  const adminServer = createAdminServer({counters: counterReport, runs: () => runs, control});
 
   const announce = (address: string) => {
     if (settings.local !== undefined) {
