fix(emulator): answer an invalid control command with an error

Cause: the text was parsed outside any error handling. Two cases of backend-server.spec.ts got no response before, and 400 with the remedy now.

--- a/src/emulator/backend-server/__tests__/backend-server.spec.ts
+++ b/src/emulator/backend-server/__tests__/backend-server.spec.ts
@@ -99,3 +99,28 @@
   t.deepEqual([receivedRequests[0], receivedRequests.at(-1)], ['PUT /.jujubewell/backend-server', 'DELETE /.jujubewell/backend-server']);
   localDaemon.close();
 });
+
+const invalidCommands: Array<{title: string; body: string}> = [
+  {title: 'text that is not JSON', body: '{"kind": '},
+  {title: 'no body', body: ''},
+  {title: 'an unknown command', body: '{"kind": "other"}'},
+];
+
+for (const {title, body} of invalidCommands) {
+  test(`a control request with ${title} gets an error that names the remedy, and the emulator goes on`, async t => {
+    const emulator = createBackendServerEmulator(createSettings(1));
+    const {admin} = await emulator.start();
+    const agent = new Agent();
+    const request = async (path: string, text?: string) => agent.request({
+      origin: `http://${admin}`, path, method: text === undefined ? 'GET' : 'POST', body: text, headersTimeout: 10_000,
+    });
+    const refused = await request('/control', body);
+    t.is(refused.statusCode, 400);
+    t.regex(await refused.body.text(), /slowness/u);
+    const counters = await request('/counters');
+    t.is(counters.statusCode, 200);
+    await counters.body.dump();
+    await agent.close();
+    await emulator.stop();
+  });
+}
--- a/src/emulator/backend-server/admin-server.ts
+++ b/src/emulator/backend-server/admin-server.ts
@@ -14,18 +14,28 @@
   control: (command: ControlCommand) => void;
 };
 
+const COMMAND_REMEDY = 'the command is not valid; send {"kind": "slowness", "factor": 2}, or "freeze-connections", "leave" or "crash" as the kind';
+
+const parseCommand = (text: string): ControlCommand | undefined => {
+  try {
+    return controlCommandSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+};
+
 /** Creates the listener without an address. */
 export const createAdminServer = (options: AdminServerOptions): Server => {
   const handleControl = async (request: IncomingMessage, response: ServerResponse) => {
     const body = await readBody(request);
-    const command = controlCommandSchema.safeParse(JSON.parse(body.toString()));
-    if (!command.success) {
-      respond(response, 400, command.error.message);
+    const command = parseCommand(body.toString());
+    if (command === undefined) {
+      respond(response, 400, COMMAND_REMEDY);
       return;
     }
 
-    respondJson(response, {taken: command.data.kind});
-    options.control(command.data);
+    respondJson(response, {taken: command.kind});
+    options.control(command);
   };
 
   const handleRequest = async (request: IncomingMessage, response: ServerResponse) => {
