test(mesh): date the readings of the store

Guards against a reading that counts as newer than the response was, because the process was suspended before it read it. The cases pass on the code as it is; dated by the response instead of the request, three of the four would not hold by their own figures (not run).

--- a/src/mesh/__tests__/object-watcher.spec.ts
+++ b/src/mesh/__tests__/object-watcher.spec.ts
@@ -122,3 +122,58 @@
   t.deepEqual(watchedFrom.slice(0, 4), [3, 5, 9, 10]);
   t.deepEqual(directory.members().map(({node}) => node), ['a']);
 });
+
+/** Response to a watch: `afterMs` until this process reads it, with a change or without. */
+type WatchResponse = {afterMs: number; isChanged: boolean};
+
+const readingCases: Array<{title: string; responses: WatchResponse[]; readAt: number[]; waits: number[]}> = [
+  {
+    title: 'nothing changes: each reading is as old as the end of its wait', responses: [{afterMs: 910, isChanged: false}, {afterMs: 910, isChanged: false}], readAt: [0, 900, 1800], waits: [900, 890],
+  },
+  {
+    title: 'a change is dated by its request, and the next watch is shorter', responses: [{afterMs: 300, isChanged: true}, {afterMs: 600, isChanged: false}], readAt: [0, 0, 900], waits: [900, 600],
+  },
+  {
+    title: 'a response that is read late, after a suspension, is no newer', responses: [{afterMs: 5000, isChanged: false}], readAt: [0, 900], waits: [900],
+  },
+  {
+    title: 'a change that is read late, after a suspension, is no newer', responses: [{afterMs: 5000, isChanged: true}], readAt: [0, 0], waits: [900],
+  },
+];
+
+for (const {title, responses, readAt, waits} of readingCases) {
+  test(`readings of the store: ${title}`, async t => {
+    let time = 0;
+    const left = [...responses];
+    const unanswered: unknown[] = [];
+    const seenReadAt: number[] = [];
+    const seenWaits: number[] = [];
+    const store: Pick<ObjectStore, 'list' | 'watch'> = {
+      list: async () => ok({objects: [], revision: 3}),
+      async watch(_kind, revision, waitMs) {
+        const response = left.shift();
+        if (response === undefined) {
+          return new Promise(resolve => {
+            unanswered.push(resolve);
+          });
+        }
+
+        seenWaits.push(waitMs);
+        time += response.afterMs;
+        return ok({events: response.isChanged ? [{kind: 'changed' as const, object: {name: 'a', revision: revision + 1, value: 1}}] : [], revision: revision + 1});
+      },
+    };
+    const watcher = startObjectWatcher({
+      kind: 'k', store: store as ObjectStore, log, random: () => 0, now: () => time, watchMs: 900, isActive: () => true, sleep: turn, onChange: () => undefined, onRead(at) {
+        seenReadAt.push(at);
+      },
+    });
+    for (let turns = 0; turns < 20; turns++) {
+      await turn(); // eslint-disable-line no-await-in-loop
+    }
+
+    watcher.stop();
+    t.deepEqual(seenReadAt, readAt);
+    t.deepEqual(seenWaits, waits);
+  });
+}
