--- a/src/mesh/__tests__/store-readers.spec.ts
+++ b/src/mesh/__tests__/store-readers.spec.ts
@@ -128,7 +128,7 @@
 test('a process that hears of no other one reads the store itself', t => {
   let time = 0;
   const readers = createStoreReaders({
-    zone: 'z', self: 'a', life: '1', now: () => time, times: readingTimes(BOUND_MS), onNews: () => undefined,
+    zone: 'z', self: 'a', incarnation: '1', now: () => time, times: readingTimes(BOUND_MS), onNews: () => undefined,
   });
   readers.setMembers(['a', ...Array.from({length: 38}, (_, index) => `host-${index}`)], true);
   time = BOUND_MS;
@@ -153,7 +153,7 @@
   let time = 0;
   const nodes = Array.from({length: 1000}, (_, index) => `host-${index}`);
   const readers = createStoreReaders({
-    zone: 'z', self: 'host-1', life: '1', now: () => time, times: readingTimes(BOUND_MS), onNews: () => undefined,
+    zone: 'z', self: 'host-1', incarnation: '1', now: () => time, times: readingTimes(BOUND_MS), onNews: () => undefined,
   });
   readers.setMembers(nodes, true);
   time = 5000;
--- a/src/mesh/__tests__/zone-simulation.ts
+++ b/src/mesh/__tests__/zone-simulation.ts
@@ -253,7 +253,7 @@
     process.retryAt = 0;
     process.backoffMs = 100;
     process.readers = createStoreReaders({
-      zone: 'z', self: process.name, life: String(process.life), now: () => time, times, onNews() {
+      zone: 'z', self: process.name, incarnation: String(process.life), now: () => time, times, onNews() {
         announce(process);
       },
     });
--- a/src/mesh/crash-records.ts
+++ b/src/mesh/crash-records.ts
@@ -1,5 +1,5 @@
 /**
-Records which requests are blamed for crashes of backend servers, so that one that crashes each backend server which runs it is not sent to all of them.
+Records which requests are blamed for crashes of backend servers, so that one that crashes each backend server which runs it (a query of death) is not sent to all of them.
 
 A record holds the crashes that a content is blamed for, and those that it is cleared of because it has run to its end since. Both sets only grow, so records of several processes can be
 merged in any order. Calls that happen to run beside the one at fault are told from it in two ways: a crash is blamed on those that already have most crashes, and those with two are run
--- a/src/mesh/fleet.ts
+++ b/src/mesh/fleet.ts
@@ -112,7 +112,7 @@
   const storeReaders = createStoreReaders({
     zone: self.zone,
     self: self.node,
-    life: randomUUID().slice(0, 8),
+    incarnation: randomUUID().slice(0, 8),
     now,
     times: readingTimes(options.configurationMs),
     onNews() {
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -104,8 +104,8 @@
   isTrial: boolean;
 };
 
-/** Reading of the store by the process `reader`; `life` differs with each of its starts, and `sequence` increases with each of its readings. */
-export type ReportedReading = {reader: string; life: string; sequence: number; ageMs: number};
+/** Reading of the store by the process `reader`; `incarnation` differs with each of its starts, and `sequence` increases with each of its readings. */
+export type ReportedReading = {reader: string; incarnation: string; sequence: number; ageMs: number};
 
 /** What a process knows, so that a peer can ask for what is newer; 0 for nothing. */
 export type KnownVersions = {
--- a/src/mesh/request-forwarder.ts
+++ b/src/mesh/request-forwarder.ts
@@ -180,7 +180,7 @@
     return budget.tryAcquire(request.service, request.rank) ? undefined : 'retry-budget-spent';
   };
 
-  /** What is known against the request; undefined when it may be sent without more ado. */
+  /** What is known against the request; undefined when there is nothing. */
   const findSuspicion = (): SuspectedContent | undefined => options.crashGuard.assess(request, request.body);
 
   /** Ends the request if it is blocked, or has been on trial; returns whether it did. */
--- a/src/mesh/state-exchange.ts
+++ b/src/mesh/state-exchange.ts
@@ -53,7 +53,7 @@
     return latest === undefined
       ? undefined
       : {
-        reader: latest.reader, life: latest.life, sequence: latest.sequence, ageMs: Math.ceil(now() - latest.readAt),
+        reader: latest.reader, incarnation: latest.incarnation, sequence: latest.sequence, ageMs: Math.ceil(now() - latest.readAt),
       };
   };
 
@@ -73,7 +73,7 @@
       latest: reading === undefined || !isReflected
         ? undefined
         : {
-          reader: reading.reader, life: reading.life, sequence: reading.sequence, readAt: now() - reading.ageMs,
+          reader: reading.reader, incarnation: reading.incarnation, sequence: reading.sequence, readAt: now() - reading.ageMs,
         },
     });
   };
--- a/src/mesh/store-readers.ts
+++ b/src/mesh/store-readers.ts
@@ -27,7 +27,7 @@
   /** Process that read. */
   reader: string;
   /** Start of the reader. */
-  life: string;
+  incarnation: string;
   /** Increases with each reading of the reader. */
   sequence: number;
   /** Time from which the store held what was read, in milliseconds of this process's clock. */
@@ -74,7 +74,7 @@
   /** Name of this process. */
   self: string;
   /** Differs with each start of this process. */
-  life: string;
+  incarnation: string;
   now: () => number;
   times: ReadingTimes;
   /** Called when a reading becomes known after a time without a recent one. */
@@ -149,7 +149,7 @@
   };
 
   const learnReading = (reading: Reading): void => {
-    const start = `${reading.reader}/${reading.life}`;
+    const start = `${reading.reader}/${reading.incarnation}`;
     if (reading.sequence <= (sequences.get(start) ?? 0)) {
       return;
     }
@@ -185,7 +185,7 @@
       ownAt = Math.max(ownAt, readAt);
       ownSequence++;
       learnReading({
-        reader: self, life: options.life, sequence: ownSequence, readAt,
+        reader: self, incarnation: options.incarnation, sequence: ownSequence, readAt,
       });
     },
     recordPeer(node, readings) {
