--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,4 +1,5 @@
-/** Another writer leaves one entry with an unreadable address in the kind of the member list. */
+/** An upstream spoils a byte in the head of some of its answers. */
+import {Buffer} from 'node:buffer';
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {runCase} from '../stand-ins/case.mjs';
@@ -10,43 +11,57 @@
   countEnds, countOutcomes, findLost, LOST_MAX,
 } from '../stand-ins/checks.mjs';
 
-const CLIENTS_PER_HOST = 6;
+const CLIENTS_PER_HOST = 8;
 const BEFORE_MS = 5000;
-const AFTER_MS = 20_000;
-const MEMBER_KIND = 'jujubewell-members';
+const SPOILED_MS = 20_000;
+/** Of 50 answers of the spoiling upstreams, one is spoiled: x = 0.02. */
+const SPOILED_EVERY = 50;
 
 await runCase(path.dirname(fileURLToPath(import.meta.url)), async ({record, hasTrouble, onEnd}) => {
+  let isSpoiling = false;
+  /** Half of the upstreams of each service spoil answers: share = 0.5. */
+  const createAnswer = index => {
+    let answers = 0;
+    return (_run, head, body) => {
+      answers++;
+      if (!isSpoiling || index % 2 === 1 || answers % SPOILED_EVERY !== 0) {
+        return undefined;
+      }
+
+      const spoiled = head.map(line => line.replace('text/plain', 'text/\u0001lain'));
+      return {isSpoiled: true, bytes: Buffer.concat([Buffer.from(`${spoiled.join('\r\n')}\r\n\r\n`, 'latin1'), body])};
+    };
+  };
+
   const deployment = await createDeployment({
     record,
     hosts: [
       {service: 'statusrog', zone: 'nord-a'}, {service: 'statusrog', zone: 'nord-b'}, {service: 'chiuse', zone: 'nord-a'}, {service: 'chiuse', zone: 'nord-b'},
     ],
     configuration: configurationOf({'channel-status': route('statusrog'), 'crew-roster': route('chiuse')}),
+    backendOptions: ({index}) => ({answer: createAnswer(index)}),
   });
   onEnd(deployment.stop);
   await deployment.start();
   const results = [];
-  const startedAt = performance.now();
   const clients = deployment.hosts.flatMap(({entry}) => Array.from({length: CLIENTS_PER_HOST}, (_, index) => startClient({
     entry, results, record, next: () => [{path: `/${index % 2 === 0 ? 'statusrog' : 'chiuse'}/work-160/`}],
   })));
   await sleep(BEFORE_MS);
-  if (hasTrouble) {
-    record('another writer creates an entry', {kind: MEMBER_KIND, name: 'entry-of-another-writer'});
-    deployment.store.put(MEMBER_KIND, 'entry-of-another-writer', {spec: {address: '\uFFFD\uFFFD\u0001', zone: 'nord-a', service: 'statusrog'}});
-  }
-
-  const troubleAt = performance.now();
-  await sleep(AFTER_MS);
+  isSpoiling = hasTrouble;
+  await sleep(SPOILED_MS);
+  isSpoiling = false;
   await Promise.all(clients.map(async client => client.stop()));
-  const lost = findLost(deployment, results);
+  const soundInstances = new Set(deployment.hosts.filter((_, index) => index % 2 === 1).flatMap(({backend}) => backend.runs.map(({instance}) => instance)));
+  const lost = findLost(deployment, results, {isSound: ({instance}) => soundInstances.has(instance)});
   return {
     broken: lost.length > LOST_MAX,
     summary: {
-      lost: lost.length,
-      seconds: Math.round((performance.now() - startedAt) / 1000),
-      before: countOutcomes(results.filter(({sentAt}) => sentAt < troubleAt)),
-      after: countOutcomes(results.filter(({sentAt}) => sentAt >= troubleAt)),
+      lostAtSoundUpstreams: lost.length,
+      neverAnswered: results.filter(({outcome}) => outcome === 'unanswered').length,
+      spoiledAnswers: deployment.hosts.flatMap(({backend}) => backend.runs).filter(({state}) => state === 'spoiled').length,
+      answers: deployment.hosts.flatMap(({backend}) => backend.runs).length,
+      outcomes: countOutcomes(results),
       endedByThemselves: countEnds(deployment),
     },
   };
