--- a/review/stand-ins/backend-server.mjs
+++ b/review/stand-ins/backend-server.mjs
@@ -137,7 +137,16 @@
     entry.state = replaced.isSpoiled ? 'spoiled' : 'answered';
     record(replaced.isSpoiled ? 'spoiled answer' : 'answer', {id, instance, ...(replaced.isSpoiled ? {text: replaced.bytes.toString('latin1').slice(0, 250)} : {})});
     request.socket.write(replaced.bytes);
-    if (replaced.close) {
+    if (replaced.endless !== undefined) {
+      const writeOn = () => {
+        while (!request.socket.destroyed && request.socket.write(replaced.endless)) {
+          entry.bytesSent = (entry.bytesSent ?? 0) + replaced.endless.length;
+        }
+      };
+
+      request.socket.on('drain', writeOn);
+      writeOn();
+    } else if (replaced.close) {
       request.socket.destroy();
     } else if (replaced.end) {
       request.socket.end();
--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -146,7 +146,7 @@
           node: name, code, signal, byItself,
         });
         if (byItself) {
-          host.ends.push({at: performance.now(), reason: /^(?:\w*Error|TypeError|RangeError)\b.*$/m.exec(host.log.slice(-6000))?.[0]});
+          host.ends.push({at: performance.now(), reason: /^(?:FATAL ERROR:|\w*Error\b).*$/m.exec(host.log.slice(-6000))?.[0]});
           record('its last words', {node: name, text: host.ends.at(-1).reason});
         }
 
