--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -11,9 +11,10 @@
   countEnds, countOutcomes, findLost, LOST_MAX,
 } from '../stand-ins/checks.mjs';
 
-const CLIENTS_PER_HOST = 8;
+const CLIENTS_PER_HOST = 16;
 const BEFORE_MS = 5000;
-const SPOILED_MS = 20_000;
+/** Garble: for_s = 5. */
+const SPOILED_MS = 5000;
 /** Of 50 answers of the spoiling upstreams, one is spoiled: x = 0.02. */
 const SPOILED_EVERY = 50;
 
