--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -11,9 +11,10 @@
   countEnds, countOutcomes, findLost, LOST_MAX,
 } from '../stand-ins/checks.mjs';
 
-const CLIENTS_PER_HOST = 8;
+const CLIENTS_PER_HOST = 16;
 const BEFORE_MS = 5000;
-const SPOILED_MS = 20_000;
+/** Garble: for_s = 5. */
+const SPOILED_MS = 5000;
 /** Of 50 answers of the spoiling upstreams, one is spoiled: x = 0.02. */
 const SPOILED_EVERY = 50;
 /** Chunks of one byte, as many as are written at once. */
@@ -21,12 +22,13 @@
 
 await runCase(path.dirname(fileURLToPath(import.meta.url)), async ({record, hasTrouble, onEnd}) => {
   let isSpoiling = false;
-  /** Half of the upstreams of each service spoil answers: share = 0.5. */
+  /** Half of the upstreams spoil answers, share = 0.5: one of each service, and one in each zone. */
+  const isSpoiler = index => index === 0 || index === 3;
   const createAnswer = index => {
     let answers = 0;
     return (_run, head) => {
       answers++;
-      if (!isSpoiling || index % 2 === 1 || answers % SPOILED_EVERY !== 0) {
+      if (!isSpoiling || !isSpoiler(index) || answers % SPOILED_EVERY !== 0) {
         return undefined;
       }
 
@@ -54,7 +56,7 @@
   await sleep(SPOILED_MS);
   isSpoiling = false;
   await Promise.all(clients.map(async client => client.stop()));
-  const soundInstances = new Set(deployment.hosts.filter((_, index) => index % 2 === 1).flatMap(({backend}) => backend.runs.map(({instance}) => instance)));
+  const soundInstances = new Set(deployment.hosts.filter((_, index) => !isSpoiler(index)).flatMap(({backend}) => backend.runs.map(({instance}) => instance)));
   const lost = findLost(deployment, results, {isSound: ({instance}) => soundInstances.has(instance)});
   return {
     broken: lost.length > LOST_MAX,
