fix(mesh): refuse a response head that cannot be passed on, and keep errors within their request

Cause: response heads were handed to ServerResponse.writeHead unchecked, which throws in the socket event of another exchange; and the parser read heads as 7-bit ASCII, which makes control characters of other bytes. Evidence: the stack of the first failing test, and trials of the parser.

Change: response-head.ts decides at both entrances, the connection to the backend server and a link's results, before anything is kept. Such a response is lost: retried where that is allowed, else 502. Heads keep one character for each byte. error-boundary.ts keeps an unexpected error within its request or call. After a connection has been given up, nothing more of the chunk is taken.

--- a/src/mesh/__tests__/peer-link.spec.ts
+++ b/src/mesh/__tests__/peer-link.spec.ts
@@ -1,11 +1,13 @@
-/** Guards against calls with an unknown outcome because they were sent over a connection that was already silent. */
+/** Guards against calls with an unknown outcome because they were sent over a connection that was already silent, and against one bad result that ends a link. */
 import {Buffer} from 'node:buffer';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {createManualClock} from '../../shared/clock.js';
 import {createDecisionLog} from '../decision-log.js';
 import {createFrameReader, createFrameWriter, type Frame} from '../frame.js';
-import type {CallHeader, KnownVersions, Message} from '../message.js';
+import type {
+  CallHeader, CallResult, KnownVersions, Message,
+} from '../message.js';
 import {createPeerLink, type PeerCallResult, type PeerLink} from '../peer-link.js';
 
 const log = createDecisionLog({
@@ -123,3 +125,48 @@
     t.is(results.length === 0 ? 'pending' : results[0]?.result.kind ?? 'lost', result);
   });
 }
+
+const answered = (rawHeaders: string[], status = 200): CallResult => ({
+  kind: 'answered', status, rawHeaders, framed: true, failedBelow: false, lackingBelow: [],
+});
+
+const unusableResults: Array<{title: string; result: CallResult; onResult?: () => void; expected: string[]}> = [
+  {title: 'a result whose head cannot be passed on', result: answered(['Content-Type', 'text/\u0001lain']), expected: ['lost', 'answered']},
+  {title: 'a result with a status that HTTP does not have', result: answered([], 1000), expected: ['lost', 'answered']},
+  {
+    title: 'a result whose handling throws',
+    result: answered(['Content-Type', 'text/plain']),
+    onResult() {
+      throw new Error('a defect');
+    },
+    expected: ['answered', 'answered'],
+  },
+];
+
+// Guards against one bad result that costs the link, and with it all other calls.
+for (const {title, result, onResult, expected} of unusableResults) {
+  test(`${title} ends its call only`, async t => {
+    let calls = 0;
+    const {link} = await start(t, message => {
+      if (message.type !== 'call') {
+        return undefined;
+      }
+
+      calls++;
+      return {
+        type: 'result', id: message.id, result: calls === 1 ? result : answered(['X-Motif', 'É']), load: undefined,
+      };
+    });
+    const results: PeerCallResult[] = [];
+    link.call(createCall(true), Buffer.alloc(0), outcome => {
+      results.push(outcome);
+      onResult?.();
+    });
+    link.call(createCall(true), Buffer.alloc(0), outcome => {
+      results.push(outcome);
+    });
+    await waitUntil(() => results.length === 2);
+    t.deepEqual(results.map(outcome => outcome?.result.kind ?? 'link lost'), expected);
+    t.true(link.isOpen());
+  });
+}
--- a/src/mesh/backend-connection.ts
+++ b/src/mesh/backend-connection.ts
@@ -5,6 +5,10 @@
 import {splitAddress} from '../shared/address.js';
 import type {HeldBytes, Reservation} from './held-bytes.js';
 import type {HttpDialect} from './http-dialect.js';
+import {findHeadFault, isReasonPhrase} from './response-head.js';
+
+// Reads heads with one character for each byte. The parser's default clears the highest bit, which turns bytes of other encodings into control characters.
+HTTPParser.encoding = 'latin1';
 
 /** How an exchange ended. */
 export type ExchangeResult =
@@ -193,9 +197,28 @@
     destroy(reason);
   };
 
+  /** Closes the connection after a head that cannot be passed on; nothing of its response is kept. */
+  const refuseHead = (fault: string): void => {
+    options.onProtocolEvent('answer-head-invalid', current?.requestId);
+    response = undefined;
+    destroy(`the backend server sent an invalid response head: ${fault}`);
+  };
+
   const createParser = (): HTTPParserJS => {
     const responseParser = new HTTPParser(HTTPParser.RESPONSE);
     responseParser[HTTPParser.kOnHeadersComplete] = info => {
+      // The rest of a chunk is still parsed after its connection has been given up.
+      if (socket.destroyed) {
+        return 1;
+      }
+
+      const fault = findHeadFault({status: info.statusCode, rawHeaders: info.headers})
+        ?? (isReasonPhrase(info.statusMessage) ? undefined : 'its reason phrase contains a control character');
+      if (fault !== undefined) {
+        refuseHead(fault);
+        return 1;
+      }
+
       const framed = isFramed(info.headers);
       response = {
         status: info.statusCode, rawHeaders: info.headers, chunks: [], framed,
--- a/src/mesh/caller-listener.ts
+++ b/src/mesh/caller-listener.ts
@@ -5,6 +5,7 @@
 import {listenOn} from '../shared/address.js';
 import {forwardRequest, type ForwardingOptions, type RequestOutcome} from './request-forwarder.js';
 import type {DecisionLog} from './decision-log.js';
+import {createErrorBoundary} from './error-boundary.js';
 import type {HttpDialect} from './http-dialect.js';
 import type {RouteTable} from './route-table.js';
 import type {ClientLimits, Route} from './routing-configuration.js';
@@ -92,6 +93,7 @@
 /** Creates a listener; it accepts connections after `start`. */
 export const createCallerListener = (options: CallerListenerOptions): CallerListener => {
   const {dialect, log, now} = options;
+  const boundary = createErrorBoundary(log, 'request');
   const sockets = new Map<Socket, SocketState>();
   const longestDeadlineByRoute = new Map<string, number>();
   let totalBufferedBytes = 0;
@@ -161,6 +163,21 @@
     }
   };
 
+  /** Ends a request after an unexpected error. Whether it has run is unknown here, so the response promises nothing. */
+  const abandon = (request: IncomingMessage, response: ServerResponse, requestId: string | undefined): void => {
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+
+    boundary.run(requestId, () => {
+      response.statusMessage = '';
+      writeError(request, response, requestId, {status: 502, reason: 'internal-error'});
+    }, () => {
+      response.destroy();
+    });
+  };
+
   const readBody = async (request: IncomingMessage, state: RequestState, limit: number): Promise<Buffer | 'too-large' | 'memory-full' | 'aborted'> =>
     new Promise(resolve => {
       const chunks: Buffer[] = [];
@@ -263,14 +280,18 @@
       arrivedAt,
       deadlineAt,
     }, outcome => {
-      const milliseconds = now() - arrivedAt;
-      const failed = outcome.kind !== 'answered' || outcome.status >= FIRST_SERVER_ERROR_STATUS;
-      options.onFinished(route, outcome.kind, milliseconds);
-      if (failed) {
-        options.onCallFailed(overloadedServices(outcome, service));
-      }
+      boundary.run(requestId, () => {
+        const milliseconds = now() - arrivedAt;
+        const failed = outcome.kind !== 'answered' || outcome.status >= FIRST_SERVER_ERROR_STATUS;
+        options.onFinished(route, outcome.kind, milliseconds);
+        if (failed) {
+          options.onCallFailed(overloadedServices(outcome, service));
+        }
 
-      writeOutcome(request, response, requestId!, outcome);
+        writeOutcome(request, response, requestId!, outcome);
+      }, () => {
+        abandon(request, response, requestId);
+      });
     });
     response.on('close', () => {
       if (!response.writableFinished) {
@@ -281,6 +302,16 @@
     });
   };
 
+  const serve = async (request: IncomingMessage, response: ServerResponse, state: RequestState): Promise<void> => {
+    try {
+      await handleRequest(request, response, state);
+    } catch (error) {
+      const {requestId} = dialect.readRequest(request.headers);
+      boundary.report(requestId, error);
+      abandon(request, response, requestId);
+    }
+  };
+
   /** A client that retries a request has less time left than with its first attempt, so it states a shorter deadline. */
   const detectClientRetry = (route: string, statedDeadlineMs: number): boolean => {
     const longestDeadlineMs = Math.max(longestDeadlineByRoute.get(route) ?? 0, statedDeadlineMs);
@@ -299,7 +330,7 @@
       inFlight--;
       totalBufferedBytes -= state.bufferedBytes;
     });
-    void handleRequest(request, response, state);
+    void serve(request, response, state);
   };
 
   const server = createServer({
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -3,6 +3,7 @@
 import {Buffer} from 'node:buffer';
 import {splitAddress} from '../shared/address.js';
 import type {DecisionLog} from './decision-log.js';
+import {createErrorBoundary} from './error-boundary.js';
 import {
   createFrameReader, createFrameWriter, type Frame, type FrameWriter,
 } from './frame.js';
@@ -10,6 +11,7 @@
 import type {
   BackendLoad, BackendState, CallHeader, CallResult, Member, Message,
 } from './message.js';
+import {findHeadFault} from './response-head.js';
 
 /** Result of a call over a link; undefined when the link closed before the result arrived. */
 export type PeerCallResult =
@@ -68,7 +70,7 @@
 /** Time that a held call waits for data from the peer before it is refused and can go elsewhere, in milliseconds; many times the round trip to another zone. */
 const LIVENESS_CHECK_TIMEOUT_MS = 150;
 
-type PendingCall = {onResult: (result: PeerCallResult) => void};
+type PendingCall = {requestId: string; onResult: (result: PeerCallResult) => void};
 /** Non-idempotent call that is held until data arrives from the peer. */
 type HeldCall = {id: number; expiresAt: number; send: () => void; onResult: (result: PeerCallResult) => void};
 
@@ -81,6 +83,7 @@
 /** Creates a link; `tick` opens its connection and keeps it open until `close`. */
 export const createPeerLink = (options: PeerLinkOptions): PeerLink => {
   const {now, log, address} = options;
+  const boundary = createErrorBoundary(log, 'peer-call');
   const pendingCalls = new Map<number, PendingCall>();
   let heldCalls: HeldCall[] = [];
   let socket: Socket | undefined;
@@ -156,6 +159,19 @@
     }
   };
 
+  /** Hands over a result. A response whose head cannot be passed on counts as lost, since the call has run; the link goes on in any case. */
+  const passResult = ({requestId, onResult}: PendingCall, result: CallResult, body: Buffer): void => {
+    const fault = result.kind === 'answered' ? findHeadFault(result) : undefined;
+    if (fault !== undefined) {
+      log.count('link_protocol', 'answer-head-invalid');
+      log.write('warn', 'answer-head-invalid', {request: requestId, peer: member?.node ?? address, cause: fault});
+    }
+
+    boundary.run(requestId, () => {
+      onResult(fault === undefined ? {result, body} : {result: {kind: 'lost', cause: `the response head is invalid: ${fault}`}, body: NO_BODY});
+    }, () => undefined);
+  };
+
   const onFrame = ({message, body}: Frame): void => {
     switch (message.type) {
       case 'welcome': {
@@ -183,7 +199,10 @@
 
         const call = pendingCalls.get(message.id);
         pendingCalls.delete(message.id);
-        call?.onResult({result: message.result, body});
+        if (call !== undefined) {
+          passResult(call, message.result, body);
+        }
+
         return;
       }
 
@@ -275,7 +294,7 @@
       liveness.recordCall();
       const requestedAt = now();
       const sendNow = (): void => {
-        pendingCalls.set(id, {onResult});
+        pendingCalls.set(id, {requestId: call.requestId, onResult});
         send({
           type: 'call', id, sentAt: now(), call: {...call, remainingMs: call.remainingMs - (now() - requestedAt)},
         }, body);
--- a/src/mesh/peer-server.ts
+++ b/src/mesh/peer-server.ts
@@ -2,6 +2,7 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import {listenOn} from '../shared/address.js';
 import type {DecisionLog} from './decision-log.js';
+import {createErrorBoundary} from './error-boundary.js';
 import type {InboundProxy} from './inbound-proxy.js';
 import {createFrameReader, createFrameWriter, type Frame} from './frame.js';
 import {IDLE_PING_INTERVAL_MAX_MS} from './link-liveness.js';
@@ -61,6 +62,7 @@
 /** Creates the server; it listens after `start`. */
 export const createPeerServer = (options: PeerServerOptions): PeerServer => {
   const {inboundProxy, now, log} = options;
+  const boundary = createErrorBoundary(log, 'peer-call');
   const links = new Set<AcceptedLink>();
   let acceptedCount = 0;
 
@@ -115,7 +117,13 @@
       const batch = receivedCalls;
       receivedCalls = [];
       for (const call of batch) {
-        submitCall(call);
+        boundary.run(call.message.call.requestId, () => {
+          submitCall(call);
+        }, () => {
+          send({
+            type: 'result', id: call.message.id, result: {kind: 'lost', cause: 'the process on the host of the backend server failed to handle the call'}, load: undefined,
+          });
+        });
       }
     };
 
@@ -182,12 +190,11 @@
       receivedAt = now();
       try {
         reader.push(chunk);
+        submitReceivedCalls();
       } catch (error) {
         log.write('error', 'link-protocol', {peer: member?.node ?? socket.remoteAddress, cause: (error as Error).message});
         socket.destroy();
       }
-
-      submitReceivedCalls();
     });
     socket.on('error', error => {
       log.count('link_losses', (error as NodeJS.ErrnoException).code ?? 'error');
--- a/src/mesh/request-forwarder.ts
+++ b/src/mesh/request-forwarder.ts
@@ -5,6 +5,7 @@
 import type {CrashGuard, SuspectedContent} from './crash-guard.js';
 import type {DecisionLog} from './decision-log.js';
 import type {Dependencies} from './dependencies.js';
+import {createErrorBoundary} from './error-boundary.js';
 import type {Destination, Fleet} from './fleet.js';
 import type {CallHeader, CallResult} from './message.js';
 import type {CallRank, RetryBudget} from './retry-budget.js';
@@ -24,7 +25,9 @@
   | 'retry-budget-spent'
   /** The request is blamed for crashes of backend servers. */
   | 'crash-suspect'
-  | 'outcome-unknown';
+  | 'outcome-unknown'
+  /** A defect of this program, which the log shows as `internal-error`. */
+  | 'internal-error';
 
 /** Final outcome of a request; `lackingBelow` names the overloaded services that made calls of the backend server fail. */
 export type RequestOutcome =
@@ -97,6 +100,7 @@
 export const forwardRequest = (options: ForwardingOptions, request: ForwardedRequest, onOutcome: (outcome: RequestOutcome) => void): RequestHandle => {
   const {now, random, log, budget} = options;
   const {route} = request;
+  const boundary = createErrorBoundary(log, 'request');
   const triedNodes = new Set<string>();
   let attempts = 0;
   let refusals = 0;
@@ -107,22 +111,42 @@
   let isHeldBack = false;
   let retryAfterMs = 0;
   let ended = false;
+  let reported = false;
   let pendingSend: {cancel: () => void} | undefined;
   let connectTimer: NodeJS.Timeout | undefined;
   let failedResponse: Extract<RequestOutcome, {kind: 'answered'}> | undefined;
 
+  const end = (): void => {
+    ended = true;
+    clearTimeout(timer);
+    clearTimeout(connectTimer);
+    pendingSend?.cancel();
+  };
+
+  const report = (outcome: RequestOutcome): void => {
+    if (!reported) {
+      reported = true;
+      onOutcome(outcome);
+    }
+  };
+
   const finish = (outcome: RequestOutcome): void => {
     if (ended) {
       return;
     }
 
-    ended = true;
-    clearTimeout(timer);
-    clearTimeout(connectTimer);
-    pendingSend?.cancel();
+    end();
     recordDependencies(outcome);
     logOutcome(outcome);
-    onOutcome(outcome);
+    report(outcome);
+  };
+
+  /** Runs a step of the request; an unexpected error ends the request, which may have run by then. */
+  const runStep = (step: () => void): void => {
+    boundary.run(request.requestId, step, () => {
+      end();
+      report({kind: 'unknown', reason: 'internal-error', timedOut: false});
+    });
   };
 
   const logOutcome = (outcome: RequestOutcome): void => {
@@ -296,7 +320,7 @@
       zone: options.zone, route: route.name, targetMs: route.targetMs, excludedNodes: triedNodes, requiresLive: !route.idempotent,
     }, random);
     if (candidate === undefined && canWaitForLinks()) {
-      connectTimer = setTimeout(sendAttempt, CONNECT_POLL_MS);
+      connectTimer = setTimeout(runStep, CONNECT_POLL_MS, sendAttempt);
       return;
     }
 
@@ -342,7 +366,9 @@
     let endedSynchronously = false;
     const handle = candidate.destination.send(call, request.body, (result, body) => {
       endedSynchronously = true;
-      handleResult(candidate.destination, result, body);
+      runStep(() => {
+        handleResult(candidate.destination, result, body);
+      });
     });
     if (!endedSynchronously) {
       pendingSend = handle;
@@ -350,7 +376,7 @@
   };
 
   if (!options.isClientRoute(route.name) || options.admission.admit(route, request.isClientRetry, random)) {
-    sendAttempt();
+    runStep(sendAttempt);
   } else {
     retryAfterMs = route.targetMs * RETRY_AFTER_TARGET_SHARE;
     fail('no-room-below');
@@ -359,10 +385,7 @@
   return {
     cancel() {
       if (!ended) {
-        ended = true;
-        clearTimeout(timer);
-        clearTimeout(connectTimer);
-        pendingSend?.cancel();
+        end();
       }
     },
   };
--- /dev/null
+++ b/src/mesh/response-head.ts
@@ -0,0 +1,32 @@
+/** Decides which heads of responses may be passed on to a caller. Both entrances of responses ask it, the connection to the backend server and the links to other processes, before they keep anything of the response. */
+
+/** Head of a response; raw headers alternate names and values, one character for each byte. */
+export type ResponseHead = {status: number; rawHeaders: readonly string[]};
+
+const FIRST_STATUS = 100;
+const LAST_STATUS = 599;
+/** Token of RFC 9110. */
+const HEADER_NAME = /^[\w!#$%&'*+\-.^`|~]+$/u;
+/** Bytes above 127 are allowed: values may be in UTF-8 or any other encoding, and are passed on byte by byte. */
+const FORBIDDEN_TEXT = /[^\t\u0020-\u007E\u0080-\u00FF]/u;
+
+const quote = (text: string): string => JSON.stringify(text.slice(0, 80));
+
+/** Finds what HTTP does not allow in a head; undefined when it can be passed on. */
+export const findHeadFault = ({status, rawHeaders}: ResponseHead): string | undefined => {
+  if (!Number.isInteger(status) || status < FIRST_STATUS || status > LAST_STATUS) {
+    return `status ${status} is not between ${FIRST_STATUS} and ${LAST_STATUS}`;
+  }
+
+  const fault = rawHeaders.findIndex((text, index) => index % 2 === 0 ? !HEADER_NAME.test(text) : FORBIDDEN_TEXT.test(text));
+  if (fault === -1) {
+    return undefined;
+  }
+
+  return fault % 2 === 0
+    ? `${quote(rawHeaders[fault]!)} is not a header name`
+    : `the value of the header ${quote(rawHeaders[fault - 1]!)} contains a control character: ${quote(rawHeaders[fault]!)}`;
+};
+
+/** Whether a status line has a reason phrase that HTTP allows; it is not passed on, but shows a damaged head. */
+export const isReasonPhrase = (text: string): boolean => !FORBIDDEN_TEXT.test(text);
