fix(mesh): count what responses and requests cost to hold, and parse small chunks in turns

Cause: a body was kept as one Buffer for each piece, over 100 bytes of heap each, and only its length was counted. The tests found the same for trailers after a long body (73 MB held, 2 MB counted) and for bodies of callers (46 MB held for 400 kB). Parsing such bytes also held up the event loop, 289 kB in one turn.

Change: bodies are copied into blocks that are counted by their size; each part of a response has a bound; after 1000 pieces a body waits for its turn of the event loop. The parsing of responses moved to response-parser.ts.

--- a/src/mesh/backend-connection-pool.ts
+++ b/src/mesh/backend-connection-pool.ts
@@ -4,6 +4,7 @@
 } from './backend-connection.js';
 import {createHeldBytes} from './held-bytes.js';
 import type {HttpDialect} from './http-dialect.js';
+import {createTurnQueue} from './turn-queue.js';
 
 /** Handle of an exchange in progress. */
 export type RunningExchange = {cancel: (cause: string) => void};
@@ -20,7 +21,7 @@
   close: () => void;
   /** Number of open connections. */
   connections: () => number;
-  /** Bytes of incomplete responses that are held. */
+  /** Memory that incomplete responses hold, in bytes. */
   heldBytes: () => number;
 };
 
@@ -32,14 +33,13 @@
   onProtocolEvent: (event: string, requestId: string | undefined) => void;
 };
 
-/** Bytes of incomplete responses that a process holds at most: a fifth of the memory of the smallest hosts. */
+/** Memory that incomplete responses of a process hold at most, in bytes: a fifth of the memory of the smallest hosts. */
 const HELD_MAX_BYTES = 48 * 1024 * 1024;
-/** Longest response, in bytes. */
-const RESPONSE_MAX_BYTES = 16 * 1024 * 1024;
 
 /** Creates an empty pool without an address; `reset` sets it. */
 export const createBackendConnectionPool = (options: BackendConnectionPoolOptions): BackendConnectionPool => {
-  const heldBytes = createHeldBytes({totalMax: HELD_MAX_BYTES, shareMax: RESPONSE_MAX_BYTES});
+  const heldBytes = createHeldBytes({totalMax: HELD_MAX_BYTES});
+  const parseQueue = createTurnQueue();
   let address = '';
   let idle: BackendConnection[] = [];
   const open = new Set<BackendConnection>();
@@ -54,6 +54,7 @@
       ...options,
       address,
       heldBytes,
+      parseQueue,
       onIdle(reusable) {
         if (outdated.has(reusable)) {
           reusable.destroy('the backend server was replaced');
--- a/src/mesh/backend-connection.ts
+++ b/src/mesh/backend-connection.ts
@@ -1,14 +1,11 @@
 /** One HTTP/1.1 connection to the backend server, with one exchange at a time. */
 import {Buffer} from 'node:buffer';
 import {connect, type Socket} from 'node:net';
-import {HTTPParser, type HTTPParserJS} from 'http-parser-js';
 import {splitAddress} from '../shared/address.js';
-import type {HeldBytes, Reservation} from './held-bytes.js';
+import type {HeldBytes} from './held-bytes.js';
 import type {HttpDialect} from './http-dialect.js';
-import {findHeadFault, isReasonPhrase} from './response-head.js';
-
-// Reads heads with one character for each byte. The parser's default clears the highest bit, which turns bytes of other encodings into control characters.
-HTTPParser.encoding = 'latin1';
+import {createResponseParser, type ParsedResponse, type ResponseFault} from './response-parser.js';
+import type {TurnQueue} from './turn-queue.js';
 
 /** How an exchange ended. */
 export type ExchangeResult =
@@ -44,8 +41,10 @@
   address: string;
   dialect: HttpDialect;
   now: () => number;
-  /** Bound on the response bytes that are held over all connections. */
+  /** Bound on the memory that responses hold over all connections. */
   heldBytes: HeldBytes;
+  /** Parses long responses in small pieces, over all connections. */
+  parseQueue: TurnQueue;
   /** Called when the connection can be reused. */
   onIdle: (connection: BackendConnection) => void;
   onClosed: (connection: BackendConnection) => void;
@@ -59,17 +58,10 @@
 const IDLE_TIMEOUT_DEFAULT_MS = 4000;
 /** How long before the backend server's idle timeout a connection is given up, in milliseconds: a request sent while the server closes it may be lost. */
 const IDLE_MARGIN_MS = 1500;
-/** Bytes that a response may have besides its body, for heads, informational responses, chunk sizes and trailers. */
-const OVERHEAD_MAX_BYTES = 128 * 1024;
-/** Further such bytes for each byte of the body; a body in chunks of one byte has five. */
-const OVERHEAD_PER_BODY_BYTE = 8;
-const FIRST_FINAL_STATUS = 200;
-
-/** Position of the parser, which its type declarations leave out: the incomplete line, and what is expected next. */
-type ParserPosition = {line: string; state: string};
-
-/** Response whose end has not been received. */
-type PartialResponse = {status: number; rawHeaders: string[]; chunks: Buffer[]; framed: boolean};
+/** Bytes that are parsed at once. */
+const PARSE_SLICE_BYTES = 8 * 1024;
+/** Pieces of a response body that are parsed as they arrive; further ones wait for a turn of the event loop, because parsing a read of one-byte chunks takes several milliseconds. */
+const PIECES_AT_ONCE = 1000;
 
 const serializeHead = ({method, path, rawHeaders, body}: Exchange): string => {
   let text = `${method} ${path} HTTP/1.1\r\n`;
@@ -84,21 +76,15 @@
   return `${text}\r\n`;
 };
 
-const isFramed = (rawHeaders: readonly string[]): boolean =>
-  rawHeaders.some((name, index) => index % 2 === 0 && /^(?:content-length|transfer-encoding)$/iu.test(name));
-
 /** Opens a connection; a request may be sent before it is established. */
 export const createBackendConnection = (options: BackendConnectionOptions): BackendConnection => {
   const {dialect, now} = options;
   const {host, port} = splitAddress(options.address);
   let current: Exchange | undefined;
-  let response: PartialResponse | undefined;
   /** Response that is complete but not handed over yet, because its last bytes are still being parsed. */
-  let completed: PartialResponse | undefined;
-  let reservation: Reservation = options.heldBytes.reserve();
-  /** Bytes received and body bytes since the request was sent. */
-  let receivedBytes = 0;
-  let bodyBytes = 0;
+  let completed: ParsedResponse | undefined;
+  /** Bytes that have been received and not parsed yet. */
+  let unparsed: Buffer = Buffer.alloc(0);
   let exchanges = 0;
   let idleSince = now();
   let idleTimeoutMs = IDLE_TIMEOUT_DEFAULT_MS;
@@ -107,13 +93,11 @@
   let closesAfterResponse = false;
   let cause: string | undefined;
   const socket: Socket = connect({host, port, noDelay: true});
-  let parser: HTTPParserJS;
 
   const finish = (result: ExchangeResult): void => {
     const exchange = current;
     current = undefined;
-    response = undefined;
-    reservation.release();
+    parser.release();
     exchange?.onEnd(result);
   };
 
@@ -122,29 +106,18 @@
     socket.destroy();
   };
 
-  /** Skips a late response to another request; the awaited one follows on the same connection. */
-  const skipMismatchedResponse = (requestId: string | undefined): void => {
-    options.onProtocolEvent('foreign-answer-skipped', requestId);
-    response = undefined;
-    reservation.release();
-  };
-
-  /** Whether the bytes after the last response belong to none; they may be the beginning of a second copy of it. */
-  const hasLeftoverBytes = (): boolean => {
-    const {line, state} = parser as unknown as ParserPosition;
-    return line !== '' || state !== 'RESPONSE_LINE';
-  };
-
-  const handOver = ({status, rawHeaders, chunks, framed}: PartialResponse): void => {
+  const handOver = ({status, rawHeaders, body, framed}: ParsedResponse): void => {
     const exchange = current!;
     const metadata = dialect.readResponse(status, rawHeaders);
-    const mayReuse = !closesAfterResponse && !hasLeftoverBytes() && !metadata.closesConnection && socket.writableLength === 0 && !socket.destroyed;
+    // Bytes after the response belong to none; they may be the beginning of a second copy of it.
+    const hasLeftoverBytes = unparsed.length > 0 || parser.hasPartialResponse();
+    const mayReuse = !closesAfterResponse && !hasLeftoverBytes && !metadata.closesConnection && socket.writableLength === 0 && !socket.destroyed;
     idleTimeoutMs = metadata.keepAliveMs === undefined ? IDLE_TIMEOUT_DEFAULT_MS : Math.max(0, metadata.keepAliveMs - IDLE_MARGIN_MS);
     idleSince = now();
     current = undefined;
     completed = undefined;
-    const body = Buffer.concat(chunks);
-    reservation.release();
+    const bytes = body.toBuffer();
+    parser.release();
     if (mayReuse) {
       options.onIdle(connection);
     } else {
@@ -152,16 +125,12 @@
     }
 
     exchange.onEnd({
-      kind: 'answered', status, rawHeaders, body, framed,
+      kind: 'answered', status, rawHeaders, body: bytes, framed,
     });
   };
 
-  const onComplete = (): void => {
-    if (response === undefined || response.status < FIRST_FINAL_STATUS) {
-      response = undefined;
-      return;
-    }
-
+  const onResponse = (response: ParsedResponse): void => {
+    closesAfterResponse ||= !response.keepsConnection;
     if (current === undefined || completed !== undefined) {
       closesAfterResponse = true;
       return;
@@ -182,96 +151,79 @@
     }
 
     if (requestId !== undefined && requestId !== current.requestId) {
-      skipMismatchedResponse(requestId);
+      // A late response to another request; the awaited one follows on the same connection.
+      options.onProtocolEvent('foreign-answer-skipped', requestId);
+      parser.release();
       return;
     }
 
     completed = response;
-    response = undefined;
-  };
-
-  /** Closes the connection to a backend server that sends more than a response may have. */
-  const refuseEndless = (reason: string): void => {
-    options.onProtocolEvent('answer-too-long', current?.requestId);
-    response = undefined;
-    destroy(reason);
   };
 
-  /** Closes the connection after a head that cannot be passed on; nothing of its response is kept. */
-  const refuseHead = (fault: string): void => {
-    options.onProtocolEvent('answer-head-invalid', current?.requestId);
-    response = undefined;
-    destroy(`the backend server sent an invalid response head: ${fault}`);
-  };
+  const parser = createResponseParser({heldBytes: options.heldBytes, onResponse});
 
-  const createParser = (): HTTPParserJS => {
-    const responseParser = new HTTPParser(HTTPParser.RESPONSE);
-    responseParser[HTTPParser.kOnHeadersComplete] = info => {
-      // The rest of a chunk is still parsed after its connection has been given up.
-      if (socket.destroyed) {
-        return 1;
+  const closeForFault = ({kind, message}: ResponseFault): void => {
+    switch (kind) {
+      case 'head-invalid': {
+        options.onProtocolEvent('answer-head-invalid', current?.requestId);
+        break;
       }
 
-      const fault = findHeadFault({status: info.statusCode, rawHeaders: info.headers})
-        ?? (isReasonPhrase(info.statusMessage) ? undefined : 'its reason phrase contains a control character');
-      if (fault !== undefined) {
-        refuseHead(fault);
-        return 1;
+      case 'too-long': {
+        options.onProtocolEvent('answer-too-long', current?.requestId);
+        break;
       }
 
-      const framed = isFramed(info.headers);
-      response = {
-        status: info.statusCode, rawHeaders: info.headers, chunks: [], framed,
-      };
-      closesAfterResponse ||= !info.shouldKeepAlive;
+      case 'not-http': {
+        break;
+      }
+    }
 
-      // Returning 1 tells the parser that there is no body, whatever the headers say.
-      return current?.method === 'HEAD' ? 1 : undefined;
-    };
+    destroy(message);
+  };
 
-    responseParser[HTTPParser.kOnBody] = (bytes, offset, length) => {
-      if (response === undefined) {
+  /** Parses received bytes until a response is complete or has to wait for its next turn. */
+  const parseReceived = (): void => {
+    while (unparsed.length > 0 && !socket.destroyed) {
+      const slice = unparsed.subarray(0, PARSE_SLICE_BYTES);
+      unparsed = unparsed.subarray(slice.length);
+      const fault = parser.parse(slice);
+      if (completed !== undefined) {
+        handOver(completed);
         return;
       }
 
-      bodyBytes += length;
-      if (!reservation.add(length)) {
-        refuseEndless('the response is longer than a process may hold');
+      if (fault !== undefined) {
+        closeForFault(fault);
         return;
       }
 
-      response.chunks.push(Buffer.from(bytes.subarray(offset, offset + length)));
-    };
+      if (parser.pieces() > PIECES_AT_ONCE) {
+        socket.pause();
+        options.parseQueue.add(parseReceived);
+        return;
+      }
+    }
 
-    responseParser[HTTPParser.kOnMessageComplete] = onComplete;
-    return responseParser;
+    socket.resume();
   };
 
-  parser = createParser();
-
   const onData = (chunk: Buffer): void => {
     if (current === undefined) {
       destroy('the backend server sent data while no request was pending');
       return;
     }
 
-    receivedBytes += chunk.length;
-    const outcome = parser.execute(chunk);
-    if (completed !== undefined) {
-      handOver(completed);
-    } else if (outcome instanceof Error) {
-      destroy(`the backend server sent an invalid HTTP response: ${outcome.message}`);
-    } else if (receivedBytes - bodyBytes > OVERHEAD_MAX_BYTES + (OVERHEAD_PER_BODY_BYTE * bodyBytes)) {
-      refuseEndless('the backend server sends bytes that belong to no response body without end');
-    }
+    unparsed = chunk;
+    parseReceived();
   };
 
   /** A response without a declared length ends when the server closes the connection; a framed one is truncated by it. */
   const onEnd = (): void => {
-    if (response !== undefined && !response.framed && current !== undefined) {
-      options.onProtocolEvent('unframed-answer', current.requestId);
+    const requestId = current?.requestId;
+    if (requestId !== undefined && parser.endOfConnection()) {
+      options.onProtocolEvent('unframed-answer', requestId);
       closesAfterResponse = true;
-      onComplete();
       if (completed !== undefined) {
         handOver(completed);
       }
@@ -301,7 +253,7 @@
   socket.on('close', () => {
     clearTimeout(connectTimer);
     closed = true;
-    parser = undefined as unknown as HTTPParserJS;
+    unparsed = Buffer.alloc(0);
     options.onClosed(connection);
     finish(connected
       ? {kind: 'lost', cause: cause ?? 'the connection closed'}
@@ -321,9 +273,7 @@
 
       current = exchange;
       exchanges++;
-      receivedBytes = 0;
-      bodyBytes = 0;
-      reservation = options.heldBytes.reserve();
+      parser.begin({isHead: exchange.method === 'HEAD'});
       if (connected) {
         write(exchange);
       }
--- a/src/mesh/caller-listener.ts
+++ b/src/mesh/caller-listener.ts
@@ -3,12 +3,15 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {listenOn} from '../shared/address.js';
+import {createBodyBuffer} from './body-buffer.js';
 import {forwardRequest, type ForwardingOptions, type RequestOutcome} from './request-forwarder.js';
 import type {DecisionLog} from './decision-log.js';
 import {createErrorBoundary} from './error-boundary.js';
+import {createHeldBytes, type Reservation} from './held-bytes.js';
 import type {HttpDialect} from './http-dialect.js';
 import type {RouteTable} from './route-table.js';
 import type {ClientLimits, Route} from './routing-configuration.js';
+import {createTurnQueue} from './turn-queue.js';
 
 /** Accepts requests of the callers of this host and forwards them to backend servers. */
 export type CallerListener = {
@@ -34,7 +37,7 @@
   /** Current route table; undefined until a configuration is known. */
   routeTable: () => RouteTable | undefined;
   log: DecisionLog;
-  /** Maximum number of bytes of request bodies that the process buffers. */
+  /** Memory that the bodies of requests hold at most, in bytes. */
   heldBytesMax: number;
   /** Called when a request for a route arrives. */
   onArrived: (route: string) => void;
@@ -58,6 +61,11 @@
 const RETRY_AFTER_STOPPING_MS = 100;
 const RETRY_AFTER_MEMORY_MS = 500;
 
+/** Pieces of a request body that are read as they arrive; further ones wait for a turn of the event loop, because reading many chunks of few bytes takes several milliseconds. */
+const PIECES_AT_ONCE = 1000;
+/** Memory of the pieces of a request that Node queues while the request waits, in bytes: 16 KiB and the content of one read, in chunks of one byte. */
+const QUEUED_PIECES_BYTES = 4 * 1024 * 1024;
+
 const FIRST_SERVER_ERROR_STATUS = 500;
 /** Gap to the longest deadline of the route above which a request counts as a client retry, in milliseconds. */
 const CLIENT_RETRY_DEADLINE_GAP_MS = 10;
@@ -79,7 +87,7 @@
 /** An error response of this process itself. */
 type ErrorResponse = {status: number; reason: string; retryAfterMs?: number};
 type SocketState = {pendingRequests: number};
-type RequestState = {bufferedBytes: number};
+type RequestState = {reservation: Reservation};
 
 const headerBytes = (rawHeaders: readonly string[]): number => {
   let bytes = 0;
@@ -96,7 +104,8 @@
   const boundary = createErrorBoundary(log, 'request');
   const sockets = new Map<Socket, SocketState>();
   const longestDeadlineByRoute = new Map<string, number>();
-  let totalBufferedBytes = 0;
+  const heldBytes = createHeldBytes({totalMax: options.heldBytesMax});
+  const readQueue = createTurnQueue();
   let inFlight = 0;
   let drainingConnections = false;
   let refusingRequests = false;
@@ -180,22 +189,34 @@
 
   const readBody = async (request: IncomingMessage, state: RequestState, limit: number): Promise<Buffer | 'too-large' | 'memory-full' | 'aborted'> =>
     new Promise(resolve => {
-      const chunks: Buffer[] = [];
-      let bytes = 0;
-      request.on('data', (chunk: Buffer) => {
-        bytes += chunk.length;
-        totalBufferedBytes += chunk.length;
-        state.bufferedBytes += chunk.length;
-        if (bytes > limit) {
-          resolve('too-large');
-        } else if (totalBufferedBytes > options.heldBytesMax) {
-          resolve('memory-full');
-        } else {
-          chunks.push(chunk);
+      const body = createBodyBuffer({reservation: state.reservation, lengthMax: limit});
+      let piecesInTurn = 0;
+      let mayQueue = false;
+      /** Lets other work run before the rest of a body in many pieces; Node queues what it has read meanwhile. */
+      const waitForTurn = (): void => {
+        request.pause();
+        readQueue.add(() => {
+          piecesInTurn = 0;
+          request.resume();
+        });
+      };
+
+      request.on('data', (piece: Buffer) => {
+        piecesInTurn++;
+        const outcome = body.append(piece);
+        if (outcome !== 'appended') {
+          resolve(outcome === 'too-long' ? 'too-large' : 'memory-full');
+        } else if (piecesInTurn >= PIECES_AT_ONCE) {
+          mayQueue ||= state.reservation.add(QUEUED_PIECES_BYTES);
+          if (!mayQueue) {
+            resolve('memory-full');
+          }
+
+          waitForTurn();
         }
       });
       request.on('end', () => {
-        resolve(Buffer.concat(chunks));
+        resolve(body.toBuffer());
       });
       request.on('close', () => {
         resolve('aborted');
@@ -321,14 +342,14 @@
 
   const onRequest = (request: IncomingMessage, response: ServerResponse): void => {
     const socketState = sockets.get(request.socket) ?? {pendingRequests: 0};
-    const state = {bufferedBytes: 0};
+    const state = {reservation: heldBytes.reserve()};
     sockets.set(request.socket, socketState);
     socketState.pendingRequests++;
     inFlight++;
     response.on('close', () => {
       socketState.pendingRequests--;
       inFlight--;
-      totalBufferedBytes -= state.bufferedBytes;
+      state.reservation.release();
     });
     void serve(request, response, state);
   };
--- a/src/mesh/held-bytes.ts
+++ b/src/mesh/held-bytes.ts
@@ -1,31 +1,28 @@
-/** Bounds the bytes of responses that a process holds, in total and for each response. */
+/** Bounds the memory that a process holds for messages that are incomplete or wait, by what it costs and not by what has been sent. */
 
-/** Bytes that one holder has reserved. */
+/** Memory that one holder has reserved. */
 export type Reservation = {
-  /** Reserves further bytes; false when they exceed the share of one holder or the total. */
+  /** Reserves further bytes; false, and nothing is reserved, when they exceed the total. */
   add: (bytes: number) => boolean;
   /** Releases all bytes; may be called more than once. */
   release: () => void;
 };
 
-/** Bytes that are held at the moment. */
+/** Memory that is held at the moment. */
 export type HeldBytes = {
   reserve: () => Reservation;
   total: () => number;
 };
 
-/** Options of the bound, in bytes. */
-export type HeldBytesOptions = {totalMax: number; shareMax: number};
-
-/** Creates a bound with nothing held. */
-export const createHeldBytes = ({totalMax, shareMax}: HeldBytesOptions): HeldBytes => {
+/** Creates a bound with nothing held; `totalMax` is in bytes. */
+export const createHeldBytes = ({totalMax}: {totalMax: number}): HeldBytes => {
   let total = 0;
   return {
     reserve() {
       let reserved = 0;
       return {
         add(bytes) {
-          if (reserved + bytes > shareMax || total + bytes > totalMax) {
+          if (total + bytes > totalMax) {
             return false;
           }
 
--- /dev/null
+++ b/src/mesh/response-parser.ts
@@ -0,0 +1,190 @@
+/** Parses the responses on one connection to the backend server, and bounds what an incomplete response may hold and how much work it may cause. */
+import type {Buffer} from 'node:buffer';
+import {HTTPParser} from 'http-parser-js';
+import {createBodyBuffer, type BodyBuffer} from './body-buffer.js';
+import type {HeldBytes, Reservation} from './held-bytes.js';
+import {findHeadFault, isReasonPhrase} from './response-head.js';
+
+// Reads heads with one character for each byte. The parser's default clears the highest bit, which turns bytes of other encodings into control characters.
+HTTPParser.encoding = 'latin1';
+
+/** Response of which the head has been received. `framed`: it states its length or is chunked; without either, its end may be a truncation. */
+export type ParsedResponse = {status: number; rawHeaders: string[]; body: BodyBuffer; framed: boolean; keepsConnection: boolean};
+
+/** Why a connection cannot be used any more. */
+export type ResponseFault = {kind: 'head-invalid' | 'too-long' | 'not-http'; message: string};
+
+/** Parser of one connection. After a fault, nothing more is parsed or handed over. */
+export type ResponseParser = {
+  /** Starts to count for the response to a request that is being sent. */
+  begin: (request: {isHead: boolean}) => void;
+  /** Parses bytes; returns the fault that they have. */
+  parse: (bytes: Buffer) => ResponseFault | undefined;
+  /** Pieces in which the body of the current response has arrived; each takes about the same time to parse, whatever its length. */
+  pieces: () => number;
+  /** Hands over a response that the end of the connection completes; returns whether there was one. */
+  endOfConnection: () => boolean;
+  /** Whether bytes of a further response have arrived. */
+  hasPartialResponse: () => boolean;
+  /** Releases what the current response holds. */
+  release: () => void;
+};
+
+/** Options of the parser. */
+export type ResponseParserOptions = {
+  heldBytes: HeldBytes;
+  /** Called with each complete response, and with the bytes of its body if it has one; informational responses are left out. */
+  onResponse: (response: ParsedResponse) => void;
+};
+
+/** Longest response body, in bytes. */
+const BODY_MAX_BYTES = 16 * 1024 * 1024;
+/** Bytes that a response may have besides its body, for heads, informational responses, chunk sizes and trailers. */
+const OVERHEAD_MAX_BYTES = 128 * 1024;
+/** Further such bytes for each byte of the body; a body in chunks of one byte has five. */
+const OVERHEAD_PER_BODY_BYTE = 8;
+/** Pieces that a response body may arrive in. Parsing that many takes about a second of processor time. */
+const PIECES_MAX = 1024 * 1024;
+/** Bytes of the body for each piece beyond `PIECES_MAX`. */
+const BODY_BYTES_PER_FURTHER_PIECE = 64;
+/** Longest line of a head, a chunk size or a trailer, in bytes. */
+const LINE_MAX_BYTES = 64 * 1024;
+/** Header and trailer lines of a response; Node's server reads as many of a request. */
+const FIELDS_MAX = 2000;
+/** Memory of a string besides its characters, in bytes. */
+const STRING_OVERHEAD_BYTES = 32;
+const FIRST_FINAL_STATUS = 200;
+
+/** State of the parser, which its type declarations leave out: the incomplete line, what is expected next, and the trailers so far. */
+type ParserState = {line: string; state: string; info: {headers: string[]}; trailers: string[]};
+
+const isFramed = (rawHeaders: readonly string[]): boolean =>
+  rawHeaders.some((name, index) => index % 2 === 0 && /^(?:content-length|transfer-encoding)$/iu.test(name));
+
+const headBytes = (rawHeaders: readonly string[]): number => {
+  let bytes = 0;
+  for (const text of rawHeaders) {
+    bytes += text.length + STRING_OVERHEAD_BYTES;
+  }
+
+  return bytes;
+};
+
+/** Creates a parser; `begin` is called before the first response. */
+export const createResponseParser = ({heldBytes, onResponse}: ResponseParserOptions): ResponseParser => {
+  const parser = new HTTPParser(HTTPParser.RESPONSE);
+  const state = parser as unknown as ParserState;
+  let reservation: Reservation = heldBytes.reserve();
+  let response: ParsedResponse | undefined;
+  let fault: ResponseFault | undefined;
+  let isHead = false;
+  let pieces = 0;
+  let receivedBytes = 0;
+  let bodyBytes = 0;
+
+  const release = (): void => {
+    response = undefined;
+    reservation.release();
+  };
+
+  const refuse = (kind: ResponseFault['kind'], message: string): void => {
+    fault ??= {kind, message};
+    release();
+  };
+
+  const finish = (): void => {
+    const finished = response;
+    response = undefined;
+    if (finished === undefined) {
+      return;
+    }
+
+    if (finished.status < FIRST_FINAL_STATUS) {
+      reservation.release();
+    } else {
+      onResponse(finished);
+    }
+  };
+
+  /** Finds lines and fields that grow without end. */
+  const checkFraming = (): void => {
+    const fields = (state.info.headers.length + state.trailers.length) / 2;
+    if (state.line.length > LINE_MAX_BYTES || fields > FIELDS_MAX || receivedBytes - bodyBytes > OVERHEAD_MAX_BYTES + (OVERHEAD_PER_BODY_BYTE * bodyBytes)) {
+      refuse('too-long', 'the backend server sends bytes that belong to no response body without end');
+    }
+  };
+
+  parser[HTTPParser.kOnHeadersComplete] = info => {
+    if (fault !== undefined) {
+      return 1;
+    }
+
+    const headFault = findHeadFault({status: info.statusCode, rawHeaders: info.headers})
+      ?? (isReasonPhrase(info.statusMessage) ? undefined : 'its reason phrase contains a control character');
+    if (headFault !== undefined) {
+      refuse('head-invalid', `the backend server sent an invalid response head: ${headFault}`);
+      return 1;
+    }
+
+    if (!reservation.add(headBytes(info.headers))) {
+      refuse('too-long', 'the head of the response exceeds the memory that a process may hold');
+      return 1;
+    }
+
+    response = {
+      status: info.statusCode, rawHeaders: info.headers, body: createBodyBuffer({reservation, lengthMax: BODY_MAX_BYTES}), framed: isFramed(info.headers), keepsConnection: info.shouldKeepAlive,
+    };
+
+    // Returning 1 tells the parser that there is no body, whatever the headers say.
+    return isHead ? 1 : undefined;
+  };
+
+  parser[HTTPParser.kOnBody] = (bytes, offset, length) => {
+    if (response === undefined) {
+      return;
+    }
+
+    pieces++;
+    bodyBytes += length;
+    const outcome = response.body.append(length === bytes.length ? bytes : bytes.subarray(offset, offset + length));
+    if (outcome !== 'appended') {
+      refuse('too-long', 'the response is longer than a process may hold');
+    } else if (pieces > PIECES_MAX + (bodyBytes / BODY_BYTES_PER_FURTHER_PIECE)) {
+      refuse('too-long', 'the response consists of too many small chunks; the backend server must send longer ones');
+    }
+  };
+
+  parser[HTTPParser.kOnMessageComplete] = finish;
+
+  return {
+    begin(request) {
+      isHead = request.isHead;
+      pieces = 0;
+      receivedBytes = 0;
+      bodyBytes = 0;
+      reservation = heldBytes.reserve();
+    },
+    parse(bytes) {
+      receivedBytes += bytes.length;
+      const outcome = parser.execute(bytes);
+      if (outcome instanceof Error) {
+        refuse('not-http', `the backend server sent an invalid HTTP response: ${outcome.message}`);
+      } else {
+        checkFraming();
+      }
+
+      return fault;
+    },
+    pieces: () => pieces,
+    endOfConnection() {
+      if (response === undefined || response.framed) {
+        return false;
+      }
+
+      finish();
+      return true;
+    },
+    hasPartialResponse: () => state.line !== '' || state.state !== 'RESPONSE_LINE',
+    release,
+  };
+};
