fix(mesh): keep a departure in the store before it is confirmed

Cause: a confirmed leaving lived in the memory of processes only, so a late heartbeat was taken for a new backend server.

A process that starts uses no ready announcement before it has read its object, or, if the store does not answer, before the announcement is repeated. Starts are compared by id and stated start time, not by clocks. A removed host keeps its object for one to two minutes. A write to a silent store is given up after 0.8 s at first.

--- a/src/mesh/__tests__/registration.spec.ts
+++ b/src/mesh/__tests__/registration.spec.ts
@@ -1,7 +1,10 @@
 /** Guards against a process that stays missing from the member list, or that stands in it with old values, when writes are lost or raced. */
 import test from 'ava';
 import {fail, ok, type Result} from '../../shared/result.js';
+import {createManualClock} from '../../shared/clock.js';
 import {createDecisionLog} from '../decision-log.js';
+import {createDepartedHosts} from '../departed-hosts.js';
+import {decodeDepartures, type Departure} from '../departures.js';
 import type {ObjectStore, StoredObject, StoreError} from '../object-store.js';
 import type {CrashRecord} from '../crash-records.js';
 import {createRegistration, decodeMember} from '../registration.js';
@@ -52,6 +55,9 @@
     store, stored: () => object, writes: () => writes, drop() {
       revision++;
       object = undefined;
+    }, replace(value: unknown) {
+      revision++;
+      object = {name: self.node, revision, value};
     }, revision: () => revision,
   };
 };
@@ -163,3 +169,113 @@
     t.deepEqual(decodeMember(stored()!), self);
   });
 }
+
+const departed: Departure = {kind: 'start', instance: 'i1', startedAt: 1000};
+const earlier: Departure = {kind: 'start', instance: 'i0', startedAt: 500};
+
+/** Departures that are set while the first write is under way, or after it. */
+const keptCases: Array<{title: string; firstWrite: FirstWrite; existing?: StoredObject; isLater?: boolean; expected: Departure[]}> = [
+  {title: 'on a first start', firstWrite: 'done', expected: [departed]},
+  {
+    title: 'after the first write', firstWrite: 'done', isLater: true, expected: [departed],
+  },
+  {title: 'when the answer to the write is lost', firstWrite: 'done-but-unanswered', expected: [departed]},
+  {title: 'when the write is lost', firstWrite: 'not-done', expected: [departed]},
+  {
+    title: 'beside those of an earlier start', firstWrite: 'done', existing: {name: self.node, revision: 7, value: {...OWN_VALUE, departures: [earlier]}}, expected: [earlier, departed],
+  },
+];
+
+// Guards against a confirmation that precedes the write, and one that is never given.
+for (const {title, firstWrite, existing, isLater = false, expected} of keptCases) {
+  test(`departures count as kept once the store holds them: ${title}`, async t => {
+    const fake = createStore(firstWrite, existing);
+    const registration = createRegistration({
+      self, store: fake.store, log, random: () => 0,
+    });
+    registration.register();
+    if (isLater) {
+      await registration.whenKept();
+      await settle();
+    }
+
+    registration.setDepartures([departed]);
+    await registration.whenKept();
+    t.deepEqual(decodeDepartures(fake.stored()?.value), expected);
+    t.deepEqual(decodeMember(fake.stored()!), self);
+    registration.close();
+  });
+}
+
+test('departures of an earlier start are reported once, and not written again', async t => {
+  const restored: Departure[][] = [];
+  const fake = createStore('done', {name: self.node, revision: 7, value: {...OWN_VALUE, departures: [earlier]}});
+  const registration = createRegistration({
+    self, store: fake.store, log, random: () => 0, onRestored(departures) {
+      restored.push(departures);
+    },
+  });
+  registration.register();
+  await waitFor(() => restored.length > 0);
+  await settle();
+  t.deepEqual(restored, [[earlier]]);
+  t.is(fake.writes(), 0);
+  registration.close();
+});
+
+test('a host that is removed leaves its departures, without being a member', async t => {
+  const fake = createStore('done');
+  const registration = createRegistration({
+    self, store: fake.store, log, random: () => 0,
+  });
+  registration.register();
+  registration.setDepartures([departed]);
+  await registration.unregister();
+  t.is(decodeMember(fake.stored()!), undefined);
+  t.deepEqual(decodeDepartures(fake.stored()!.value), [departed]);
+});
+
+test('departures that a restored store lacks are written again', async t => {
+  const fake = createStore('done');
+  const registration = createRegistration({
+    self, store: fake.store, log, random: () => 0,
+  });
+  registration.register();
+  registration.setDepartures([departed]);
+  await registration.whenKept();
+  fake.replace(OWN_VALUE);
+  registration.reconcile({member: self, revision: fake.revision()}, fake.revision());
+  await waitFor(() => decodeDepartures(fake.stored()?.value).length > 0);
+  t.deepEqual(decodeDepartures(fake.stored()!.value), [departed]);
+  registration.close();
+});
+
+// Guards against objects of removed hosts that are deleted too soon, or never.
+test('the object of a removed host is deleted after a while, unless it has changed', t => {
+  const clock = createManualClock();
+  const removed: string[] = [];
+  const hosts = createDepartedHosts({
+    now: clock.now, random: () => 0, log, store: {
+      async remove(_kind, name, revision) {
+        removed.push(`${name} at ${revision}`);
+        return ok(undefined);
+      },
+    },
+  });
+  const objects = new Map<string, StoredObject>([
+    ['gone', {name: 'gone', revision: 3, value: {departures: [departed]}}],
+    ['back', {name: 'back', revision: 4, value: {departures: [departed]}}],
+    ['member', {name: 'member', revision: 5, value: {...OWN_VALUE, departures: [departed]}}],
+    ['foreign', {name: 'foreign', revision: 6, value: 'x'}],
+  ]);
+  hosts.apply({kind: 'listed', objects, revision: 6});
+  clock.advance(30_000);
+  hosts.tick();
+  t.deepEqual(removed, []);
+  objects.set('back', {name: 'back', revision: 7, value: OWN_VALUE});
+  hosts.apply({kind: 'listed', objects, revision: 7});
+  clock.advance(30_000);
+  hosts.tick();
+  hosts.tick();
+  t.deepEqual(removed, ['gone at 3']);
+});
--- a/src/mesh/backend-status.ts
+++ b/src/mesh/backend-status.ts
@@ -5,6 +5,8 @@
 import {mergeRecord} from './backend-records.js';
 import {createCallRateLimit, type CallRateLimit} from './call-rate-limit.js';
 import type {DecisionLog} from './decision-log.js';
+import {createDepartures, type Departure} from './departures.js';
+import {createDoubtfulAnnouncement} from './doubtful-announcement.js';
 import type {BackendStatement} from './http-dialect.js';
 import type {BackendRecord, RefusalReason} from './message.js';
 
@@ -17,12 +19,14 @@
   rateLimit: Pick<CallRateLimit, 'perSecond' | 'waitMs' | 'recordDispatch'>;
   /** Applies an announcement. */
   announce: (announcement: Announcement) => void;
-  /** Applies a deregistration. */
-  leave: (instance: string) => void;
+  /** Applies a deregistration; `startedAt` is the start of the instance, if it states it. */
+  leave: (instance: string, startedAt?: number) => void;
   /** Applies what a backend server states in the response to a call; a statement of one that has been replaced since concerns no later call. */
   applyStatement: (statement: BackendStatement, dispatch: Dispatch) => void;
   /** Applies what another process knows. */
   recall: (record: BackendRecord, from: string) => void;
+  /** Applies the departures that the store holds, after which none is unknown. */
+  restoreDepartures: (departures: readonly Departure[]) => void;
   /** What is to be remembered; undefined when nothing is known. */
   record: () => BackendRecord | undefined;
   /** Records that a connection could not be opened; after several in a row the backend server counts as absent. */
@@ -56,6 +60,10 @@
   onReplaced: (announcement: Announcement) => void;
   /** Called when anything that other processes have to know has changed. */
   onChange: () => void;
+  /** Called with all departures when there is a new one, which has to outlast this process. */
+  onDeparture?: (departures: Departure[]) => void;
+  /** Whether the store may hold departures that this process does not know yet, as after a restart. @default false */
+  awaitsDepartures?: boolean;
 };
 
 /** Share of the drain time in which calls from processes that have not learned of the drain are still dispatched; the rest covers their transit to the backend server. */
@@ -68,11 +76,7 @@
 /** Relative change of a rate limit that other processes hear of; a limit may vary with each response. */
 const PUBLISHED_RATE_CHANGE = 0.1;
 
-/** Time for which the deregistration of a backend server that was never announced here is kept, in milliseconds: announcements may be seconds late. */
-const DEPARTURE_MEMORY_MS = 30_000;
-
-/** Deregistration of a backend server that was never announced here, as after a restart of this process; `leftAt` is in milliseconds since the Unix epoch. */
-type Departure = {instance: string; leftAt: number; expiresAt: number};
+const isSameStart = (a: Announcement, b: Announcement): boolean => a.instance === b.instance && a.startedAt === b.startedAt;
 
 /** Creates the status without a backend server. */
 export const createBackendStatus = (options: BackendStatusOptions): BackendStatus => {
@@ -81,7 +85,11 @@
   let local: LocalBackend = {kind: 'none'};
   /** What is remembered of a backend server while it is not announced. */
   let recalled: BackendRecord | undefined;
-  let departure: Departure | undefined;
+  const departures = createDepartures();
+  let awaitsDepartures = options.awaitsDepartures ?? false;
+  const doubtful = createDoubtfulAnnouncement({now, announcementMs: options.announcementMs});
+  /** Backend server that has deregistered without having been announced here, as after a restart of this process. */
+  let unknownLeft: string | undefined;
   let publishedRate: number | undefined;
   let connectFailures = 0;
 
@@ -134,11 +142,22 @@
     options.onChange();
   };
 
+  const keepDeparture = (departure: Departure): void => {
+    if (departures.add(departure)) {
+      options.onDeparture?.(departures.all());
+    }
+  };
+
+  const keepDepartureOf = ({instance, startedAt}: Pick<Announcement, 'instance' | 'startedAt'>): void => {
+    keepDeparture({kind: 'start', instance, startedAt});
+  };
+
   const markLeaving = (since: number): void => {
     const previous = local;
     local = applyLeaving(local, since);
     if (local !== previous) {
       log.write('info', 'backend-states-leaving', {instance: target()?.instance, ...options.callCounts()});
+      keepDepartureOf(target()!);
       options.onChange();
     }
   };
@@ -158,60 +177,120 @@
     }
   };
 
-  /** Whether an announcement is a late one of a backend server that has deregistered; one that has started again since has a later start. */
-  const isFromDeparted = ({instance, startedAt}: Announcement): boolean =>
-    departure?.instance === instance && startedAt <= departure.leftAt && now() < departure.expiresAt;
+  /** Applies the departure of the announced backend server; it may have left long ago, so it gets no further calls. */
+  const applyKnownDeparture = (): void => {
+    if (local.kind === 'announced' && departures.match(local.announcement) !== undefined) {
+      markLeaving(Number.NEGATIVE_INFINITY);
+    }
+  };
 
   const announceNew = (announcement: Announcement): void => {
     connectFailures = 0;
+    unknownLeft = undefined;
     rateLimit.reset();
     publishedRate = undefined;
     options.onReplaced(announcement);
     log.write('info', 'backend-announced', {...announcement});
     applyRecalled();
+    applyKnownDeparture();
+    if (announcement.state === 'draining') {
+      keepDepartureOf(announcement);
+    }
+
     options.onChange();
   };
 
-  return {
-    rateLimit,
-    announce(announcement) {
-      const {instance, sequence} = announcement;
-      if (isFromDeparted(announcement)) {
+  /**
+  Whether an announcement may be a late one of a backend server that is gone: a ready one while departures are unknown, and one of an earlier start than the known one.
+  The latter may also come from a later start, if the clock of the host was set back between the two.
+  */
+  const isDoubtful = ({startedAt, state}: Announcement): boolean => local.kind === 'none'
+    ? awaitsDepartures && state === 'ready'
+    : startedAt < target()!.startedAt;
+
+  /** Whether an announcement comes from a backend server that has left. One that is still announced, or that nothing has followed, may go on to announce its drain. */
+  const isFromDeparted = (announcement: Announcement): boolean => {
+    const departure = departures.match(announcement);
+    const known = target();
+    return departure !== undefined && (departure.kind === 'instance' || (known !== undefined && !isSameStart(known, announcement)));
+  };
+
+  const apply = (announcement: Announcement): void => {
+    const {instance, sequence} = announcement;
+    const update = applyAnnouncement(local, announcement, now());
+    local = update.local;
+    switch (update.change) {
+      case 'new-instance': {
+        announceNew(announcement);
+        break;
+      }
+
+      case 'draining': {
+        log.write('info', 'backend-draining', {instance, sequence, ...options.callCounts()});
+        keepDepartureOf(announcement);
+        options.onChange();
+        break;
+      }
+
+      case 'outdated': {
         log.write('info', 'announcement-outdated', {instance, sequence});
-        return;
+        break;
       }
 
-      const update = applyAnnouncement(local, announcement, now());
-      local = update.local;
-      switch (update.change) {
-        case 'new-instance': {
-          announceNew(announcement);
-          break;
-        }
+      case 'refreshed': {
+        break;
+      }
+    }
+  };
 
-        case 'draining': {
-          log.write('info', 'backend-draining', {instance, sequence, ...options.callCounts()});
-          options.onChange();
-          break;
-        }
+  const announce = (announcement: Announcement): void => {
+    const {instance, sequence} = announcement;
+    if (isFromDeparted(announcement)) {
+      log.write('info', 'announcement-outdated', {instance, sequence});
+      return;
+    }
 
-        case 'outdated': {
-          log.write('info', 'announcement-outdated', {instance, sequence});
-          break;
-        }
+    if (!isDoubtful(announcement)) {
+      apply(announcement);
+      return;
+    }
 
-        case 'refreshed': {
-          break;
-        }
-      }
-    },
-    leave(instance) {
+    if (doubtful.isRepeatedBy(announcement, local.kind === 'announced' ? local.receivedAt : Number.NEGATIVE_INFINITY)) {
+      doubtful.take();
+      local = {kind: 'none'};
+      apply(announcement);
+      return;
+    }
+
+    doubtful.hold(announcement);
+    log.write('info', 'announcement-doubtful', {instance, sequence, awaitsDepartures});
+  };
+
+  /** Keeps the deregistration of a backend server that is not announced here. */
+  const keepUnknownLeft = (instance: string, startedAt: number | undefined): void => {
+    const isRepeated = unknownLeft === instance || (local.kind === 'left' && local.instance === instance);
+    unknownLeft = local.kind === 'none' ? instance : undefined;
+    if (startedAt !== undefined) {
+      keepDepartureOf({instance, startedAt});
+    } else if (!isRepeated) {
+      keepDeparture({kind: 'instance', instance, leftAt: wallClock()});
+    }
+  };
+
+  return {
+    rateLimit,
+    announce,
+    leave(instance, startedAt) {
       const previous = local;
-      local = applyDeparture(local, instance, now());
+      if (startedAt === undefined || target()?.startedAt === startedAt) {
+        local = applyDeparture(local, instance, now());
+      }
+
       log.write('info', 'backend-left', {instance, known: local !== previous, ...options.callCounts()});
       if (local === previous) {
-        departure = {instance, leftAt: wallClock(), expiresAt: now() + DEPARTURE_MEMORY_MS};
+        keepUnknownLeft(instance, startedAt);
       } else {
+        keepDepartureOf(target()!);
         options.onChange();
       }
     },
@@ -220,6 +299,10 @@
         recalled = mergeRecord(recalled, {
           instance: backend.instance, startedAt: backend.startedAt, isLeaving, ratePerSecond: ratePerSecond ?? recalled?.ratePerSecond,
         });
+        if (isLeaving) {
+          keepDepartureOf(backend);
+        }
+
         options.onChange();
         return;
       }
@@ -241,6 +324,15 @@
       log.write('info', 'backend-recalled', {...known, from});
       applyRecalled();
     },
+    restoreDepartures(earlier) {
+      departures.restore(earlier);
+      awaitsDepartures = false;
+      applyKnownDeparture();
+      const held = doubtful.take();
+      if (held !== undefined) {
+        announce(held);
+      }
+    },
     record,
     recordConnectFailure(cause) {
       connectFailures++;
@@ -273,6 +365,6 @@
 
       return since !== undefined && now() - since > options.drainMs * DRAIN_ACCEPT_SHARE ? 'backend-draining' : undefined;
     },
-    hasLeft: () => local.kind === 'left',
+    hasLeft: () => local.kind === 'left' || (local.kind === 'none' && unknownLeft !== undefined),
   };
 };
--- a/src/mesh/inbound-proxy.ts
+++ b/src/mesh/inbound-proxy.ts
@@ -10,6 +10,7 @@
 import {createCrashDetector} from './crash-detector.js';
 import type {CrashGuard} from './crash-guard.js';
 import type {DecisionLog} from './decision-log.js';
+import type {Departure} from './departures.js';
 import {createBackendLoadTracker} from './backend-load-tracker.js';
 import type {
   BackendLoad, BackendRecord, BackendState, RefusalReason, CallResult,
@@ -29,14 +30,16 @@
   cancel: (key: string) => void;
   /** Handles an announcement of the backend server. */
   announce: (announcement: Announcement) => void;
-  /** Handles the deregistration of an instance of the backend server. */
-  leave: (instance: string) => void;
+  /** Handles the deregistration of an instance of the backend server; `startedAt` is its start, if it states it. */
+  leave: (instance: string, startedAt?: number) => void;
   /** Reports the backend server as draining to the other processes, because this process is stopping. */
   drain: () => void;
   /** What the backend server has stated about itself, to this process or to others that have reported it; undefined when nothing is known. */
   record: () => BackendRecord | undefined;
   /** Applies what another process knows of the backend server of this host; it matters after a restart of this process. */
   recall: (record: BackendRecord, from: string) => void;
+  /** Applies the departures that the store holds. */
+  restoreDepartures: (departures: readonly Departure[]) => void;
   /** Applies everything that depends on time: queue timeouts, the end of a drain, missed announcements, and the expiry of records and connections. */
   tick: () => void;
   /** Restarts the announcement timeout; called after this process was suspended, when announcements that arrived meanwhile have not been read yet. */
@@ -73,6 +76,10 @@
   connectionLimit: (service: string) => number;
   /** Called when the state that is published to other processes has changed. */
   onStateChange: (state: BackendState) => void;
+  /** Called with all departures of the backend server when there is a new one, which has to outlast this process. */
+  onDeparture?: (departures: Departure[]) => void;
+  /** Whether the store may hold departures that this process does not know yet; see `restoreDepartures`. @default false */
+  awaitsDepartures?: boolean;
 };
 
 /** Share of the remaining time that a call may spend in the queue; the rest is needed to run it. */
@@ -107,6 +114,8 @@
     log,
     drainMs: options.drainMs,
     announcementMs: options.announcementMs,
+    awaitsDepartures: options.awaitsDepartures,
+    onDeparture: options.onDeparture,
     callCounts: () => ({running: loadTracker.running(), queued: queue.length}),
     onReplaced({address}) {
       loadTracker.reset();
@@ -379,6 +388,10 @@
     leave: backendStatus.leave,
     record: backendStatus.record,
     recall: backendStatus.recall,
+    restoreDepartures(departures) {
+      backendStatus.restoreDepartures(departures);
+      dispatchQueued();
+    },
     drain() {
       stopping = true;
       publishState();
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -7,6 +7,9 @@
 import {createSuspendAwareClock} from './clock.js';
 import {createCrashGuard} from './crash-guard.js';
 import type {DecisionLog} from './decision-log.js';
+import {createDepartedHosts} from './departed-hosts.js';
+import {decodeDepartures} from './departures.js';
+import type {Announcement} from './announcement.js';
 import {createDependencies} from './dependencies.js';
 import type {DownstreamFailures} from './inbound-call.js';
 import {createInboundProxy, type InboundProxy} from './inbound-proxy.js';
@@ -53,6 +56,11 @@
   status: () => {links: number; incoming: number; configurationVersion: number};
   /** Queue and dispatcher in front of the local backend server. */
   inboundProxy: InboundProxy;
+  /** What the local backend server says of itself. Both resolve to whether this process may confirm it: a leaving only once it outlasts the process. */
+  announcements: {
+    announce: (announcement: Announcement) => Promise<boolean>;
+    leave: (instance: string, startedAt?: number) => Promise<boolean>;
+  };
   /** Metrics of the requests that have arrived at this host. */
   metrics: RequestMetrics;
 };
@@ -71,6 +79,9 @@
 /** Time without a tick after which the process counts as suspended, in milliseconds: several ticks, and less than the time without data after which a link is closed. */
 const STALL_THRESHOLD_MS = 300;
 
+/** Longest time that a backend server waits for the confirmation of its leaving, in milliseconds; it takes none after a second, and asks again. */
+const CONFIRMATION_MS = 800;
+
 /** Time in which changes of the member list are collected, in milliseconds: many processes may start or stop at once. */
 const MEMBER_BATCH_MS = 200;
 
@@ -94,7 +105,7 @@
         since,
         revision,
         listed: names.flatMap(name => objects.has(name) ? toListedMember(objects.get(name)!) : []),
-        removed: names.filter(name => !objects.has(name)).map(node => ({node, revision})),
+        removed: names.filter(name => !objects.has(name) || decodeMember(objects.get(name)!) === undefined).map(node => ({node, revision})),
       });
     }
   }
@@ -184,6 +195,10 @@
     onStateChange(state: BackendState) {
       fleet.publishBackendState(state);
     },
+    awaitsDepartures: true,
+    onDeparture(departures) {
+      registration.setDepartures(departures);
+    },
   });
 
   const applyConfiguration = (configuration: RoutingConfiguration, from: string): void => {
@@ -249,7 +264,10 @@
   });
 
   const registration = createRegistration({
-    self, store, log, random,
+    self, store, log, random, onRestored: inboundProxy.restoreDepartures,
+  });
+  const departedHosts = createDepartedHosts({
+    now, random, store, log,
   });
   const watchers: ObjectWatcher[] = [];
   let tickTimer: NodeJS.Timeout | undefined;
@@ -290,6 +308,7 @@
     }
 
     reconcileRegistration();
+    departedHosts.tick();
     inboundProxy.tick();
     crashGuard.tick();
     updateAdmission();
@@ -331,8 +350,10 @@
         batchMs: MEMBER_BATCH_MS,
         onChange(change) {
           applyMemberChange(directory, change);
+          departedHosts.apply(change);
           for (const {name, value} of changedObjects(change)) {
             crashGuard.restore(decodeCrashRecords(value), name === settings.node);
+            fleet.restoreDepartures(name, decodeDepartures(value));
           }
 
           fleet.announceVersions();
@@ -365,7 +386,30 @@
     store.close();
   };
 
+  /** Whether the store holds all departures, now or shortly. */
+  const areDeparturesKept = async (): Promise<boolean> => {
+    const kept = (async () => {
+      await registration.whenKept();
+      return true;
+    })();
+    const late = (async () => {
+      await sleep(CONFIRMATION_MS);
+      return false;
+    })();
+    return Promise.race([kept, late]);
+  };
+
   return {
+    announcements: {
+      async announce(announcement) {
+        inboundProxy.announce(announcement);
+        return announcement.state === 'ready' || areDeparturesKept();
+      },
+      async leave(instance, startedAt) {
+        inboundProxy.leave(instance, startedAt);
+        return areDeparturesKept();
+      },
+    },
     async start() {
       await fleet.start();
       await callerListener.start();
--- a/src/mesh/object-store.ts
+++ b/src/mesh/object-store.ts
@@ -29,8 +29,10 @@
 export type ObjectStore = {
   /** Lists all objects of a kind, with the revision from which a watch has to continue. Each request fails after `timeoutMs`. */
   list: (kind: string, timeoutMs?: number) => Promise<Result<{objects: StoredObject[]; revision: number}, StoreError>>;
-  create: (kind: string, name: string, value: unknown) => Promise<Result<StoredObject, StoreError>>;
-  replace: (kind: string, name: string, value: unknown, expectedRevision: number) => Promise<Result<StoredObject, StoreError>>;
+  /** Creates an object; fails as unreachable after `timeoutMs`, in which case it may be created later. */
+  create: (kind: string, name: string, value: unknown, timeoutMs?: number) => Promise<Result<StoredObject, StoreError>>;
+  /** Replaces the value of an object; as with `create`, it may be replaced after the timeout. */
+  replace: (kind: string, name: string, value: unknown, expectedRevision: number, timeoutMs?: number) => Promise<Result<StoredObject, StoreError>>;
   remove: (kind: string, name: string, expectedRevision: number) => Promise<Result<undefined, StoreError>>;
   /** Waits up to `waitMs` for changes after a revision; the response may take `marginMs` longer. */
   watch: (kind: string, revision: number, waitMs: number, marginMs?: number) => Promise<Result<{events: StoreEvent[]; revision: number}, StoreError>>;
--- a/src/mesh/registration.ts
+++ b/src/mesh/registration.ts
@@ -1,7 +1,9 @@
 /** Keeps the member object of this process in the store, so that the other processes can find it. */
+import {isDeepStrictEqual} from 'node:util';
 import type {Random} from '../shared/random.js';
 import type {CrashRecord} from './crash-records.js';
 import type {DecisionLog} from './decision-log.js';
+import {decodeDepartures, mergeDepartures, type Departure} from './departures.js';
 import type {ListedMember} from './member-directory.js';
 import type {Member} from './message.js';
 import type {ObjectStore, StoredObject} from './object-store.js';
@@ -13,6 +15,11 @@
 /** Mean delay before a failed write is retried, in milliseconds: the object must be restored about two seconds after the store is reachable again. */
 const RETRY_MS = 500;
 
+/** Time in which the store has to answer a write at first, in milliseconds; doubled after each one without an answer. A connection that was silent while the store was away stays silent. */
+const RESPONSE_MIN_MS = 800;
+/** Longest time in which the store has to answer a write, in milliseconds. */
+const RESPONSE_MAX_MS = 2500;
+
 /** Registration of this process in the store. */
 export type Registration = {
   /** Writes the member object, without reading the store before. */
@@ -21,7 +28,11 @@
   reconcile: (listed: ListedMember | undefined, listRevision: number) => void;
   /** Keeps records of blocked requests in the member object. */
   setCrashRecords: (records: CrashRecord[]) => void;
-  /** Deletes the member object, when the host is removed from the fleet. */
+  /** Keeps departures of the backend server of this host in the member object. */
+  setDepartures: (departures: Departure[]) => void;
+  /** Resolves when the store holds everything that was to be kept at the time of the call. */
+  whenKept: () => Promise<void>;
+  /** Takes this process out of the member list, when the host is removed from the fleet. The object stays if it holds departures, which a late restart of the process needs. */
   unregister: () => Promise<void>;
   /** Ends the retries of a failed write. */
   close: () => void;
@@ -41,39 +52,83 @@
     : undefined;
 };
 
+/** Options of the registration. */
+export type RegistrationOptions = {
+  self: Member;
+  store: ObjectStore;
+  log: DecisionLog;
+  random: Random;
+  /** Called once with the departures in the object that an earlier start of this process has left; with none if there is no object. */
+  onRestored?: (departures: Departure[]) => void;
+};
+
 /** Creates the registration; nothing is written before the first `register` or `reconcile`. */
-export const createRegistration = (options: {self: Member; store: ObjectStore; log: DecisionLog; random: Random}): Registration => {
+export const createRegistration = (options: RegistrationOptions): Registration => {
   const {self, store, log} = options;
   /** Undefined before this process has any of its own: it keeps those that it finds in its object. */
   let crashRecords: CrashRecord[] | undefined;
+  let departures: Departure[] = [];
+  let isRestored = false;
+  /** Number of changes of what is to be kept, and how many of them the store holds. */
+  let changes = 0;
+  let keptChanges = 0;
+  let waiting: Array<{change: number; resolve: () => void}> = [];
   let writing = false;
   /** Whether the object has to be written again, because it has changed during a write. */
   let isOutdated = false;
+  let pendingWrite: Promise<void> = Promise.resolve();
   let closed = false;
+  let responseMs = RESPONSE_MIN_MS;
   /** Revision of the object as last read or written; undefined when it does not exist. */
   let revision: number | undefined;
 
   const isOwn = (member: Member | undefined): boolean => member?.address === self.address && member.zone === self.zone && member.service === self.service;
 
+  /** What is kept in the object, whether or not this process is a member. */
+  const createKept = () => ({
+    ...(crashRecords === undefined || crashRecords.length === 0 ? {} : {crashRecords}), ...(departures.length === 0 ? {} : {departures}),
+  });
+
   const createValue = () => ({
-    address: self.address, zone: self.zone, service: self.service, ...(crashRecords === undefined || crashRecords.length === 0 ? {} : {crashRecords}),
+    address: self.address, zone: self.zone, service: self.service, ...createKept(),
   });
 
+  /** Restores what an earlier start of this process has kept in the object; called with each first answer that shows the object, or that there is none. */
+  const restore = (value: unknown): void => {
+    if (isRestored) {
+      return;
+    }
+
+    isRestored = true;
+    const earlier = decodeDepartures(value);
+    crashRecords ??= decodeCrashRecords(value);
+    departures = mergeDepartures(earlier, departures);
+    options.onRestored?.(earlier);
+  };
+
   /** Adopts the object that stands in the way of a write; returns whether it already holds the right values. */
   const adoptCurrent = (current: StoredObject | undefined): boolean => {
     revision = current?.revision;
-    const hasOwnRecords = crashRecords !== undefined;
-    crashRecords ??= decodeCrashRecords(current?.value);
-    return current !== undefined && isOwn(decodeMember(current)) && !hasOwnRecords;
+    restore(current?.value);
+    return current !== undefined && isDeepStrictEqual(current.value, createValue());
+  };
+
+  const recordKept = (upTo: number): void => {
+    keptChanges = upTo;
+    const kept = waiting.filter(({change}) => change <= upTo);
+    waiting = waiting.filter(({change}) => change > upTo);
+    for (const {resolve} of kept) {
+      resolve();
+    }
   };
 
   const writeIfOutdated = (): void => {
     if (isOutdated) {
-      void write();
+      write();
     }
   };
 
-  const write = async (): Promise<void> => {
+  const write = (): void => {
     if (writing || closed) {
       isOutdated = writing;
       return;
@@ -81,58 +136,91 @@
 
     writing = true;
     isOutdated = false;
+    pendingWrite = writeNow();
+  };
+
+  const writeNow = async (): Promise<void> => {
     const value = createValue();
-    const written = revision === undefined
-      ? await store.create(MEMBER_KIND, self.node, value)
-      : await store.replace(MEMBER_KIND, self.node, value, revision);
+    const written = changes;
+    const result = revision === undefined
+      ? await store.create(MEMBER_KIND, self.node, value, responseMs)
+      : await store.replace(MEMBER_KIND, self.node, value, revision, responseMs);
     writing = false;
-    if (written.kind === 'ok') {
-      revision = written.value.revision;
+    responseMs = result.kind === 'error' && result.error.kind === 'unreachable' ? Math.min(RESPONSE_MAX_MS, responseMs * 2) : RESPONSE_MIN_MS;
+    if (result.kind === 'ok') {
+      revision = result.value.revision;
+      restore(undefined);
       log.write('info', 'registered', {address: self.address, revision});
+      recordKept(written);
       writeIfOutdated();
       return;
     }
 
-    if (written.error.kind === 'conflict' && adoptCurrent(written.error.current)) {
+    const upToDate = changes;
+    if (result.error.kind === 'conflict' && adoptCurrent(result.error.current)) {
       log.write('info', 'registered', {address: self.address, revision});
+      recordKept(upToDate);
       writeIfOutdated();
       return;
     }
 
-    if (written.error.kind === 'not-found') {
+    if (result.error.kind === 'not-found') {
       revision = undefined;
     }
 
-    log.write('warn', 'registration-failed', {fault: written.error.kind, cause: written.error.message});
-    setTimeout(() => {
-      void write();
-    }, RETRY_MS * (0.5 + options.random()));
+    log.write('warn', 'registration-failed', {fault: result.error.kind, cause: result.error.message});
+    setTimeout(write, RETRY_MS * (0.5 + options.random()));
+  };
+
+  const keep = (): void => {
+    changes++;
+    write();
   };
 
   return {
     register() {
-      void write();
+      write();
     },
     reconcile(listed, listRevision) {
       // A list that is older than the last write says nothing about it.
-      if (writing || listRevision < (revision ?? 0) || isOwn(listed?.member)) {
+      if (writing || listRevision < (revision ?? 0)) {
+        return;
+      }
+
+      // The list shows members only; what is kept besides may be missing from an object of another revision, as after a restore of the store.
+      const isChanged = listed?.revision !== revision && Object.keys(createKept()).length > 0;
+      if (isOwn(listed?.member) && !isChanged) {
         return;
       }
 
       revision = listed === undefined || listed.revision === 0 ? undefined : listed.revision;
-      void write();
+      write();
     },
     setCrashRecords(records) {
       crashRecords = records;
-      void write();
+      keep();
     },
+    setDepartures(next) {
+      departures = next;
+      keep();
+    },
+    whenKept: async () => new Promise(resolve => {
+      if (keptChanges >= changes) {
+        resolve();
+      } else {
+        waiting.push({change: changes, resolve});
+      }
+    }),
     async unregister() {
       closed = true;
+      await pendingWrite;
       if (revision === undefined) {
         return;
       }
 
-      const removed = await store.remove(MEMBER_KIND, self.node, revision);
+      const removed = departures.length === 0
+        ? await store.remove(MEMBER_KIND, self.node, revision)
+        : await store.replace(MEMBER_KIND, self.node, {departures}, revision);
       if (removed.kind === 'error') {
         log.write('warn', 'registration-not-removed', {fault: removed.error.kind, cause: removed.error.message});
       }
