fix(mesh): compare the service of a call again when it leaves the queue

Cause: the service was compared when a call arrived, not when it was dispatched. One function now says why a call may not be dispatched, and is asked at both moments; such calls are refused as not run.

Failed before: three cases of replaced-backend.spec.ts.

--- a/src/mesh/inbound-proxy.ts
+++ b/src/mesh/inbound-proxy.ts
@@ -301,6 +301,10 @@
 
   const mayDispatch = (): boolean => loadTracker.running() < limit() && rateLimit.waitMs(1) === 0;
 
+  /** Why a call may not be dispatched to the backend server that is there now; asked when the call arrives and again when it leaves the queue, since another service may have taken the address meanwhile. */
+  const findObstacle = ({service}: InboundCall['call']): RefusalReason | undefined =>
+    backendStatus.unavailableReason() ?? (backendStatus.target()?.service === service ? undefined : 'other-service');
+
   const dispatchQueued = (): void => {
     while (mayDispatch() && queue.length > 0) {
       const {taken, dropped} = takeNext(queue, {isKindBlocked: () => false, decide: checkQueueTime});
@@ -313,11 +317,11 @@
       }
 
       const active = calls.get(taken.callId)!;
-      const unavailable = backendStatus.unavailableReason();
-      if (unavailable === undefined) {
+      const obstacle = findObstacle(active.inbound.call);
+      if (obstacle === undefined) {
         dispatch(active);
       } else {
-        refuse(active, unavailable);
+        refuse(active, obstacle);
       }
     }
   };
@@ -353,11 +357,9 @@
 
       calls.set(inbound.key, active);
       loadTracker.recordArrival(inbound.call.isRepeat);
-      const unavailable = backendStatus.unavailableReason();
-      if (unavailable !== undefined) {
-        refuse(active, unavailable);
-      } else if (backendStatus.target()?.service !== inbound.call.service) {
-        refuse(active, 'other-service');
+      const obstacle = findObstacle(inbound.call);
+      if (obstacle !== undefined) {
+        refuse(active, obstacle);
       } else if (inbound.call.remainingMs <= 0) {
         refuse(active, 'deadline-passed');
       } else if (mayDispatch() && queue.length === 0) {
