fix(mesh): take no address that cannot be connected to

Cause: any text was taken as an address, and net.connect throws for a port that is none, in a timer. Announcements and members named by peers were open to the same.

Change: isAddress decides where entries, announcements, members of peers and settings are decoded. An unreadable entry names no member and is reported once for each revision, with a counter.

Failed before: unreadable-member.spec.ts (the test process ended with the same error), three cases of decoding.spec.ts.

--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -20,8 +20,9 @@
 import type {ObjectStore, StoredObject} from './object-store.js';
 import type {HttpDialect} from './http-dialect.js';
 import {createLearntRouteSpread} from './learnt-routes.js';
-import {createMemberDirectory, type ListedMember, type MemberDirectory} from './member-directory.js';
-import {createRegistration, MEMBER_KIND, decodeMember} from './registration.js';
+import {createListedMembers} from './listed-members.js';
+import {createMemberDirectory} from './member-directory.js';
+import {createRegistration, MEMBER_KIND} from './registration.js';
 import {createRequestContent} from './request-content.js';
 import {createRetryBudget} from './retry-budget.js';
 import {createRouteTable, type RouteTable} from './route-table.js';
@@ -85,32 +86,6 @@
 /** Time in which changes of the member list are collected, in milliseconds: many processes may start or stop at once. */
 const MEMBER_BATCH_MS = 200;
 
-const toListedMember = (object: StoredObject): ListedMember[] => {
-  const member = decodeMember(object);
-  return member === undefined ? [] : [{member, revision: object.revision}];
-};
-
-/** Applies what was read from the store to the member list. */
-const applyMemberChange = (directory: MemberDirectory, change: ObjectChange): void => {
-  switch (change.kind) {
-    case 'listed': {
-      directory.applySnapshot([...change.objects.values()].flatMap(object => toListedMember(object)), change.revision);
-      return;
-    }
-
-    case 'changed': {
-      const {objects, since, revision} = change;
-      const names = [...new Set(change.events.map(({object}) => object.name))];
-      directory.applyChanges({
-        since,
-        revision,
-        listed: names.flatMap(name => objects.has(name) ? toListedMember(objects.get(name)!) : []),
-        removed: names.filter(name => !objects.has(name) || decodeMember(objects.get(name)!) === undefined).map(node => ({node, revision})),
-      });
-    }
-  }
-};
-
 /** Objects that a list or a watch has shown, without deleted ones. */
 const changedObjects = (change: ObjectChange): StoredObject[] => {
   switch (change.kind) {
@@ -140,6 +115,7 @@
   let routeTable: RouteTable | undefined;
   let stopping = false;
   const directory = createMemberDirectory();
+  const listedMembers = createListedMembers(directory, log);
   const downstreamFailures: DownstreamFailures = {lastFailureAt: Number.NEGATIVE_INFINITY, overloadedAt: new Map()};
 
   const clientRoutes = createClientRoutes({
@@ -349,7 +325,7 @@
         isActive: fleet.storeReaders.isLastingReader,
         batchMs: MEMBER_BATCH_MS,
         onChange(change) {
-          applyMemberChange(directory, change);
+          listedMembers.apply(change);
           departedHosts.apply(change);
           for (const {name, value} of changedObjects(change)) {
             crashGuard.restore(decodeCrashRecords(value), name === settings.node);
--- a/src/mesh/registration.ts
+++ b/src/mesh/registration.ts
@@ -1,5 +1,7 @@
 /** Keeps the member object of this process in the store, so that the other processes can find it. */
 import {isDeepStrictEqual} from 'node:util';
+import * as z from 'zod/mini';
+import {isAddress} from '../shared/address.js';
 import type {Random} from '../shared/random.js';
 import type {CrashRecord} from './crash-records.js';
 import type {DecisionLog} from './decision-log.js';
@@ -38,18 +40,13 @@
   close: () => void;
 };
 
-/** Decodes a member object; undefined when it has another format. */
-export const decodeMember = ({name, value}: StoredObject): Member | undefined => {
-  if (typeof value !== 'object' || value === null) {
-    return undefined;
-  }
+const name = z.string().check(z.minLength(1));
+const memberSchema = z.object({address: z.string().check(z.refine(isAddress)), zone: name, service: name});
 
-  const {address, zone, service} = value as {address?: unknown; zone?: unknown; service?: unknown};
-  return typeof address === 'string' && typeof zone === 'string' && typeof service === 'string'
-    ? {
-      node: name, address, zone, service,
-    }
-    : undefined;
+/** Decodes a member object; undefined when it has another format, or an address that cannot be connected to. */
+export const decodeMember = (object: StoredObject): Member | undefined => {
+  const parsed = memberSchema.safeParse(object.value);
+  return parsed.success ? {node: object.name, ...parsed.data} : undefined;
 };
 
 /** Options of the registration. */
--- a/src/mesh/settings.ts
+++ b/src/mesh/settings.ts
@@ -1,9 +1,10 @@
 /** Settings of the process on a backend server host, read from a JSON file. */
 import {readFileSync} from 'node:fs';
 import * as z from 'zod/mini';
+import {isAddress} from '../shared/address.js';
 import {fail, ok, type Result} from '../shared/result.js';
 
-const address = z.string().check(z.regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/u, 'use `ip:port`'));
+const address = z.string().check(z.refine(isAddress, 'use `ip:port`'));
 const positive = z.number().check(z.positive());
 
 /** Schema of the settings. Durations are in milliseconds. */
--- a/src/mesh/state-exchange.ts
+++ b/src/mesh/state-exchange.ts
@@ -1,5 +1,6 @@
 /** Exchanges state with other processes over the links: versions, the configuration, members, learnt routes, and what backend servers have stated. */
 import {Buffer} from 'node:buffer';
+import {isAddress} from '../shared/address.js';
 import {createBackendRecords, type BackendRecords} from './backend-records.js';
 import type {CrashGuard} from './crash-guard.js';
 import type {DecisionLog} from './decision-log.js';
@@ -157,7 +158,8 @@
       }
 
       case 'members': {
-        directory.applyChanges(message.changes);
+        const {changes} = message;
+        directory.applyChanges({...changes, listed: changes.listed.filter(({member}) => isAddress(member.address))});
         return;
       }
 
@@ -167,7 +169,10 @@
       }
 
       case 'hello': {
-        directory.learn(message.member);
+        if (isAddress(message.member.address)) {
+          directory.learn(message.member);
+        }
+
         requestNewerState(sender, message.known, from);
         sendLearntRoutes(sender);
         sendCrashRecords(sender);
