--- a/src/mesh/response-head.ts
+++ b/src/mesh/response-head.ts
@@ -12,13 +12,16 @@
 
 const quote = (text: string): string => JSON.stringify(text.slice(0, 80));
 
+/** Whether HTTP allows a text as a header value. */
+export const isHeaderValue = (text: string): boolean => !FORBIDDEN_TEXT.test(text);
+
 /** Finds what HTTP does not allow in a head; undefined when it can be passed on. */
 export const findHeadFault = ({status, rawHeaders}: ResponseHead): string | undefined => {
   if (!Number.isInteger(status) || status < FIRST_STATUS || status > LAST_STATUS) {
     return `status ${status} is not between ${FIRST_STATUS} and ${LAST_STATUS}`;
   }
 
-  const fault = rawHeaders.findIndex((text, index) => index % 2 === 0 ? !HEADER_NAME.test(text) : FORBIDDEN_TEXT.test(text));
+  const fault = rawHeaders.findIndex((text, index) => index % 2 === 0 ? !HEADER_NAME.test(text) : !isHeaderValue(text));
   if (fault === -1) {
     return undefined;
   }
@@ -27,6 +30,3 @@
     ? `${quote(rawHeaders[fault]!)} is not a header name`
     : `the value of the header ${quote(rawHeaders[fault - 1]!)} contains a control character: ${quote(rawHeaders[fault]!)}`;
 };
-
-/** Whether a status line has a reason phrase that HTTP allows; it is not passed on, but shows a damaged head. */
-export const isReasonPhrase = (text: string): boolean => !FORBIDDEN_TEXT.test(text);
--- a/src/mesh/response-parser.ts
+++ b/src/mesh/response-parser.ts
@@ -3,7 +3,7 @@
 import {HTTPParser} from 'http-parser-js';
 import {createBodyBuffer, type BodyBuffer} from './body-buffer.js';
 import type {HeldBytes, Reservation} from './held-bytes.js';
-import {findHeadFault, isReasonPhrase} from './response-head.js';
+import {findHeadFault, isHeaderValue} from './response-head.js';
 
 // Reads heads with one character for each byte. The parser's default clears the highest bit, which turns bytes of other encodings into control characters.
 HTTPParser.encoding = 'latin1';
@@ -120,7 +120,7 @@
     }
 
     const headFault = findHeadFault({status: info.statusCode, rawHeaders: info.headers})
-      ?? (isReasonPhrase(info.statusMessage) ? undefined : 'its reason phrase contains a control character');
+      ?? (isHeaderValue(info.statusMessage) ? undefined : 'its reason phrase contains a control character');
     if (headFault !== undefined) {
       refuse('head-invalid', `the backend server sent an invalid response head: ${headFault}`);
       return 1;
