fix(mesh): lose a response whose end is misread

Callers got 200 with the seal and a part of the body, or an empty one: a chunk size of "q90" for "190", or "Content-Length: 1O0". A chunk size of "-6" never returned from the parser.

Cause: http-parser-js reads sizes with parseInt and +, and skips header lines that it cannot read. Each line that states the end of a response is now checked before the parser uses it (response-framing.ts).

Failed before: the first two cases of the table in backend-connection.spec.ts; the third did not return, so the others were not reached. After: all 19 pass, and all of platform/ and src/mesh/.

--- a/src/mesh/response-parser.ts
+++ b/src/mesh/response-parser.ts
@@ -4,6 +4,7 @@
 import {createBodyBuffer, type BodyBuffer} from './body-buffer.js';
 import type {HeldBytes, Reservation} from './held-bytes.js';
 import {findHeadFault, isHeaderValue} from './response-head.js';
+import {findFramingFault, isFramingLine} from './response-framing.js';
 
 // Reads heads with one character for each byte. The parser's default clears the highest bit, which turns bytes of other encodings into control characters.
 HTTPParser.encoding = 'latin1';
@@ -55,8 +56,8 @@
 const STRING_OVERHEAD_BYTES = 32;
 const FIRST_FINAL_STATUS = 200;
 
-/** State of the parser, which its type declarations leave out: the incomplete line, what is expected next, and the trailers so far. */
-type ParserState = {line: string; state: string; info: {headers: string[]}; trailers: string[]};
+/** Parts of the parser that its type declarations leave out: the incomplete line, what is expected next, the headers and trailers so far, and the function that takes the next complete line. */
+type ParserState = {line: string; state: string; info: {headers: string[]}; trailers: string[]; consumeLine: () => string | undefined};
 
 const isFramed = (rawHeaders: readonly string[]): boolean =>
   rawHeaders.some((name, index) => index % 2 === 0 && /^(?:content-length|transfer-encoding)$/iu.test(name));
@@ -114,13 +115,25 @@
     }
   };
 
+  const consumeLine = state.consumeLine.bind(state);
+  // The parser skips header lines that it cannot read, and takes a chunk size that is no number for the end of the body.
+  state.consumeLine = () => {
+    const line = consumeLine();
+    if (line !== undefined && !isFramingLine(state.state, line)) {
+      throw new Error(`invalid line: ${JSON.stringify(line.slice(0, 80))}`);
+    }
+
+    return line;
+  };
+
   parser[HTTPParser.kOnHeadersComplete] = info => {
     if (fault !== undefined) {
       return 1;
     }
 
     const headFault = findHeadFault({status: info.statusCode, rawHeaders: info.headers})
-      ?? (isHeaderValue(info.statusMessage) ? undefined : 'its reason phrase contains a control character');
+      ?? (isHeaderValue(info.statusMessage) ? undefined : 'its reason phrase contains a control character')
+      ?? findFramingFault(info.headers);
     if (headFault !== undefined) {
       refuse('head-invalid', `the backend server sent an invalid response head: ${headFault}`);
       return 1;
