fix(mesh): let a second stop signal wait for the first one

Cause: stop() returned at its second call, and the caller of it exits the process. It now returns the stop that is under way.

--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -114,6 +114,8 @@
   const metrics = createRequestMetrics();
   let routeTable: RouteTable | undefined;
   let stopping = false;
+  /** The planned stop; a second signal does not end it sooner. */
+  let stopped: Promise<void> | undefined;
   const directory = createMemberDirectory();
   const listedMembers = createListedMembers(directory, log);
   const downstreamFailures: DownstreamFailures = {lastFailureAt: Number.NEGATIVE_INFINITY, overloadedAt: new Map()};
@@ -362,6 +364,26 @@
     store.close();
   };
 
+  const stopNow = async (): Promise<void> => {
+    stopping = true;
+    const stopRequestedAt = now();
+    const deadlineAt = stopRequestedAt + settings.bounds.graceMs - STOP_RESERVE_MS;
+    callerListener.drainConnections();
+    if (inboundProxy.hasBackendLeft()) {
+      await Promise.race([registration.unregister(), sleep(STOP_RESERVE_MS)]);
+    }
+
+    // The backend server keeps running, so it gets calls as long as they can end before this process does.
+    await sleep(Math.max(0, STOP_ACCEPT_MS - maxRequestMs()));
+    inboundProxy.drain();
+    await sleep(Math.max(0, stopRequestedAt + STOP_ACCEPT_MS - now()));
+    await waitUntilIdle(deadlineAt - maxRequestMs());
+    callerListener.refuseRequests();
+    await waitUntilIdle(deadlineAt);
+    log.write('info', 'stopping', {entry: callerListener.inFlight(), door: inboundProxy.inFlight(), ms: Math.round(now() - stopRequestedAt)});
+    kill();
+  };
+
   /** Whether the store holds all departures, now or shortly. */
   const areDeparturesKept = async (): Promise<boolean> => {
     const kept = (async () => {
@@ -394,27 +416,8 @@
       watchStore();
     },
     async stop() {
-      if (stopping) {
-        return;
-      }
-
-      stopping = true;
-      const stopRequestedAt = now();
-      const deadlineAt = stopRequestedAt + settings.bounds.graceMs - STOP_RESERVE_MS;
-      callerListener.drainConnections();
-      if (inboundProxy.hasBackendLeft()) {
-        await Promise.race([registration.unregister(), sleep(STOP_RESERVE_MS)]);
-      }
-
-      // The backend server keeps running, so it gets calls as long as they can end before this process does.
-      await sleep(Math.max(0, STOP_ACCEPT_MS - maxRequestMs()));
-      inboundProxy.drain();
-      await sleep(Math.max(0, stopRequestedAt + STOP_ACCEPT_MS - now()));
-      await waitUntilIdle(deadlineAt - maxRequestMs());
-      callerListener.refuseRequests();
-      await waitUntilIdle(deadlineAt);
-      log.write('info', 'stopping', {entry: callerListener.inFlight(), door: inboundProxy.inFlight(), ms: Math.round(now() - stopRequestedAt)});
-      kill();
+      stopped ??= stopNow();
+      return stopped;
     },
     kill,
     isReady: () => !stopping && routeTable !== undefined && (directory.revision() > 0 || directory.members().length > 1),
