fix(mesh): answer and cancel requests that were sent behind another one

Cause: a refusal that is decided at once was sent with Connection: close, because Node counts a request without a body as incomplete at that moment. It closes now only when a body is left unread. And when a caller left, only its first request was cancelled, since Node emits no event for responses that wait behind another; the others counted as under way for good.

Failed before: all three cases of pipelining.spec.ts.

--- a/src/mesh/caller-listener.ts
+++ b/src/mesh/caller-listener.ts
@@ -86,8 +86,14 @@
 
 /** An error response of this process itself. */
 type ErrorResponse = {status: number; reason: string; retryAfterMs?: number};
-type SocketState = {pendingRequests: number};
-type RequestState = {reservation: Reservation};
+/** Requests of a connection whose response has not ended, in their order. */
+type SocketState = {pending: Set<RequestState>};
+type RequestState = {
+  reservation: Reservation;
+  /** Cancels the request; undefined before it is forwarded. */
+  cancel: (() => void) | undefined;
+  settled: boolean;
+};
 
 const headerBytes = (rawHeaders: readonly string[]): number => {
   let bytes = 0;
@@ -111,7 +117,7 @@
   let refusingRequests = false;
 
   /** While draining, a connection closes with the response to the last request that was read from it. */
-  const shouldCloseConnection = (request: IncomingMessage): boolean => drainingConnections && (sockets.get(request.socket)?.pendingRequests ?? 1) <= 1;
+  const shouldCloseConnection = (request: IncomingMessage): boolean => drainingConnections && (sockets.get(request.socket)?.pending.size ?? 1) <= 1;
 
   const writeError = (request: IncomingMessage, response: ServerResponse, requestId: string | undefined, {status, reason, retryAfterMs}: ErrorResponse): void => {
     if (response.destroyed || response.headersSent) {
@@ -128,7 +134,7 @@
       headers.push('Retry-After', (retryAfterMs / 1000).toFixed(3));
     }
 
-    if (shouldCloseConnection(request) || !request.complete) {
+    if (shouldCloseConnection(request) || (hasBody(request) && !request.complete)) {
       headers.push('Connection', 'close');
     }
 
@@ -282,7 +288,7 @@
       return;
     }
 
-    if (response.destroyed) {
+    if (state.settled) {
       return;
     }
 
@@ -314,13 +320,13 @@
         abandon(request, response, requestId);
       });
     });
-    response.on('close', () => {
+    state.cancel = () => {
       if (!response.writableFinished) {
         log.write('debug', 'caller-gone', {request: requestId});
       }
 
       requestHandle.cancel();
-    });
+    };
   };
 
   const serve = async (request: IncomingMessage, response: ServerResponse, state: RequestState): Promise<void> => {
@@ -340,16 +346,25 @@
     return statedDeadlineMs < longestDeadlineMs - CLIENT_RETRY_DEADLINE_GAP_MS;
   };
 
+  /** Ends the account of a request whose response has ended or whose caller has gone. */
+  const settle = (socketState: SocketState, state: RequestState): void => {
+    if (!state.settled) {
+      state.settled = true;
+      socketState.pending.delete(state);
+      inFlight--;
+      state.reservation.release();
+      state.cancel?.();
+    }
+  };
+
   const onRequest = (request: IncomingMessage, response: ServerResponse): void => {
-    const socketState = sockets.get(request.socket) ?? {pendingRequests: 0};
-    const state = {reservation: heldBytes.reserve()};
+    const socketState = sockets.get(request.socket) ?? {pending: new Set()};
+    const state: RequestState = {reservation: heldBytes.reserve(), cancel: undefined, settled: false};
     sockets.set(request.socket, socketState);
-    socketState.pendingRequests++;
+    socketState.pending.add(state);
     inFlight++;
     response.on('close', () => {
-      socketState.pendingRequests--;
-      inFlight--;
-      state.reservation.release();
+      settle(socketState, state);
     });
     void serve(request, response, state);
   };
@@ -358,9 +373,14 @@
     maxHeaderSize: HEADER_MAX_BYTES, keepAliveTimeout: IDLE_TIMEOUT_DEFAULT_MS, noDelay: true, requestTimeout: 0, connectionsCheckingInterval: 1000,
   }, onRequest);
   server.on('connection', (socket: Socket) => {
-    sockets.set(socket, {pendingRequests: 0});
+    const socketState: SocketState = {pending: new Set()};
+    sockets.set(socket, socketState);
     socket.on('close', () => {
       sockets.delete(socket);
+      // Responses that wait behind another one on their connection emit no event when it closes.
+      for (const state of socketState.pending) {
+        settle(socketState, state);
+      }
     });
   });
 
