fix(mesh): do not overwrite departures that were not read yet

If the first write of a process that starts was not answered and the member list showed its object with another address, the next write replaced the object, with the departures in it. Found by reading the diff; the new case of registration.spec.ts covers it.

Until its object has been read, a process writes only by creating it, which the store refuses with the object that is there.

--- a/src/mesh/__tests__/registration.spec.ts
+++ b/src/mesh/__tests__/registration.spec.ts
@@ -223,6 +223,17 @@
   registration.close();
 });
 
+test('departures of an earlier start are not overwritten when the first write is not answered and the list shows another address', async t => {
+  const fake = createStore('done', {name: self.node, revision: 7, value: {...OWN_VALUE, address: '10.9.9.9:1', departures: [earlier]}});
+  const registration = createRegistration({
+    self, store: fake.store, log, random: () => 0,
+  });
+  registration.reconcile({member: {...self, address: '10.9.9.9:1'}, revision: 7}, 7);
+  await waitFor(() => decodeMember(fake.stored()!)?.address === self.address);
+  t.deepEqual(decodeDepartures(fake.stored()!.value), [earlier]);
+  registration.close();
+});
+
 test('a host that is removed leaves its departures, without being a member', async t => {
   const fake = createStore('done');
   const registration = createRegistration({
--- a/src/mesh/registration.ts
+++ b/src/mesh/registration.ts
@@ -90,7 +90,7 @@
     address: self.address, zone: self.zone, service: self.service, ...createKept(),
   });
 
-  /** Restores what an earlier start of this process has kept in the object; called with each first answer that shows the object, or that there is none. */
+  /** Restores what an earlier start of this process has kept in the object; called with the first answer that shows the object, or that there is none. */
   const restore = (value: unknown): void => {
     if (isRestored) {
       return;
@@ -190,7 +190,8 @@
         return;
       }
 
-      revision = listed === undefined || listed.revision === 0 ? undefined : listed.revision;
+      // The first write has to be refused if there is an object, since the refusal shows what it keeps.
+      revision = listed === undefined || listed.revision === 0 || !isRestored ? undefined : listed.revision;
       write();
     },
     setCrashRecords(records) {
