perf(mesh): keep fewer departures, and look at changed objects only

Each process that starts reads the objects of all hosts, and a reader got all of them with each change. Two departures a host are kept in place of four, a change of the list is applied object by object, and departures of other hosts are no longer kept by their peers: a process that cannot read its own waits for a repeated announcement anyway, and the records of peers are bounded in number.

--- a/src/mesh/departed-hosts.ts
+++ b/src/mesh/departed-hosts.ts
@@ -33,19 +33,19 @@
     log.write('info', 'departed-host-deleted', {member: name, fault: removed.kind === 'error' ? removed.error.kind : undefined});
   };
 
-  return {
-    apply({objects}) {
-      const departed = new Map([...objects].filter(([, object]) => isDepartedHost(object)));
-      for (const [name, {revision}] of due) {
-        if (departed.get(name)?.revision !== revision) {
-          due.delete(name);
-        }
-      }
+  const applyObject = (name: string, object: StoredObject | undefined): void => {
+    if (object === undefined || !isDepartedHost(object)) {
+      due.delete(name);
+    } else if (due.get(name)?.revision !== object.revision) {
+      due.set(name, {revision: object.revision, at: now() + (KEPT_MS * (1 + random()))});
+    }
+  };
 
-      for (const [name, {revision}] of departed) {
-        if (!due.has(name)) {
-          due.set(name, {revision, at: now() + (KEPT_MS * (1 + random()))});
-        }
+  return {
+    apply(change) {
+      const names = change.kind === 'listed' ? [...new Set([...due.keys(), ...change.objects.keys()])] : change.events.map(({object}) => object.name);
+      for (const name of names) {
+        applyObject(name, change.objects.get(name));
       }
     },
     tick() {
--- a/src/mesh/departures.ts
+++ b/src/mesh/departures.ts
@@ -27,8 +27,8 @@
   all: () => Departure[];
 };
 
-/** Departures that are kept; announcements are late by seconds, in which a host has few backend servers. */
-const DEPARTURES_MAX = 4;
+/** Departures that are kept, until later ones take their place; announcements are late by seconds, in which a host has few backend servers. Each process that starts reads those of all hosts. */
+const DEPARTURES_MAX = 2;
 
 /** Combines departures that were known before with later ones. */
 export const mergeDepartures = (earlier: readonly Departure[], later: readonly Departure[]): Departure[] => {
--- a/src/mesh/fleet.ts
+++ b/src/mesh/fleet.ts
@@ -6,7 +6,6 @@
 import type {CrashGuard} from './crash-guard.js';
 import type {CrashRecord} from './crash-records.js';
 import type {DecisionLog} from './decision-log.js';
-import type {Departure} from './departures.js';
 import type {InboundProxy} from './inbound-proxy.js';
 import type {LearntRouteSpread} from './learnt-routes.js';
 import {createLinkTable} from './link-table.js';
@@ -54,8 +53,6 @@
   services: () => ReadonlySet<string>;
   /** Part of this process in reading the store. */
   storeReaders: Pick<StoreReaders, 'isReader' | 'isLastingReader' | 'retryMaxMs'>;
-  /** Keeps departures of the backend server of another host that the store holds, to tell the process of that host when it connects. */
-  restoreDepartures: (node: string, departures: readonly Departure[]) => void;
   /** Records that this process has read the configuration as the store held it at a time of the clock. */
   recordStoreRead: (readAt: number) => void;
   /** Sends records of crashes: to all linked processes those that this process has found out, to some of them those that it passes on. */
@@ -351,7 +348,6 @@
     callCounts: service => estimateCallCounts(loadSamples(service, () => true), backendCounts(service)),
     services: () => rings.services().has(self.service) ? rings.services() : new Set([...rings.services(), self.service]),
     storeReaders,
-    restoreDepartures: stateExchange.restoreDepartures,
     recordStoreRead(readAt) {
       storeReaders.recordOwn(readAt);
       server.broadcast({type: 'known', known: known()}, ({zone}) => zone === self.zone);
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -8,7 +8,6 @@
 import {createCrashGuard} from './crash-guard.js';
 import type {DecisionLog} from './decision-log.js';
 import {createDepartedHosts} from './departed-hosts.js';
-import {decodeDepartures} from './departures.js';
 import type {Announcement} from './announcement.js';
 import {createDependencies} from './dependencies.js';
 import type {DownstreamFailures} from './inbound-call.js';
@@ -331,7 +330,6 @@
           departedHosts.apply(change);
           for (const {name, value} of changedObjects(change)) {
             crashGuard.restore(decodeCrashRecords(value), name === settings.node);
-            fleet.restoreDepartures(name, decodeDepartures(value));
           }
 
           fleet.announceVersions();
--- a/src/mesh/state-exchange.ts
+++ b/src/mesh/state-exchange.ts
@@ -4,7 +4,6 @@
 import {createBackendRecords, type BackendRecords} from './backend-records.js';
 import type {CrashGuard} from './crash-guard.js';
 import type {DecisionLog} from './decision-log.js';
-import type {Departure} from './departures.js';
 import type {LearntRouteSpread} from './learnt-routes.js';
 import type {MemberDirectory} from './member-directory.js';
 import type {
@@ -22,8 +21,6 @@
   known: () => KnownVersions;
   /** What the backend servers of other hosts have stated. */
   backendRecords: Pick<BackendRecords, 'of'>;
-  /** Keeps the latest departure that the store holds for a host, unless the process there has reported a later start. */
-  restoreDepartures: (node: string, departures: readonly Departure[]) => void;
   /** Handles a message about state, and logs any other one; `from` is the process that sent it. */
   onMessage: (sender: MessageSender, message: Message, body: Buffer, from: string) => void;
 };
@@ -206,19 +203,8 @@
     }
   };
 
-  const restoreDepartures = (node: string, departures: readonly Departure[]): void => {
-    const latest = departures.findLast(departure => departure.kind === 'start');
-    const reported = backendRecords.of(node);
-    if (latest !== undefined && (reported === undefined || reported.startedAt < latest.startedAt)) {
-      backendRecords.put(node, {
-        instance: latest.instance, startedAt: latest.startedAt, isLeaving: true, ratePerSecond: undefined,
-      });
-    }
-  };
-
   return {
     known,
-    restoreDepartures,
     backendRecords,
     onMessage,
   };
