refactor(mesh): read bodies of requests in a module of their own

What a change of the store shows belongs to the object watcher. No behaviour changes: the tests of bodies, pipelining, heads and end-to-end.spec.ts passed.

--- a/src/mesh/caller-listener.ts
+++ b/src/mesh/caller-listener.ts
@@ -3,12 +3,12 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {listenOn} from '../shared/address.js';
-import {createBodyBuffer} from './body-buffer.js';
 import {forwardRequest, type ForwardingOptions, type RequestOutcome} from './request-forwarder.js';
 import type {DecisionLog} from './decision-log.js';
 import {createErrorBoundary} from './error-boundary.js';
 import {createHeldBytes, type Reservation} from './held-bytes.js';
 import type {HttpDialect} from './http-dialect.js';
+import {hasBody, readBody} from './request-body.js';
 import type {RouteTable} from './route-table.js';
 import type {ClientLimits, Route} from './routing-configuration.js';
 import {createTurnQueue} from './turn-queue.js';
@@ -61,11 +61,6 @@
 const RETRY_AFTER_STOPPING_MS = 100;
 const RETRY_AFTER_MEMORY_MS = 500;
 
-/** Pieces of a request body that are read as they arrive; further ones wait for a turn of the event loop, because reading many chunks of few bytes takes several milliseconds. */
-const PIECES_AT_ONCE = 1000;
-/** Memory of the pieces of a request that Node queues while the request waits, in bytes: 16 KiB and the content of one read, in chunks of one byte. */
-const QUEUED_PIECES_BYTES = 4 * 1024 * 1024;
-
 const FIRST_SERVER_ERROR_STATUS = 500;
 /** Gap to the longest deadline of the route above which a request counts as a client retry, in milliseconds. */
 const CLIENT_RETRY_DEADLINE_GAP_MS = 10;
@@ -193,48 +188,6 @@
     });
   };
 
-  const readBody = async (request: IncomingMessage, state: RequestState, limit: number): Promise<Buffer | 'too-large' | 'memory-full' | 'aborted'> =>
-    new Promise(resolve => {
-      const body = createBodyBuffer({reservation: state.reservation, lengthMax: limit});
-      let piecesInTurn = 0;
-      let mayQueue = false;
-      /** Lets other work run before the rest of a body in many pieces; Node queues what it has read meanwhile. */
-      const waitForTurn = (): void => {
-        request.pause();
-        readQueue.add(() => {
-          piecesInTurn = 0;
-          request.resume();
-        });
-      };
-
-      request.on('data', (piece: Buffer) => {
-        piecesInTurn++;
-        const outcome = body.append(piece);
-        if (outcome !== 'appended') {
-          resolve(outcome === 'too-long' ? 'too-large' : 'memory-full');
-        } else if (piecesInTurn >= PIECES_AT_ONCE) {
-          mayQueue ||= state.reservation.add(QUEUED_PIECES_BYTES);
-          if (!mayQueue) {
-            resolve('memory-full');
-          }
-
-          waitForTurn();
-        }
-      });
-      request.on('end', () => {
-        resolve(body.toBuffer());
-      });
-      request.on('close', () => {
-        resolve('aborted');
-      });
-      request.on('error', () => {
-        resolve('aborted');
-      });
-    });
-
-  const hasBody = (request: IncomingMessage): boolean =>
-    request.headers['transfer-encoding'] !== undefined || (request.headers['content-length'] ?? '0') !== '0';
-
   /** Finds the route of a request, or the error response for one that is not forwarded. */
   const matchRoute = (request: IncomingMessage, table: RouteTable | undefined, requestId: string | undefined): Route | ErrorResponse => {
     if (table === undefined) {
@@ -273,7 +226,11 @@
     options.onArrived(route.name);
     const statedDeadlineMs = deadlineMs ?? DEADLINE_DEFAULT_MS;
     const deadlineAt = arrivedAt + Math.max(0, Math.min(statedDeadlineMs - DEADLINE_MARGIN_MS, route.timeoutMs));
-    const body = hasBody(request) ? await readBody(request, state, table!.configuration.limits.bodyBytes) : Buffer.alloc(0);
+    const body = hasBody(request)
+      ? await readBody({
+        request, reservation: state.reservation, lengthMax: table!.configuration.limits.bodyBytes, readQueue,
+      })
+      : Buffer.alloc(0);
     if (body === 'aborted') {
       return;
     }
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -14,7 +14,7 @@
 import {createInboundProxy, type InboundProxy} from './inbound-proxy.js';
 import {createCallerListener} from './caller-listener.js';
 import {createFleet} from './fleet.js';
-import {startObjectWatcher, type ObjectChange, type ObjectWatcher} from './object-watcher.js';
+import {changedObjects, startObjectWatcher, type ObjectWatcher} from './object-watcher.js';
 import type {BackendState, Member} from './message.js';
 import type {ObjectStore, StoredObject} from './object-store.js';
 import type {HttpDialect} from './http-dialect.js';
@@ -85,19 +85,6 @@
 /** Time in which changes of the member list are collected, in milliseconds: many processes may start or stop at once. */
 const MEMBER_BATCH_MS = 200;
 
-/** Objects that a list or a watch has shown, without deleted ones. */
-const changedObjects = (change: ObjectChange): StoredObject[] => {
-  switch (change.kind) {
-    case 'listed': {
-      return [...change.objects.values()];
-    }
-
-    case 'changed': {
-      return change.events.filter(({kind}) => kind === 'changed').map(({object}) => object);
-    }
-  }
-};
-
 const sleep = async (milliseconds: number): Promise<void> => new Promise(resolve => {
   setTimeout(resolve, milliseconds);
 });
--- a/src/mesh/object-watcher.ts
+++ b/src/mesh/object-watcher.ts
@@ -11,6 +11,19 @@
   /** `events` are all changes after revision `since`, which is that of the previous report. */
   | {kind: 'changed'; objects: ReadonlyMap<string, StoredObject>; revision: number; since: number; events: readonly StoreEvent[]};
 
+/** Objects that a list or a watch has shown, without deleted ones. */
+export const changedObjects = (change: ObjectChange): StoredObject[] => {
+  switch (change.kind) {
+    case 'listed': {
+      return [...change.objects.values()];
+    }
+
+    case 'changed': {
+      return change.events.filter(({kind}) => kind === 'changed').map(({object}) => object);
+    }
+  }
+};
+
 /** Options of an object watcher. */
 export type ObjectWatcherOptions = {
   kind: string;
