--- a/src/mesh/__tests__/zone-simulation.ts
+++ b/src/mesh/__tests__/zone-simulation.ts
@@ -2,10 +2,10 @@
 import {Buffer} from 'node:buffer';
 import {createRandom, type Random} from '../../shared/random.js';
 import {createDecisionLog} from '../decision-log.js';
-import {type createLearntRouteSpread} from '../learnt-routes.js';
+import {type createLearntRouteSpread} from '../entry/learnt-routes.js';
 import {createMemberDirectory} from '../member-directory.js';
 import type {Message} from '../message.js';
-import type {RoutingConfiguration} from '../routing-configuration.js';
+import type {RoutingConfiguration} from '../entry/routing-configuration.js';
 import {createStateExchange, type StateExchange} from '../state-exchange.js';
 import {createStoreReaders, readingTimes, type StoreReaders} from '../store-readers.js';
 import {createAgenda} from './agenda.js';
--- a/src/mesh/backend-connection.ts
+++ b/src/mesh/backend-connection.ts
@@ -3,7 +3,7 @@
 import {connect, type Socket} from 'node:net';
 import {splitAddress} from '../shared/address.js';
 import type {HeldBytes} from './held-bytes.js';
-import type {HttpDialect} from './http-dialect.js';
+import type {HttpDialect} from './entry/http-dialect.js';
 import {createResponseParser, type ParsedResponse, type ResponseFault} from './response-parser.js';
 import type {TurnQueue} from './turn-queue.js';
 
--- a/src/mesh/backend-status.ts
+++ b/src/mesh/backend-status.ts
@@ -7,7 +7,7 @@
 import type {DecisionLog} from './decision-log.js';
 import {createDepartures, type Departure} from './departures.js';
 import {createDoubtfulAnnouncement} from './doubtful-announcement.js';
-import type {BackendStatement} from './http-dialect.js';
+import type {BackendStatement} from './entry/http-dialect.js';
 import type {BackendRecord, RefusalReason} from './message.js';
 
 /** Dispatch of a call: the start of the backend server that it went to, and its time in milliseconds of the clock. */
--- a/src/mesh/__tests__/admission.spec.ts
+++ b/src/mesh/entry/__tests__/admission.spec.ts
@@ -3,8 +3,8 @@
 They must be rejected at their start, and admitted again soon after the overload ends.
 */
 import test from 'ava';
-import {createManualClock} from '../../shared/clock.js';
-import {createRandom} from '../../shared/random.js';
+import {createManualClock} from '../../../shared/clock.js';
+import {createRandom} from '../../../shared/random.js';
 import {createAdmissionController, type AdmissionController, type ServiceLoad} from '../admission.js';
 import {createDependencies} from '../dependencies.js';
 
--- a/src/mesh/__tests__/dependencies.spec.ts
+++ b/src/mesh/entry/__tests__/dependencies.spec.ts
@@ -1,6 +1,6 @@
 /** Guards against rejecting requests of a route that does not depend on the overloaded service, and against admitting those of one that does. */
 import test from 'ava';
-import {createManualClock} from '../../shared/clock.js';
+import {createManualClock} from '../../../shared/clock.js';
 import {createDependencies, type Dependency} from '../dependencies.js';
 
 const createDependenciesAndClock = () => {
--- a/src/mesh/__tests__/learnt-routes.spec.ts
+++ b/src/mesh/entry/__tests__/learnt-routes.spec.ts
@@ -1,6 +1,6 @@
 /** Guards against messages that grow with the number of learnt items times the number of processes. */
 import test from 'ava';
-import {createManualClock} from '../../shared/clock.js';
+import {createManualClock} from '../../../shared/clock.js';
 import {createCallGraph} from '../call-graph.js';
 import {createClientRoutes} from '../client-routes.js';
 import {createDependencies} from '../dependencies.js';
--- a/src/mesh/__tests__/retry-budget.spec.ts
+++ b/src/mesh/entry/__tests__/retry-budget.spec.ts
@@ -1,8 +1,8 @@
 /** Guards against retries that multiply in an overload: the limit on the retries of the whole fleet must hold in any window. */
 import test from 'ava';
-import {createManualClock} from '../../shared/clock.js';
+import {createManualClock} from '../../../shared/clock.js';
 import {createRetryBudget, type CountedCalls} from '../retry-budget.js';
-import {createWindowCounter} from '../window-counter.js';
+import {createWindowCounter} from '../../window-counter.js';
 
 const WINDOW_MS = 10_000;
 const RATIO = 0.2;
--- a/src/mesh/__tests__/selection.spec.ts
+++ b/src/mesh/entry/__tests__/selection.spec.ts
@@ -1,6 +1,6 @@
 /** Guards against sending calls to a backend server that is overloaded, failing or silent while another one has free capacity. */
 import test from 'ava';
-import {createRandom} from '../../shared/random.js';
+import {createRandom} from '../../../shared/random.js';
 import {chooseCandidate, type Candidate} from '../selection.js';
 
 const candidate = (node: string, changes: Partial<Candidate<string>> = {}): Candidate<string> => ({
--- a/src/mesh/admission.ts
+++ b/src/mesh/entry/admission.ts
@@ -4,8 +4,8 @@
 A request that fails deep in the call graph has already used capacity of every service above; one that is rejected at its start costs nothing and can be retried.
 Each process decides by the queue lengths that the inbound proxies of the service report, so all processes arrive at about the same share without coordination.
 */
-import type {Random} from '../shared/random.js';
-import type {DecisionLog} from './decision-log.js';
+import type {Random} from '../../shared/random.js';
+import type {DecisionLog} from '../decision-log.js';
 import type {Dependencies} from './dependencies.js';
 
 /** Total load of the backend servers of a service that this process can reach. */
--- a/src/mesh/caller-listener.ts
+++ b/src/mesh/entry/caller-listener.ts
@@ -2,16 +2,16 @@
 import {Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {listenOn} from '../shared/address.js';
+import {listenOn} from '../../shared/address.js';
 import {forwardRequest, type ForwardingOptions, type RequestOutcome} from './request-forwarder.js';
-import type {DecisionLog} from './decision-log.js';
-import {createErrorBoundary} from './error-boundary.js';
-import {createHeldBytes, type Reservation} from './held-bytes.js';
+import type {DecisionLog} from '../decision-log.js';
+import {createErrorBoundary} from '../error-boundary.js';
+import {createHeldBytes, type Reservation} from '../held-bytes.js';
 import type {HttpDialect} from './http-dialect.js';
 import {hasBody, readBody} from './request-body.js';
 import type {RouteTable} from './route-table.js';
 import type {ClientLimits, Route} from './routing-configuration.js';
-import {createTurnQueue} from './turn-queue.js';
+import {createTurnQueue} from '../turn-queue.js';
 
 /** Accepts requests of the callers of this host and forwards them to backend servers. */
 export type CallerListener = {
--- a/src/mesh/request-body.ts
+++ b/src/mesh/entry/request-body.ts
@@ -1,9 +1,9 @@
 /** Reads the body of a caller's request within the memory that the process allows for bodies. */
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import {createBodyBuffer} from './body-buffer.js';
-import type {Reservation} from './held-bytes.js';
-import type {TurnQueue} from './turn-queue.js';
+import {createBodyBuffer} from '../body-buffer.js';
+import type {Reservation} from '../held-bytes.js';
+import type {TurnQueue} from '../turn-queue.js';
 
 /** A whole body, or why there is none; `aborted` when the caller has gone. */
 export type RequestBody = Buffer | 'too-large' | 'memory-full' | 'aborted';
--- a/src/mesh/retry-budget.ts
+++ b/src/mesh/entry/retry-budget.ts
@@ -4,7 +4,7 @@
 Inbound proxies count the calls that arrive and report the counts with their load, so a process may use what the others leave.
 Without these counts it keeps to its own share of the budget.
 */
-import {createWindowCounter, type WindowCounter} from './window-counter.js';
+import {createWindowCounter, type WindowCounter} from '../window-counter.js';
 
 /** Calls that inbound proxies counted within the window of the retry budget. */
 export type CountedCalls = {
--- a/src/mesh/selection.ts
+++ b/src/mesh/entry/selection.ts
@@ -1,6 +1,6 @@
 /** Chooses the backend server for an attempt by expected latency, with a penalty for other zones. */
-import type {Random} from '../shared/random.js';
-import type {BackendLoad} from './message.js';
+import type {Random} from '../../shared/random.js';
+import type {BackendLoad} from '../message.js';
 
 /** Backend server that an attempt can be sent to; `node` is the process on its host. */
 export type Candidate<Destination> = {
--- a/src/mesh/fleet.ts
+++ b/src/mesh/fleet.ts
@@ -2,12 +2,12 @@
 import type {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import type {Random} from '../shared/random.js';
-import type {ServiceLoad} from './admission.js';
+import type {ServiceLoad} from './entry/admission.js';
 import type {CrashGuard} from './crash-guard.js';
 import type {CrashRecord} from './crash-records.js';
 import type {DecisionLog} from './decision-log.js';
 import type {InboundProxy} from './inbound-proxy.js';
-import type {LearntRouteSpread} from './learnt-routes.js';
+import type {LearntRouteSpread} from './entry/learnt-routes.js';
 import {createLinkTable} from './link-table.js';
 import type {MemberDirectory} from './member-directory.js';
 import type {
@@ -15,9 +15,9 @@
 } from './message.js';
 import {createPeerLink, type PeerLink} from './peer-link.js';
 import {createPeerServer, type IncomingLink} from './peer-server.js';
-import type {CountedCalls} from './retry-budget.js';
-import type {RoutingConfiguration} from './routing-configuration.js';
-import type {Candidate} from './selection.js';
+import type {CountedCalls} from './entry/retry-budget.js';
+import type {RoutingConfiguration} from './entry/routing-configuration.js';
+import type {Candidate} from './entry/selection.js';
 import {
   estimateCallCounts, estimateServiceLoad, type BackendCounts, type LoadSample,
 } from './service-estimate.js';
--- a/src/mesh/inbound-proxy.ts
+++ b/src/mesh/inbound-proxy.ts
@@ -15,7 +15,7 @@
 import type {
   BackendLoad, BackendRecord, BackendState, RefusalReason, CallResult,
 } from './message.js';
-import type {HttpDialect} from './http-dialect.js';
+import type {HttpDialect} from './entry/http-dialect.js';
 import {createDispatchRecords} from './dispatch-records.js';
 import {
   overloadedSince, type ActiveCall, type DownstreamFailures, type InboundCall,
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -1,8 +1,8 @@
 /** Messages between the processes of the fleet, as they travel in the frames of `frame.ts`. */
 import type {CrashRecord} from './crash-records.js';
-import type {LearntRoutes} from './learnt-routes.js';
+import type {LearntRoutes} from './entry/learnt-routes.js';
 import type {MemberChanges} from './member-directory.js';
-import type {CountedCalls} from './retry-budget.js';
+import type {CountedCalls} from './entry/retry-budget.js';
 import type {RouteServiceTime} from './service-times.js';
 
 /** Identity, address, availability zone and service of a process of the fleet. */
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/peer-link.ts
@@ -11,7 +11,7 @@
 import type {
   BackendLoad, BackendState, CallHeader, CallResult, Member, Message,
 } from './message.js';
-import {findHeadFault} from './response-head.js';
+import {findHeadFault} from './entry/response-head.js';
 
 /** Result of a call over a link; undefined when the link closed before the result arrived. */
 export type PeerCallResult =
--- a/src/mesh/response-parser.ts
+++ b/src/mesh/response-parser.ts
@@ -3,7 +3,7 @@
 import {HTTPParser} from 'http-parser-js';
 import {createBodyBuffer, type BodyBuffer} from './body-buffer.js';
 import type {HeldBytes, Reservation} from './held-bytes.js';
-import {findHeadFault, isHeaderValue} from './response-head.js';
+import {findHeadFault, isHeaderValue} from './entry/response-head.js';
 import {findFramingFault, isFramingLine} from './response-framing.js';
 
 // Reads heads with one character for each byte. The parser's default clears the highest bit, which turns bytes of other encodings into control characters.
--- a/src/mesh/state-exchange.ts
+++ b/src/mesh/state-exchange.ts
@@ -4,12 +4,12 @@
 import {createBackendRecords, type BackendRecords} from './backend-records.js';
 import type {CrashGuard} from './crash-guard.js';
 import type {DecisionLog} from './decision-log.js';
-import type {LearntRouteSpread} from './learnt-routes.js';
+import type {LearntRouteSpread} from './entry/learnt-routes.js';
 import type {MemberDirectory} from './member-directory.js';
 import type {
   BackendRecord, KnownVersions, Message, ReportedReading,
 } from './message.js';
-import type {RoutingConfiguration} from './routing-configuration.js';
+import type {RoutingConfiguration} from './entry/routing-configuration.js';
 import type {StoreReaders} from './store-readers.js';
 
 /** Link over which a message can be answered. */
