--- a/src/mesh/__tests__/zone-simulation.ts
+++ b/src/mesh/__tests__/zone-simulation.ts
@@ -6,7 +6,7 @@
 import {createMemberDirectory} from '../member-directory.js';
 import type {Message} from '../message.js';
 import type {RoutingConfiguration} from '../entry/routing-configuration.js';
-import {createStateExchange, type StateExchange} from '../state-exchange.js';
+import {createStateExchange, type StateExchange} from '../links/state-exchange.js';
 import {createStoreReaders, readingTimes, type StoreReaders} from '../store-readers.js';
 import {createAgenda} from './agenda.js';
 
--- a/src/mesh/backend-status.ts
+++ b/src/mesh/backend-status.ts
@@ -2,7 +2,7 @@
 import {
   applyAnnouncement, applyDeparture, applyLeaving, type Announcement, type LocalBackend,
 } from './announcement.js';
-import {mergeRecord} from './backend-records.js';
+import {mergeRecord} from './links/backend-records.js';
 import {createCallRateLimit, type CallRateLimit} from './call-rate-limit.js';
 import type {DecisionLog} from './decision-log.js';
 import {createDepartures, type Departure} from './departures.js';
--- a/src/mesh/entry/request-forwarder.ts
+++ b/src/mesh/entry/request-forwarder.ts
@@ -6,7 +6,7 @@
 import type {DecisionLog} from '../decision-log.js';
 import type {Dependencies} from './dependencies.js';
 import {createErrorBoundary} from '../error-boundary.js';
-import type {Destination, Fleet} from '../fleet.js';
+import type {Destination, Fleet} from '../links/fleet.js';
 import type {CallHeader, CallResult} from '../message.js';
 import type {CallRank, RetryBudget} from './retry-budget.js';
 import type {Route} from './routing-configuration.js';
--- a/src/mesh/__tests__/backend-records.spec.ts
+++ b/src/mesh/links/__tests__/backend-records.spec.ts
@@ -1,7 +1,7 @@
 /** Guards against statements of a backend server that are forgotten, or applied to its successor, when records of several processes are combined. */
 import test from 'ava';
 import {createBackendRecords, mergeRecord} from '../backend-records.js';
-import type {BackendRecord} from '../message.js';
+import type {BackendRecord} from '../../message.js';
 
 const record = (changes: Partial<BackendRecord> = {}): BackendRecord => ({
   instance: 'i1', startedAt: 1000, isLeaving: false, ratePerSecond: undefined, ...changes,
--- a/src/mesh/__tests__/frame.spec.ts
+++ b/src/mesh/links/__tests__/frame.spec.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import test from 'ava';
 import {createFrameReader, createFrameWriter, type Frame} from '../frame.js';
-import type {Message} from '../message.js';
+import type {Message} from '../../message.js';
 
 const messages: Message[] = [
   {type: 'cancel', id: 7},
--- a/src/mesh/__tests__/link-liveness.spec.ts
+++ b/src/mesh/links/__tests__/link-liveness.spec.ts
@@ -1,6 +1,6 @@
 /** Guards against late detection of a silent connection, and against frequent pings over idle links. */
 import test from 'ava';
-import {createManualClock} from '../../shared/clock.js';
+import {createManualClock} from '../../../shared/clock.js';
 import {createLinkLiveness, type LinkLiveness} from '../link-liveness.js';
 
 const STEP_MS = 20;
--- a/src/mesh/__tests__/link-table.spec.ts
+++ b/src/mesh/links/__tests__/link-table.spec.ts
@@ -1,11 +1,11 @@
 /** Guards against links that pile up, and against calls that wait for a member which cannot be reached. */
 import test from 'ava';
-import {createManualClock} from '../../shared/clock.js';
+import {createManualClock} from '../../../shared/clock.js';
 import {createLinkTable} from '../link-table.js';
-import type {BackendState, Member} from '../message.js';
+import type {BackendState, Member} from '../../message.js';
 import type {PeerLink} from '../peer-link.js';
-import type {Reachability} from '../store-readers.js';
-import {createMembers} from './members.js';
+import type {Reachability} from '../../store-readers.js';
+import {createMembers} from '../../__tests__/members.js';
 
 const READY: BackendState = {
   kind: 'ready', service: 's', instance: 'i', coldMs: 0, load: {
--- a/src/mesh/__tests__/peer-link.spec.ts
+++ b/src/mesh/links/__tests__/peer-link.spec.ts
@@ -2,12 +2,12 @@
 import {Buffer} from 'node:buffer';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
-import {createManualClock} from '../../shared/clock.js';
-import {createDecisionLog} from '../decision-log.js';
+import {createManualClock} from '../../../shared/clock.js';
+import {createDecisionLog} from '../../decision-log.js';
 import {createFrameReader, createFrameWriter, type Frame} from '../frame.js';
 import type {
   CallHeader, CallResult, KnownVersions, Message,
-} from '../message.js';
+} from '../../message.js';
 import {createPeerLink, type PeerCallResult, type PeerLink} from '../peer-link.js';
 
 const log = createDecisionLog({
--- a/src/mesh/__tests__/service-estimate.spec.ts
+++ b/src/mesh/links/__tests__/service-estimate.spec.ts
@@ -1,10 +1,10 @@
 /** Guards against a retry budget and an admission that see only the linked part of a service. */
 import test from 'ava';
-import {createRandom} from '../../shared/random.js';
-import type {BackendLoad} from '../message.js';
+import {createRandom} from '../../../shared/random.js';
+import type {BackendLoad} from '../../message.js';
 import {estimateCallCounts, estimateServiceLoad, type LoadSample} from '../service-estimate.js';
 import {chooseSubset, createRings} from '../subset.js';
-import {createMembers} from './members.js';
+import {createMembers} from '../../__tests__/members.js';
 
 const load = (running: number, queued: number, requests = 0, repeats = 0): BackendLoad => ({
   running, queued, limit: 10, serviceMs: 50, routes: [], counted: {requests, repeats},
--- a/src/mesh/__tests__/subset.spec.ts
+++ b/src/mesh/links/__tests__/subset.spec.ts
@@ -1,8 +1,8 @@
 /** Guards against links that grow with the fleet, and against backend servers that get far more callers than others, or none. */
 import test from 'ava';
-import type {Member} from '../message.js';
+import type {Member} from '../../message.js';
 import {chooseSubset, createRings} from '../subset.js';
-import {createMembers} from './members.js';
+import {createMembers} from '../../__tests__/members.js';
 
 /** Stated bounds: links per process (four times those of a site with 13 hosts), and callers of the busiest backend server of a zone over the mean. */
 const LINKS_MAX = 48;
--- a/src/mesh/backend-records.ts
+++ b/src/mesh/links/backend-records.ts
@@ -3,7 +3,7 @@
 
 The inbound proxy next to a backend server applies it. The processes that call it keep it as well, and tell the inbound proxy when they connect, because a restarted process knows nothing.
 */
-import type {BackendRecord} from './message.js';
+import type {BackendRecord} from '../message.js';
 
 /** Records of the backend servers of other hosts, by node. */
 export type BackendRecords = {
--- a/src/mesh/fleet.ts
+++ b/src/mesh/links/fleet.ts
@@ -1,28 +1,28 @@
 /** Links to the other processes of the fleet, and the state that is exchanged over them. */
 import type {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
-import type {Random} from '../shared/random.js';
-import type {ServiceLoad} from './entry/admission.js';
-import type {CrashGuard} from './crash-guard.js';
-import type {CrashRecord} from './crash-records.js';
-import type {DecisionLog} from './decision-log.js';
-import type {InboundProxy} from './inbound-proxy.js';
-import type {LearntRouteSpread} from './entry/learnt-routes.js';
+import type {Random} from '../../shared/random.js';
+import type {ServiceLoad} from '../entry/admission.js';
+import type {CrashGuard} from '../crash-guard.js';
+import type {CrashRecord} from '../crash-records.js';
+import type {DecisionLog} from '../decision-log.js';
+import type {InboundProxy} from '../inbound-proxy.js';
+import type {LearntRouteSpread} from '../entry/learnt-routes.js';
 import {createLinkTable} from './link-table.js';
-import type {MemberDirectory} from './member-directory.js';
+import type {MemberDirectory} from '../member-directory.js';
 import type {
   BackendState, CallHeader, CallResult, Member, Message,
-} from './message.js';
+} from '../message.js';
 import {createPeerLink, type PeerLink} from './peer-link.js';
 import {createPeerServer, type IncomingLink} from './peer-server.js';
-import type {CountedCalls} from './entry/retry-budget.js';
-import type {RoutingConfiguration} from './entry/routing-configuration.js';
-import type {Candidate} from './entry/selection.js';
+import type {CountedCalls} from '../entry/retry-budget.js';
+import type {RoutingConfiguration} from '../entry/routing-configuration.js';
+import type {Candidate} from '../entry/selection.js';
 import {
   estimateCallCounts, estimateServiceLoad, type BackendCounts, type LoadSample,
 } from './service-estimate.js';
 import {createStateExchange} from './state-exchange.js';
-import {createStoreReaders, readingTimes, type StoreReaders} from './store-readers.js';
+import {createStoreReaders, readingTimes, type StoreReaders} from '../store-readers.js';
 import {chooseSubset, createRings, type Rings} from './subset.js';
 
 /** Destination of one attempt: a backend server, reached directly or through the process on its host. */
--- a/src/mesh/frame.ts
+++ b/src/mesh/links/frame.ts
@@ -1,7 +1,7 @@
 /** Framing of a connection between two processes: a MessagePack header and an optional body. Field names are sent once per connection. */
 import {Buffer} from 'node:buffer';
 import {Packr, Unpackr} from 'msgpackr';
-import type {Message} from './message.js';
+import type {Message} from '../message.js';
 
 /** A decoded frame. */
 export type Frame = {message: Message; body: Buffer};
--- a/src/mesh/peer-link.ts
+++ b/src/mesh/links/peer-link.ts
@@ -1,17 +1,17 @@
 /** Outgoing connection to another process, over which calls are sent to the backend server on its host. */
 import {connect, type Socket} from 'node:net';
 import {Buffer} from 'node:buffer';
-import {splitAddress} from '../shared/address.js';
-import type {DecisionLog} from './decision-log.js';
-import {createErrorBoundary} from './error-boundary.js';
+import {splitAddress} from '../../shared/address.js';
+import type {DecisionLog} from '../decision-log.js';
+import {createErrorBoundary} from '../error-boundary.js';
 import {
   createFrameReader, createFrameWriter, type Frame, type FrameWriter,
 } from './frame.js';
 import {createLinkLiveness} from './link-liveness.js';
 import type {
   BackendLoad, BackendState, CallHeader, CallResult, Member, Message,
-} from './message.js';
-import {findHeadFault} from './entry/response-head.js';
+} from '../message.js';
+import {findHeadFault} from '../entry/response-head.js';
 
 /** Result of a call over a link; undefined when the link closed before the result arrived. */
 export type PeerCallResult =
--- a/src/mesh/peer-server.ts
+++ b/src/mesh/links/peer-server.ts
@@ -1,12 +1,12 @@
 /** Accepts links from other processes and passes their calls on to the local backend server. */
 import {createServer, type Server, type Socket} from 'node:net';
-import {listenOn} from '../shared/address.js';
-import type {DecisionLog} from './decision-log.js';
-import {createErrorBoundary} from './error-boundary.js';
-import type {InboundProxy} from './inbound-proxy.js';
+import {listenOn} from '../../shared/address.js';
+import type {DecisionLog} from '../decision-log.js';
+import {createErrorBoundary} from '../error-boundary.js';
+import type {InboundProxy} from '../inbound-proxy.js';
 import {createFrameReader, createFrameWriter, type Frame} from './frame.js';
 import {IDLE_PING_INTERVAL_MAX_MS} from './link-liveness.js';
-import type {Member, Message} from './message.js';
+import type {Member, Message} from '../message.js';
 
 /** Listener for the links of other processes. */
 export type PeerServer = {
--- a/src/mesh/service-estimate.ts
+++ b/src/mesh/links/service-estimate.ts
@@ -1,7 +1,7 @@
 /** Estimates the load of a whole service from the backend servers that this process is linked with. */
-import type {ServiceLoad} from './entry/admission.js';
-import type {BackendLoad} from './message.js';
-import type {CountedCalls} from './entry/retry-budget.js';
+import type {ServiceLoad} from '../entry/admission.js';
+import type {BackendLoad} from '../message.js';
+import type {CountedCalls} from '../entry/retry-budget.js';
 
 /** Backend server whose load is known; `load` is undefined when it accepts no calls. */
 export type LoadSample = {zone: string; load: BackendLoad | undefined};
--- a/src/mesh/state-exchange.ts
+++ b/src/mesh/links/state-exchange.ts
@@ -1,16 +1,16 @@
 /** Exchanges state with other processes over the links: versions, the configuration, members, learnt routes, and what backend servers have stated. */
 import {Buffer} from 'node:buffer';
-import {isAddress} from '../shared/address.js';
+import {isAddress} from '../../shared/address.js';
 import {createBackendRecords, type BackendRecords} from './backend-records.js';
-import type {CrashGuard} from './crash-guard.js';
-import type {DecisionLog} from './decision-log.js';
-import type {LearntRouteSpread} from './entry/learnt-routes.js';
-import type {MemberDirectory} from './member-directory.js';
+import type {CrashGuard} from '../crash-guard.js';
+import type {DecisionLog} from '../decision-log.js';
+import type {LearntRouteSpread} from '../entry/learnt-routes.js';
+import type {MemberDirectory} from '../member-directory.js';
 import type {
   BackendRecord, KnownVersions, Message, ReportedReading,
-} from './message.js';
-import type {RoutingConfiguration} from './entry/routing-configuration.js';
-import type {StoreReaders} from './store-readers.js';
+} from '../message.js';
+import type {RoutingConfiguration} from '../entry/routing-configuration.js';
+import type {StoreReaders} from '../store-readers.js';
 
 /** Link over which a message can be answered. */
 export type MessageSender = {send: (message: Message, body?: Buffer) => void};
--- a/src/mesh/subset.ts
+++ b/src/mesh/links/subset.ts
@@ -4,8 +4,8 @@
 The callers and the backend servers of a zone are each arranged on a ring. A caller takes the consecutive backend servers that begin at its own position,
 so each backend server gets about the same number of callers, and a new member moves few links. The number of links does not grow with the fleet.
 */
-import {hash32} from '../shared/hash.js';
-import type {Member} from './message.js';
+import {hash32} from '../../shared/hash.js';
+import type {Member} from '../message.js';
 
 /** Members of one service in one zone, or all members of a zone, in ring order. */
 export type Ring = readonly Member[];
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -13,7 +13,7 @@
 import type {DownstreamFailures} from './inbound-call.js';
 import {createInboundProxy, type InboundProxy} from './inbound-proxy.js';
 import {createCallerListener} from './entry/caller-listener.js';
-import {createFleet} from './fleet.js';
+import {createFleet} from './links/fleet.js';
 import {changedObjects, startObjectWatcher, type ObjectWatcher} from './object-watcher.js';
 import type {BackendState, Member} from './message.js';
 import type {ObjectStore, StoredObject} from './object-store.js';
