--- a/src/mesh/departed-hosts.ts
+++ b/src/mesh/departed-hosts.ts
@@ -1,7 +1,7 @@
 /** Deletes the member objects of hosts that were removed from the fleet. They stay for a while, because they hold the departures that a late restart of the process needs. */
 import type {Random} from '../shared/random.js';
 import type {DecisionLog} from './decision-log.js';
-import {decodeDepartures} from './departures.js';
+import {decodeDepartures} from './inbound/departures.js';
 import type {ObjectChange} from './object-watcher.js';
 import type {ObjectStore, StoredObject} from './object-store.js';
 import {decodeMember, MEMBER_KIND} from './registration.js';
--- a/src/mesh/entry/request-forwarder.ts
+++ b/src/mesh/entry/request-forwarder.ts
@@ -2,7 +2,7 @@
 import type {Buffer} from 'node:buffer';
 import type {Random} from '../../shared/random.js';
 import type {AdmissionController} from './admission.js';
-import type {CrashGuard, SuspectedContent} from '../crash-guard.js';
+import type {CrashGuard, SuspectedContent} from '../inbound/crash-guard.js';
 import type {DecisionLog} from '../decision-log.js';
 import type {Dependencies} from './dependencies.js';
 import {createErrorBoundary} from '../error-boundary.js';
--- a/src/mesh/__tests__/backend-load-tracker.spec.ts
+++ b/src/mesh/inbound/__tests__/backend-load-tracker.spec.ts
@@ -1,6 +1,6 @@
 /** Guards against callers that send more to a backend server than it takes, because its report hides a rate limit. */
 import test from 'ava';
-import {createManualClock} from '../../shared/clock.js';
+import {createManualClock} from '../../../shared/clock.js';
 import {createBackendLoadTracker} from '../backend-load-tracker.js';
 
 const SECOND_MS = 1000;
--- a/src/mesh/__tests__/backend-status.spec.ts
+++ b/src/mesh/inbound/__tests__/backend-status.spec.ts
@@ -1,8 +1,8 @@
 /** Guards against a backend server that is in use again after it has left, by whatever order announcements, deregistrations and reports of other processes arrive. */
 import test from 'ava';
-import {createManualClock, type ManualClock} from '../../shared/clock.js';
+import {createManualClock, type ManualClock} from '../../../shared/clock.js';
 import {createBackendStatus, type BackendStatus} from '../backend-status.js';
-import {createDecisionLog} from '../decision-log.js';
+import {createDecisionLog} from '../../decision-log.js';
 import type {Departure} from '../departures.js';
 
 const DRAIN_MS = 2000;
--- a/src/mesh/__tests__/crash-guard.spec.ts
+++ b/src/mesh/inbound/__tests__/crash-guard.spec.ts
@@ -3,8 +3,8 @@
 import test from 'ava';
 import {createCrashGuard} from '../crash-guard.js';
 import type {CrashRecord} from '../crash-records.js';
-import {createDecisionLog} from '../decision-log.js';
-import type {CallHeader} from '../message.js';
+import {createDecisionLog} from '../../decision-log.js';
+import type {CallHeader} from '../../message.js';
 import {createRequestContent} from '../request-content.js';
 
 const HOUR_MS = 60 * 60_000;
--- a/src/mesh/__tests__/crash-records.spec.ts
+++ b/src/mesh/inbound/__tests__/crash-records.spec.ts
@@ -1,7 +1,7 @@
 /** Guards against a request that crashes backend server after backend server, and against refusing requests that only ran beside it. */
 import test from 'ava';
 import fc from 'fast-check';
-import {createRandom} from '../../shared/random.js';
+import {createRandom} from '../../../shared/random.js';
 import {createCrashRecords, type CrashRecord, type CrashRecords} from '../crash-records.js';
 import {simulateCrashes} from './crash-simulation.js';
 
--- a/src/mesh/backend-connection-pool.ts
+++ b/src/mesh/inbound/backend-connection-pool.ts
@@ -2,9 +2,9 @@
 import {
   createBackendConnection, type BackendConnection, type Exchange, type ExchangeResult,
 } from './backend-connection.js';
-import {createHeldBytes} from './held-bytes.js';
-import type {HttpDialect} from './entry/http-dialect.js';
-import {createTurnQueue} from './turn-queue.js';
+import {createHeldBytes} from '../held-bytes.js';
+import type {HttpDialect} from '../entry/http-dialect.js';
+import {createTurnQueue} from '../turn-queue.js';
 
 /** Handle of an exchange in progress. */
 export type RunningExchange = {cancel: (cause: string) => void};
--- a/src/mesh/backend-connection.ts
+++ b/src/mesh/inbound/backend-connection.ts
@@ -1,11 +1,11 @@
 /** One HTTP/1.1 connection to the backend server, with one exchange at a time. */
 import {Buffer} from 'node:buffer';
 import {connect, type Socket} from 'node:net';
-import {splitAddress} from '../shared/address.js';
-import type {HeldBytes} from './held-bytes.js';
-import type {HttpDialect} from './entry/http-dialect.js';
+import {splitAddress} from '../../shared/address.js';
+import type {HeldBytes} from '../held-bytes.js';
+import type {HttpDialect} from '../entry/http-dialect.js';
 import {createResponseParser, type ParsedResponse, type ResponseFault} from './response-parser.js';
-import type {TurnQueue} from './turn-queue.js';
+import type {TurnQueue} from '../turn-queue.js';
 
 /** How an exchange ended. */
 export type ExchangeResult =
--- a/src/mesh/backend-status.ts
+++ b/src/mesh/inbound/backend-status.ts
@@ -2,13 +2,13 @@
 import {
   applyAnnouncement, applyDeparture, applyLeaving, type Announcement, type LocalBackend,
 } from './announcement.js';
-import {mergeRecord} from './links/backend-records.js';
+import {mergeRecord} from '../links/backend-records.js';
 import {createCallRateLimit, type CallRateLimit} from './call-rate-limit.js';
-import type {DecisionLog} from './decision-log.js';
+import type {DecisionLog} from '../decision-log.js';
 import {createDepartures, type Departure} from './departures.js';
 import {createDoubtfulAnnouncement} from './doubtful-announcement.js';
-import type {BackendStatement} from './entry/http-dialect.js';
-import type {BackendRecord, RefusalReason} from './message.js';
+import type {BackendStatement} from '../entry/http-dialect.js';
+import type {BackendRecord, RefusalReason} from '../message.js';
 
 /** Dispatch of a call: the start of the backend server that it went to, and its time in milliseconds of the clock. */
 export type Dispatch = {backend: Announcement; startedAt: number};
--- a/src/mesh/crash-detector.ts
+++ b/src/mesh/inbound/crash-detector.ts
@@ -1,6 +1,6 @@
 /** Tells a crash of the backend server from the loss of single connections: after a crash, it accepts no new ones. */
 import {connect} from 'node:net';
-import {splitAddress} from '../shared/address.js';
+import {splitAddress} from '../../shared/address.js';
 import type {Announcement} from './announcement.js';
 
 /** A call whose connection was lost while the backend server ran it. */
--- a/src/mesh/crash-guard.ts
+++ b/src/mesh/inbound/crash-guard.ts
@@ -3,8 +3,8 @@
 import {
   createCrashRecords, type Crash, type CrashRecord, type CrashRecords, type CrashRecordsOptions, type Suspicion,
 } from './crash-records.js';
-import type {DecisionLog} from './decision-log.js';
-import type {CallHeader} from './message.js';
+import type {DecisionLog} from '../decision-log.js';
+import type {CallHeader} from '../message.js';
 import type {ContentHeader, RequestContent} from './request-content.js';
 
 /** A request that is blamed for crashes. */
--- a/src/mesh/crash-records.ts
+++ b/src/mesh/inbound/crash-records.ts
@@ -5,7 +5,7 @@
 merged in any order. Calls that happen to run beside the one at fault are told from it in two ways: a crash is blamed on those that already have most crashes, and those with two are run
 one at a time at each backend server. Crashes at the same moment count as one: they have a common cause, such as the loss of a zone.
 */
-import {rendezvousOrder} from '../shared/hash.js';
+import {rendezvousOrder} from '../../shared/hash.js';
 import {headOfId} from './request-content.js';
 
 /** Crash of a backend server: `id` names the backend server and its start, `at` is in milliseconds since the Unix epoch. */
--- a/src/mesh/inbound-call.ts
+++ b/src/mesh/inbound/inbound-call.ts
@@ -2,7 +2,7 @@
 import type {Buffer} from 'node:buffer';
 import type {RunningExchange} from './backend-connection-pool.js';
 import type {Dispatch} from './backend-status.js';
-import type {CallHeader, CallResult} from './message.js';
+import type {CallHeader, CallResult} from '../message.js';
 
 /** A call to the backend server of this host. */
 export type InboundCall = {
--- a/src/mesh/inbound-proxy.ts
+++ b/src/mesh/inbound/inbound-proxy.ts
@@ -2,20 +2,20 @@
 import {Buffer} from 'node:buffer';
 import {
   countAhead, createQueue, enqueue, removeOverdue, removeQueued, takeNext, type QueuedCall,
-} from '../decisions/inbound/queue.js';
+} from '../../decisions/inbound/queue.js';
 import type {Announcement} from './announcement.js';
 import {createBackendConnectionPool} from './backend-connection-pool.js';
 import type {ExchangeResult} from './backend-connection.js';
 import {createBackendStatus} from './backend-status.js';
 import {createCrashDetector} from './crash-detector.js';
 import type {CrashGuard} from './crash-guard.js';
-import type {DecisionLog} from './decision-log.js';
+import type {DecisionLog} from '../decision-log.js';
 import type {Departure} from './departures.js';
 import {createBackendLoadTracker} from './backend-load-tracker.js';
 import type {
   BackendLoad, BackendRecord, BackendState, RefusalReason, CallResult,
-} from './message.js';
-import type {HttpDialect} from './entry/http-dialect.js';
+} from '../message.js';
+import type {HttpDialect} from '../entry/http-dialect.js';
 import {createDispatchRecords} from './dispatch-records.js';
 import {
   overloadedSince, type ActiveCall, type DownstreamFailures, type InboundCall,
--- a/src/mesh/request-content.ts
+++ b/src/mesh/inbound/request-content.ts
@@ -1,7 +1,7 @@
 /** Identifies the content of a request, so that the same request is recognized when it comes again under another id and at another host. */
 import {type Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
-import type {CallHeader} from './message.js';
+import type {CallHeader} from '../message.js';
 
 /** What identifies the content of a request, beside its body. */
 export type ContentHeader = Pick<CallHeader, 'method' | 'path' | 'rawHeaders'>;
--- a/src/mesh/links/state-exchange.ts
+++ b/src/mesh/links/state-exchange.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {isAddress} from '../../shared/address.js';
 import {createBackendRecords, type BackendRecords} from './backend-records.js';
-import type {CrashGuard} from '../crash-guard.js';
+import type {CrashGuard} from '../inbound/crash-guard.js';
 import type {DecisionLog} from '../decision-log.js';
 import type {LearntRouteSpread} from '../entry/learnt-routes.js';
 import type {MemberDirectory} from '../member-directory.js';
