--- a/src/mesh/__tests__/object-watcher.spec.ts
+++ b/src/mesh/__tests__/object-watcher.spec.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import {fail, ok} from '../../shared/result.js';
 import {createDecisionLog} from '../decision-log.js';
-import {createMemberDirectory} from '../member-directory.js';
+import {createMemberDirectory} from '../members/member-directory.js';
 import type {ObjectStore} from '../object-store.js';
 import {startObjectWatcher} from '../object-watcher.js';
 
--- a/src/mesh/inbound/__tests__/crash-simulation.ts
+++ b/src/mesh/inbound/__tests__/crash-simulation.ts
@@ -1,7 +1,7 @@
 /** Simulates backend servers, the processes next to them and their callers in virtual time, while one request crashes each backend server that runs it. */
 import {createRandom} from '../../../shared/random.js';
 import {createCrashRecords, type CrashRecord, type CrashRecords} from '../crash-records.js';
-import {createAgenda} from '../../__tests__/agenda.js';
+import {createAgenda} from '../../members/__tests__/agenda.js';
 
 /** Load of a simulation; times are in milliseconds. */
 export type CrashLoad = {
--- a/src/mesh/links/__tests__/link-table.spec.ts
+++ b/src/mesh/links/__tests__/link-table.spec.ts
@@ -4,8 +4,8 @@
 import {createLinkTable} from '../link-table.js';
 import type {BackendState, Member} from '../../message.js';
 import type {PeerLink} from '../peer-link.js';
-import type {Reachability} from '../../store-readers.js';
-import {createMembers} from '../../__tests__/members.js';
+import type {Reachability} from '../../members/store-readers.js';
+import {createMembers} from '../../members/__tests__/members.js';
 
 const READY: BackendState = {
   kind: 'ready', service: 's', instance: 'i', coldMs: 0, load: {
--- a/src/mesh/links/__tests__/service-estimate.spec.ts
+++ b/src/mesh/links/__tests__/service-estimate.spec.ts
@@ -4,7 +4,7 @@
 import type {BackendLoad} from '../../message.js';
 import {estimateCallCounts, estimateServiceLoad, type LoadSample} from '../service-estimate.js';
 import {chooseSubset, createRings} from '../subset.js';
-import {createMembers} from '../../__tests__/members.js';
+import {createMembers} from '../../members/__tests__/members.js';
 
 const load = (running: number, queued: number, requests = 0, repeats = 0): BackendLoad => ({
   running, queued, limit: 10, serviceMs: 50, routes: [], counted: {requests, repeats},
--- a/src/mesh/links/__tests__/subset.spec.ts
+++ b/src/mesh/links/__tests__/subset.spec.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import type {Member} from '../../message.js';
 import {chooseSubset, createRings} from '../subset.js';
-import {createMembers} from '../../__tests__/members.js';
+import {createMembers} from '../../members/__tests__/members.js';
 
 /** Stated bounds: links per process (four times those of a site with 13 hosts), and callers of the busiest backend server of a zone over the mean. */
 const LINKS_MAX = 48;
--- a/src/mesh/links/fleet.ts
+++ b/src/mesh/links/fleet.ts
@@ -9,7 +9,7 @@
 import type {InboundProxy} from '../inbound/inbound-proxy.js';
 import type {LearntRouteSpread} from '../entry/learnt-routes.js';
 import {createLinkTable} from './link-table.js';
-import type {MemberDirectory} from '../member-directory.js';
+import type {MemberDirectory} from '../members/member-directory.js';
 import type {
   BackendState, CallHeader, CallResult, Member, Message,
 } from '../message.js';
@@ -22,7 +22,7 @@
   estimateCallCounts, estimateServiceLoad, type BackendCounts, type LoadSample,
 } from './service-estimate.js';
 import {createStateExchange} from './state-exchange.js';
-import {createStoreReaders, readingTimes, type StoreReaders} from '../store-readers.js';
+import {createStoreReaders, readingTimes, type StoreReaders} from '../members/store-readers.js';
 import {chooseSubset, createRings, type Rings} from './subset.js';
 
 /** Destination of one attempt: a backend server, reached directly or through the process on its host. */
--- a/src/mesh/links/state-exchange.ts
+++ b/src/mesh/links/state-exchange.ts
@@ -5,12 +5,12 @@
 import type {CrashGuard} from '../inbound/crash-guard.js';
 import type {DecisionLog} from '../decision-log.js';
 import type {LearntRouteSpread} from '../entry/learnt-routes.js';
-import type {MemberDirectory} from '../member-directory.js';
+import type {MemberDirectory} from '../members/member-directory.js';
 import type {
   BackendRecord, KnownVersions, Message, ReportedReading,
 } from '../message.js';
 import type {RoutingConfiguration} from '../entry/routing-configuration.js';
-import type {StoreReaders} from '../store-readers.js';
+import type {StoreReaders} from '../members/store-readers.js';
 
 /** Link over which a message can be answered. */
 export type MessageSender = {send: (message: Message, body?: Buffer) => void};
--- a/src/mesh/__tests__/member-directory.spec.ts
+++ b/src/mesh/members/__tests__/member-directory.spec.ts
@@ -1,6 +1,6 @@
 /** Guards against members that are missing or in use again after changes arrived through peers, out of order or not at all. */
 import test from 'ava';
-import {createRandom} from '../../shared/random.js';
+import {createRandom} from '../../../shared/random.js';
 import {
   createMemberDirectory, type ListedMember, type MemberChanges, type MemberDirectory,
 } from '../member-directory.js';
--- a/src/mesh/__tests__/members.ts
+++ b/src/mesh/members/__tests__/members.ts
@@ -1,5 +1,5 @@
 /** Members for tests. */
-import type {Member} from '../message.js';
+import type {Member} from '../../message.js';
 
 /** Creates members with the services in turn, spread evenly over the zones. */
 export const createMembers = (count: number, zones: number, services: readonly string[]): Member[] =>
--- a/src/mesh/__tests__/store-readers.spec.ts
+++ b/src/mesh/members/__tests__/store-readers.spec.ts
@@ -1,6 +1,6 @@
 /** Guards against a zone in which a confirmed change is not in force in time at a process that reaches the store, and against store calls that grow with the fleet. */
 import test from 'ava';
-import {createRandom} from '../../shared/random.js';
+import {createRandom} from '../../../shared/random.js';
 import {createStoreReaders, readingTimes} from '../store-readers.js';
 import {createZone, type Zone} from './zone-simulation.js';
 
--- a/src/mesh/__tests__/zone-simulation.ts
+++ b/src/mesh/members/__tests__/zone-simulation.ts
@@ -1,12 +1,12 @@
 /** Simulates the processes of one zone in virtual time, with their links and a store: how readings and versions spread. */
 import {Buffer} from 'node:buffer';
-import {createRandom, type Random} from '../../shared/random.js';
-import {createDecisionLog} from '../decision-log.js';
-import {type createLearntRouteSpread} from '../entry/learnt-routes.js';
+import {createRandom, type Random} from '../../../shared/random.js';
+import {createDecisionLog} from '../../decision-log.js';
+import {type createLearntRouteSpread} from '../../entry/learnt-routes.js';
 import {createMemberDirectory} from '../member-directory.js';
-import type {Message} from '../message.js';
-import type {RoutingConfiguration} from '../entry/routing-configuration.js';
-import {createStateExchange, type StateExchange} from '../links/state-exchange.js';
+import type {Message} from '../../message.js';
+import type {RoutingConfiguration} from '../../entry/routing-configuration.js';
+import {createStateExchange, type StateExchange} from '../../links/state-exchange.js';
 import {createStoreReaders, readingTimes, type StoreReaders} from '../store-readers.js';
 import {createAgenda} from './agenda.js';
 
--- a/src/mesh/departed-hosts.ts
+++ b/src/mesh/members/departed-hosts.ts
@@ -1,10 +1,10 @@
 /** Deletes the member objects of hosts that were removed from the fleet. They stay for a while, because they hold the departures that a late restart of the process needs. */
-import type {Random} from '../shared/random.js';
-import type {DecisionLog} from './decision-log.js';
-import {decodeDepartures} from './inbound/departures.js';
-import type {ObjectChange} from './object-watcher.js';
-import type {ObjectStore, StoredObject} from './object-store.js';
-import {decodeMember, MEMBER_KIND} from './registration.js';
+import type {Random} from '../../shared/random.js';
+import type {DecisionLog} from '../decision-log.js';
+import {decodeDepartures} from '../inbound/departures.js';
+import type {ObjectChange} from '../object-watcher.js';
+import type {ObjectStore, StoredObject} from '../object-store.js';
+import {decodeMember, MEMBER_KIND} from '../registration.js';
 
 /** Hosts that were removed, as a reader of the member list sees them. */
 export type DepartedHosts = {
--- a/src/mesh/member-directory.ts
+++ b/src/mesh/members/member-directory.ts
@@ -3,7 +3,7 @@
 
 A process that does not read the store itself gets the changes after its own revision from a peer, so the traffic grows with the changes and not with the fleet.
 */
-import type {Member} from './message.js';
+import type {Member} from '../message.js';
 
 /** Member with the revision of its entry in the store; 0 when it is known from a greeting only. */
 export type ListedMember = {member: Member; revision: number};
--- a/src/mesh/store-readers.ts
+++ b/src/mesh/members/store-readers.ts
@@ -5,7 +5,7 @@
 reads the store as well, the later the lower its rank, so few processes call the store as long as one of them reaches it. Which process is reachable over a link says nothing about
 whether the store answers it, so only readings count.
 */
-import {rendezvousOrder} from '../shared/hash.js';
+import {rendezvousOrder} from '../../shared/hash.js';
 
 /** Whether a process can be reached over a link; `connecting` until the first attempt has ended. */
 export type Reachability = 'open' | 'connecting' | 'unreachable';
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -1,7 +1,7 @@
 /** Messages between the processes of the fleet, as they travel in the frames of `frame.ts`. */
 import type {CrashRecord} from './inbound/crash-records.js';
 import type {LearntRoutes} from './entry/learnt-routes.js';
-import type {MemberChanges} from './member-directory.js';
+import type {MemberChanges} from './members/member-directory.js';
 import type {CountedCalls} from './entry/retry-budget.js';
 import type {RouteServiceTime} from './inbound/service-times.js';
 
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -7,7 +7,7 @@
 import {createSuspendAwareClock} from './clock.js';
 import {createCrashGuard} from './inbound/crash-guard.js';
 import type {DecisionLog} from './decision-log.js';
-import {createDepartedHosts} from './departed-hosts.js';
+import {createDepartedHosts} from './members/departed-hosts.js';
 import type {Announcement} from './inbound/announcement.js';
 import {createDependencies} from './entry/dependencies.js';
 import type {DownstreamFailures} from './inbound/inbound-call.js';
@@ -19,15 +19,15 @@
 import type {ObjectStore, StoredObject} from './object-store.js';
 import type {HttpDialect} from './entry/http-dialect.js';
 import {createLearntRouteSpread} from './entry/learnt-routes.js';
-import {createListedMembers} from './listed-members.js';
-import {createMemberDirectory} from './member-directory.js';
+import {createListedMembers} from './members/listed-members.js';
+import {createMemberDirectory} from './members/member-directory.js';
 import {createRegistration, MEMBER_KIND} from './registration.js';
 import {createRequestContent} from './inbound/request-content.js';
 import {createRetryBudget} from './entry/retry-budget.js';
 import {createRouteTable, type RouteTable} from './entry/route-table.js';
 import type {RoutingConfiguration} from './entry/routing-configuration.js';
 import type {HostSettings} from './settings.js';
-import {readingTimes} from './store-readers.js';
+import {readingTimes} from './members/store-readers.js';
 import {decodeCrashRecords} from './stored-crash-records.js';
 
 /** Options of a host node. */
--- a/src/mesh/registration.ts
+++ b/src/mesh/registration.ts
@@ -6,7 +6,7 @@
 import type {CrashRecord} from './inbound/crash-records.js';
 import type {DecisionLog} from './decision-log.js';
 import {decodeDepartures, mergeDepartures, type Departure} from './inbound/departures.js';
-import type {ListedMember} from './member-directory.js';
+import type {ListedMember} from './members/member-directory.js';
 import type {Member} from './message.js';
 import type {ObjectStore, StoredObject} from './object-store.js';
 import {decodeCrashRecords} from './stored-crash-records.js';
