--- a/src/mesh/members/departed-hosts.ts
+++ b/src/mesh/members/departed-hosts.ts
@@ -2,9 +2,9 @@
 import type {Random} from '../../shared/random.js';
 import type {DecisionLog} from '../decision-log.js';
 import {decodeDepartures} from '../inbound/departures.js';
-import type {ObjectChange} from '../object-watcher.js';
-import type {ObjectStore, StoredObject} from '../object-store.js';
-import {decodeMember, MEMBER_KIND} from '../registration.js';
+import type {ObjectChange} from '../store/object-watcher.js';
+import type {ObjectStore, StoredObject} from '../store/object-store.js';
+import {decodeMember, MEMBER_KIND} from '../store/registration.js';
 
 /** Hosts that were removed, as a reader of the member list sees them. */
 export type DepartedHosts = {
--- a/src/mesh/members/listed-members.ts
+++ b/src/mesh/members/listed-members.ts
@@ -2,9 +2,9 @@
 import type {DecisionLog} from '../decision-log.js';
 import {decodeDepartures} from '../inbound/departures.js';
 import type {ListedMember, MemberDirectory} from './member-directory.js';
-import type {StoredObject} from '../object-store.js';
-import type {ObjectChange} from '../object-watcher.js';
-import {decodeMember} from '../registration.js';
+import type {StoredObject} from '../store/object-store.js';
+import type {ObjectChange} from '../store/object-watcher.js';
+import {decodeMember} from '../store/registration.js';
 
 /** Reader of member objects. */
 export type ListedMembers = {apply: (change: ObjectChange) => void};
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -14,21 +14,21 @@
 import {createInboundProxy, type InboundProxy} from './inbound/inbound-proxy.js';
 import {createCallerListener} from './entry/caller-listener.js';
 import {createFleet} from './links/fleet.js';
-import {changedObjects, startObjectWatcher, type ObjectWatcher} from './object-watcher.js';
+import {changedObjects, startObjectWatcher, type ObjectWatcher} from './store/object-watcher.js';
 import type {BackendState, Member} from './message.js';
-import type {ObjectStore, StoredObject} from './object-store.js';
+import type {ObjectStore, StoredObject} from './store/object-store.js';
 import type {HttpDialect} from './entry/http-dialect.js';
 import {createLearntRouteSpread} from './entry/learnt-routes.js';
 import {createListedMembers} from './members/listed-members.js';
 import {createMemberDirectory} from './members/member-directory.js';
-import {createRegistration, MEMBER_KIND} from './registration.js';
+import {createRegistration, MEMBER_KIND} from './store/registration.js';
 import {createRequestContent} from './inbound/request-content.js';
 import {createRetryBudget} from './entry/retry-budget.js';
 import {createRouteTable, type RouteTable} from './entry/route-table.js';
 import type {RoutingConfiguration} from './entry/routing-configuration.js';
 import type {HostSettings} from './settings.js';
 import {readingTimes} from './members/store-readers.js';
-import {decodeCrashRecords} from './stored-crash-records.js';
+import {decodeCrashRecords} from './store/stored-crash-records.js';
 
 /** Options of a host node. */
 export type NodeOptions = {
--- a/src/mesh/__tests__/object-watcher.spec.ts
+++ b/src/mesh/store/__tests__/object-watcher.spec.ts
@@ -1,8 +1,8 @@
 /** Guards against a process that starts and learns of the store's objects late, and against requests of processes that are not to read the store. */
 import test from 'ava';
-import {fail, ok} from '../../shared/result.js';
-import {createDecisionLog} from '../decision-log.js';
-import {createMemberDirectory} from '../members/member-directory.js';
+import {fail, ok} from '../../../shared/result.js';
+import {createDecisionLog} from '../../decision-log.js';
+import {createMemberDirectory} from '../../members/member-directory.js';
 import type {ObjectStore} from '../object-store.js';
 import {startObjectWatcher} from '../object-watcher.js';
 
--- a/src/mesh/__tests__/registration.spec.ts
+++ b/src/mesh/store/__tests__/registration.spec.ts
@@ -1,15 +1,15 @@
 /** Guards against a process that stays missing from the member list, or that stands in it with old values, when writes are lost or raced. */
 import test from 'ava';
-import {fail, ok, type Result} from '../../shared/result.js';
-import {createManualClock} from '../../shared/clock.js';
-import {createDecisionLog} from '../decision-log.js';
-import {createDepartedHosts} from '../members/departed-hosts.js';
-import {decodeDepartures, type Departure} from '../inbound/departures.js';
+import {fail, ok, type Result} from '../../../shared/result.js';
+import {createManualClock} from '../../../shared/clock.js';
+import {createDecisionLog} from '../../decision-log.js';
+import {createDepartedHosts} from '../../members/departed-hosts.js';
+import {decodeDepartures, type Departure} from '../../inbound/departures.js';
 import type {ObjectStore, StoredObject, StoreError} from '../object-store.js';
-import type {CrashRecord} from '../inbound/crash-records.js';
+import type {CrashRecord} from '../../inbound/crash-records.js';
 import {createRegistration, decodeMember} from '../registration.js';
 import {decodeCrashRecords} from '../stored-crash-records.js';
-import {createMembers} from '../members/__tests__/members.js';
+import {createMembers} from '../../members/__tests__/members.js';
 
 const [self] = createMembers(1, 1, ['s']) as [ReturnType<typeof createMembers>[number]];
 const OWN_VALUE = {address: self.address, zone: self.zone, service: self.service};
--- a/src/mesh/object-store.ts
+++ b/src/mesh/store/object-store.ts
@@ -1,5 +1,5 @@
 /** Interface of the platform's object store; the platform adapter implements it. */
-import type {Result} from '../shared/result.js';
+import type {Result} from '../../shared/result.js';
 
 /** Object in the store. */
 export type StoredObject = {
--- a/src/mesh/object-watcher.ts
+++ b/src/mesh/store/object-watcher.ts
@@ -1,6 +1,6 @@
 /** Keeps a local copy of one kind of objects in the store: lists, then watches, and lists again when the store has dropped the history. */
-import type {Random} from '../shared/random.js';
-import type {DecisionLog} from './decision-log.js';
+import type {Random} from '../../shared/random.js';
+import type {DecisionLog} from '../decision-log.js';
 import type {
   ObjectStore, StoredObject, StoreError, StoreEvent,
 } from './object-store.js';
--- a/src/mesh/registration.ts
+++ b/src/mesh/store/registration.ts
@@ -1,13 +1,13 @@
 /** Keeps the member object of this process in the store, so that the other processes can find it. */
 import {isDeepStrictEqual} from 'node:util';
 import * as z from 'zod/mini';
-import {isAddress} from '../shared/address.js';
-import type {Random} from '../shared/random.js';
-import type {CrashRecord} from './inbound/crash-records.js';
-import type {DecisionLog} from './decision-log.js';
-import {decodeDepartures, mergeDepartures, type Departure} from './inbound/departures.js';
-import type {ListedMember} from './members/member-directory.js';
-import type {Member} from './message.js';
+import {isAddress} from '../../shared/address.js';
+import type {Random} from '../../shared/random.js';
+import type {CrashRecord} from '../inbound/crash-records.js';
+import type {DecisionLog} from '../decision-log.js';
+import {decodeDepartures, mergeDepartures, type Departure} from '../inbound/departures.js';
+import type {ListedMember} from '../members/member-directory.js';
+import type {Member} from '../message.js';
 import type {ObjectStore, StoredObject} from './object-store.js';
 import {decodeCrashRecords} from './stored-crash-records.js';
 
--- a/src/mesh/stored-crash-records.ts
+++ b/src/mesh/store/stored-crash-records.ts
@@ -1,6 +1,6 @@
 /** The blocked contents that a process keeps in its entry in the store, so that they stay blocked when all processes end at the same moment. */
 import * as z from 'zod/mini';
-import type {CrashRecord} from './inbound/crash-records.js';
+import type {CrashRecord} from '../inbound/crash-records.js';
 
 const recordSchema = z.object({
   content: z.string(),
