--- a/src/mesh/entry/caller-listener.ts
+++ b/src/mesh/entry/caller-listener.ts
@@ -3,15 +3,16 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {listenOn} from '../../shared/address.js';
-import {forwardRequest, type ForwardingOptions, type RequestOutcome} from './request-forwarder.js';
 import type {DecisionLog} from '../decision-log.js';
 import {createErrorBoundary} from '../error-boundary.js';
 import {createHeldBytes, type Reservation} from '../held-bytes.js';
+import {createTurnQueue} from '../turn-queue.js';
+import {forwardRequest, type ForwardingOptions, type RequestOutcome} from './request-forwarder.js';
 import type {HttpDialect} from './http-dialect.js';
 import {hasBody, readBody} from './request-body.js';
+import {createResponseWriter, type ErrorResponse} from './response-writer.js';
 import type {RouteTable} from './route-table.js';
 import type {ClientLimits, Route} from './routing-configuration.js';
-import {createTurnQueue} from '../turn-queue.js';
 
 /** Accepts requests of the callers of this host and forwards them to backend servers. */
 export type CallerListener = {
@@ -79,8 +80,6 @@
   }
 };
 
-/** An error response of this process itself. */
-type ErrorResponse = {status: number; reason: string; retryAfterMs?: number};
 /** Requests of a connection whose response has not ended, in their order. */
 type SocketState = {pending: Set<RequestState>};
 type RequestState = {
@@ -114,64 +113,7 @@
   /** While draining, a connection closes with the response to the last request that was read from it. */
   const shouldCloseConnection = (request: IncomingMessage): boolean => drainingConnections && (sockets.get(request.socket)?.pending.size ?? 1) <= 1;
 
-  const writeError = (request: IncomingMessage, response: ServerResponse, requestId: string | undefined, {status, reason, retryAfterMs}: ErrorResponse): void => {
-    if (response.destroyed || response.headersSent) {
-      return;
-    }
-
-    const body = Buffer.from(`${JSON.stringify({error: reason})}\n`);
-    const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
-    if (requestId !== undefined) {
-      headers.push(...dialect.requestIdHeaders(requestId));
-    }
-
-    if (retryAfterMs !== undefined) {
-      headers.push('Retry-After', (retryAfterMs / 1000).toFixed(3));
-    }
-
-    if (shouldCloseConnection(request) || (hasBody(request) && !request.complete)) {
-      headers.push('Connection', 'close');
-    }
-
-    log.count('refusals', reason);
-    response.writeHead(status, headers);
-    response.end(body);
-  };
-
-  const writeOutcome = (request: IncomingMessage, response: ServerResponse, requestId: string, outcome: RequestOutcome): void => {
-    switch (outcome.kind) {
-      case 'answered': {
-        if (response.destroyed || response.headersSent) {
-          return;
-        }
-
-        const headers = dialect.forwardedResponseHeaders(outcome.rawHeaders);
-        const isBodiless = request.method === 'HEAD' || outcome.status === 204 || outcome.status === 304;
-        if (outcome.framed && !isBodiless) {
-          headers.push('Content-Length', String(outcome.body.length));
-        }
-
-        // A response without a declared length may have been truncated. It must not look complete, so the connection ends it here as well.
-        response.useChunkedEncodingByDefault = outcome.framed;
-        if (!outcome.framed || shouldCloseConnection(request)) {
-          headers.push('Connection', 'close');
-        }
-
-        response.writeHead(outcome.status, headers);
-        response.end(isBodiless ? undefined : outcome.body);
-        return;
-      }
-
-      case 'not-run': {
-        writeError(request, response, requestId, {status: 503, reason: outcome.reason, retryAfterMs: outcome.retryAfterMs});
-        return;
-      }
-
-      case 'unknown': {
-        writeError(request, response, requestId, {status: outcome.timedOut ? 504 : 502, reason: outcome.reason});
-      }
-    }
-  };
+  const {writeError, writeOutcome} = createResponseWriter({dialect, log, shouldCloseConnection});
 
   /** Ends a request after an unexpected error. Whether it has run is unknown here, so the response promises nothing. */
   const abandon = (request: IncomingMessage, response: ServerResponse, requestId: string | undefined): void => {
--- a/src/mesh/entry/request-forwarder.ts
+++ b/src/mesh/entry/request-forwarder.ts
@@ -1,13 +1,13 @@
 /** Forwards a request of a caller to a backend server: admission, attempts, retries, deadline and final outcome. */
 import type {Buffer} from 'node:buffer';
 import type {Random} from '../../shared/random.js';
-import type {AdmissionController} from './admission.js';
 import type {CrashGuard, SuspectedContent} from '../inbound/crash-guard.js';
 import type {DecisionLog} from '../decision-log.js';
-import type {Dependencies} from './dependencies.js';
 import {createErrorBoundary} from '../error-boundary.js';
 import type {Destination, Fleet} from '../links/fleet.js';
 import type {CallHeader, CallResult} from '../message.js';
+import type {Dependencies} from './dependencies.js';
+import type {AdmissionController} from './admission.js';
 import type {CallRank, RetryBudget} from './retry-budget.js';
 import type {Route} from './routing-configuration.js';
 import {chooseCandidate} from './selection.js';
--- a/src/mesh/entry/request-metrics.ts
+++ b/src/mesh/entry/request-metrics.ts
@@ -1,6 +1,6 @@
 /** Latency histograms of requests by route, priority and outcome, and their text rendering. */
-import type {RequestOutcome} from './request-forwarder.js';
 import type {DecisionLog} from '../decision-log.js';
+import type {RequestOutcome} from './request-forwarder.js';
 import type {Route} from './routing-configuration.js';
 
 /** Metrics of the requests that arrived at a process. */
--- a/src/mesh/inbound/backend-connection-pool.ts
+++ b/src/mesh/inbound/backend-connection-pool.ts
@@ -1,10 +1,10 @@
 /** Pool of connections to the backend server of this host. The most recently used idle connection is reused first. */
-import {
-  createBackendConnection, type BackendConnection, type Exchange, type ExchangeResult,
-} from './backend-connection.js';
 import {createHeldBytes} from '../held-bytes.js';
 import type {HttpDialect} from '../entry/http-dialect.js';
 import {createTurnQueue} from '../turn-queue.js';
+import {
+  createBackendConnection, type BackendConnection, type Exchange, type ExchangeResult,
+} from './backend-connection.js';
 
 /** Handle of an exchange in progress. */
 export type RunningExchange = {cancel: (cause: string) => void};
--- a/src/mesh/inbound/backend-connection.ts
+++ b/src/mesh/inbound/backend-connection.ts
@@ -4,8 +4,8 @@
 import {splitAddress} from '../../shared/address.js';
 import type {HeldBytes} from '../held-bytes.js';
 import type {HttpDialect} from '../entry/http-dialect.js';
-import {createResponseParser, type ParsedResponse, type ResponseFault} from './response-parser.js';
 import type {TurnQueue} from '../turn-queue.js';
+import {createResponseParser, type ParsedResponse, type ResponseFault} from './response-parser.js';
 
 /** How an exchange ended. */
 export type ExchangeResult =
--- a/src/mesh/inbound/backend-load-tracker.ts
+++ b/src/mesh/inbound/backend-load-tracker.ts
@@ -1,7 +1,7 @@
 /** Tracks the load of the backend server of this host: running calls, service times, and the call counts for the retry budget. */
 import type {BackendLoad} from '../message.js';
-import {createServiceTimes} from './service-times.js';
 import {createWindowCounter} from '../window-counter.js';
+import {createServiceTimes} from './service-times.js';
 
 /** A call that the backend server is running. */
 export type RunningCall = {route: string; startedAt: number};
--- a/src/mesh/inbound/backend-status.ts
+++ b/src/mesh/inbound/backend-status.ts
@@ -1,14 +1,14 @@
 /** Status of the backend server of this host: whether it may get calls and how fast, from its announcements, its responses and what other processes know of it. */
+import {mergeRecord} from '../links/backend-records.js';
+import type {DecisionLog} from '../decision-log.js';
+import type {BackendStatement} from '../entry/http-dialect.js';
+import type {BackendRecord, RefusalReason} from '../message.js';
 import {
   applyAnnouncement, applyDeparture, applyLeaving, type Announcement, type LocalBackend,
 } from './announcement.js';
-import {mergeRecord} from '../links/backend-records.js';
 import {createCallRateLimit, type CallRateLimit} from './call-rate-limit.js';
-import type {DecisionLog} from '../decision-log.js';
 import {createDepartures, type Departure} from './departures.js';
 import {createDoubtfulAnnouncement} from './doubtful-announcement.js';
-import type {BackendStatement} from '../entry/http-dialect.js';
-import type {BackendRecord, RefusalReason} from '../message.js';
 
 /** Dispatch of a call: the start of the backend server that it went to, and its time in milliseconds of the clock. */
 export type Dispatch = {backend: Announcement; startedAt: number};
--- a/src/mesh/inbound/crash-guard.ts
+++ b/src/mesh/inbound/crash-guard.ts
@@ -1,10 +1,10 @@
 /** Decides which requests may run although they are blamed for crashes of backend servers, and spreads what is learnt of them. */
 import {type Buffer} from 'node:buffer';
+import type {DecisionLog} from '../decision-log.js';
+import type {CallHeader} from '../message.js';
 import {
   createCrashRecords, type Crash, type CrashRecord, type CrashRecords, type CrashRecordsOptions, type Suspicion,
 } from './crash-records.js';
-import type {DecisionLog} from '../decision-log.js';
-import type {CallHeader} from '../message.js';
 import type {ContentHeader, RequestContent} from './request-content.js';
 
 /** A request that is blamed for crashes. */
--- a/src/mesh/inbound/inbound-call.ts
+++ b/src/mesh/inbound/inbound-call.ts
@@ -1,8 +1,8 @@
 /** Calls to the backend server of this host, from their arrival to their result. */
 import type {Buffer} from 'node:buffer';
+import type {CallHeader, CallResult} from '../message.js';
 import type {RunningExchange} from './backend-connection-pool.js';
 import type {Dispatch} from './backend-status.js';
-import type {CallHeader, CallResult} from '../message.js';
 
 /** A call to the backend server of this host. */
 export type InboundCall = {
--- a/src/mesh/inbound/inbound-proxy.ts
+++ b/src/mesh/inbound/inbound-proxy.ts
@@ -1,21 +1,19 @@
 /** Inbound proxy: every call to the backend server of this host passes through it. It refuses, queues and dispatches calls, drains, and runs non-idempotent calls at most once. */
 import {Buffer} from 'node:buffer';
-import {
-  countAhead, createQueue, enqueue, removeOverdue, removeQueued, takeNext, type QueuedCall,
-} from '../../decisions/inbound/queue.js';
+import type {DecisionLog} from '../decision-log.js';
+import type {
+  BackendLoad, BackendRecord, BackendState, RefusalReason, CallResult,
+} from '../message.js';
+import type {HttpDialect} from '../entry/http-dialect.js';
 import type {Announcement} from './announcement.js';
 import {createBackendConnectionPool} from './backend-connection-pool.js';
 import type {ExchangeResult} from './backend-connection.js';
 import {createBackendStatus} from './backend-status.js';
+import {createCallQueue} from './call-queue.js';
 import {createCrashDetector} from './crash-detector.js';
 import type {CrashGuard} from './crash-guard.js';
-import type {DecisionLog} from '../decision-log.js';
 import type {Departure} from './departures.js';
 import {createBackendLoadTracker} from './backend-load-tracker.js';
-import type {
-  BackendLoad, BackendRecord, BackendState, RefusalReason, CallResult,
-} from '../message.js';
-import type {HttpDialect} from '../entry/http-dialect.js';
 import {createDispatchRecords} from './dispatch-records.js';
 import {
   overloadedSince, type ActiveCall, type DownstreamFailures, type InboundCall,
@@ -82,10 +80,6 @@
   awaitsDepartures?: boolean;
 };
 
-/** Share of the remaining time that a call may spend in the queue; the rest is needed to run it. */
-const QUEUE_WAIT_SHARE = 0.5;
-const RETRY_AFTER_MIN_MS = 50;
-
 /** Responses with this status or above are failures; their duration is left out of the service times. */
 const FIRST_SERVER_ERROR_STATUS = 500;
 
@@ -96,7 +90,6 @@
   const {now, log, dialect, crashGuard} = options;
   let stopping = false;
   const loadTracker = createBackendLoadTracker(now, options.retryWindowMs);
-  const queue = createQueue();
   const calls = new Map<string, ActiveCall>();
   const dispatchRecords = createDispatchRecords(now);
   const suspectIsolation = createSuspectIsolation(crashGuard);
@@ -116,7 +109,7 @@
     announcementMs: options.announcementMs,
     awaitsDepartures: options.awaitsDepartures,
     onDeparture: options.onDeparture,
-    callCounts: () => ({running: loadTracker.running(), queued: queue.length}),
+    callCounts: () => ({running: loadTracker.running(), queued: queue.length()}),
     onReplaced({address}) {
       loadTracker.reset();
       pool.reset(address);
@@ -126,6 +119,9 @@
     },
   });
   const {rateLimit} = backendStatus;
+  const queue = createCallQueue({
+    now, serviceMs: loadTracker.serviceMs, limit: () => limit(), rateWaitMs: rateLimit.waitMs,
+  });
 
   const crashDetector = createCrashDetector<InboundCall>({
     onCrash({instance, startedAt}, lost) {
@@ -143,7 +139,7 @@
     return backend === undefined ? 0 : Math.min(backend.slots, options.connectionLimit(backend.service));
   };
 
-  const load = (route?: string): BackendLoad => loadTracker.report({queued: queue.length, limit: limit(), perSecondMax: rateLimit.perSecond()}, route);
+  const load = (route?: string): BackendLoad => loadTracker.report({queued: queue.length(), limit: limit(), perSecondMax: rateLimit.perSecond()}, route);
 
   const state = (): BackendState => {
     const announced = backendStatus.announced();
@@ -175,11 +171,6 @@
     active.inbound.onResult(result, body);
   };
 
-  /** Time until a call behind `ahead` others gets a slot, in milliseconds. */
-  const expectedWaitMs = (ahead: number): number => (ahead + 1) * loadTracker.serviceMs() / Math.max(1, limit());
-
-  const estimateRetryAfterMs = (): number => Math.round(Math.max(RETRY_AFTER_MIN_MS, expectedWaitMs(queue.length), rateLimit.waitMs(queue.length + 1)));
-
   const refuse = (active: ActiveCall, reason: RefusalReason, arrived = false): void => {
     log.count('door_refusals', reason);
     const {requestId, route, priority} = active.inbound.call;
@@ -191,13 +182,13 @@
       waitedMs: Math.round(now() - active.arrivedAt),
       remainingMs: Math.round(active.deadlineAt - now()),
       running: loadTracker.running(),
-      queued: queue.length,
+      queued: queue.length(),
       limit: limit(),
       perSecond: rateLimit.perSecond(),
       serviceMs: Math.round(loadTracker.serviceMs()),
     });
     complete(active, {
-      kind: 'refused', reason, arrived, retryAfterMs: estimateRetryAfterMs(),
+      kind: 'refused', reason, arrived, retryAfterMs: queue.retryAfterMs(),
     }, NO_BODY);
   };
 
@@ -297,8 +288,6 @@
     });
   };
 
-  const checkQueueTime = (call: QueuedCall): 'take' | 'drop' => call.queueUntil <= now() ? 'drop' : 'take';
-
   const mayDispatch = (): boolean => loadTracker.running() < limit() && rateLimit.waitMs(1) === 0;
 
   /** Why a call may not be dispatched to the backend server that is there now; asked when the call arrives and again when it leaves the queue, since another service may have taken the address meanwhile. */
@@ -306,9 +295,9 @@
     backendStatus.unavailableReason() ?? (backendStatus.target()?.service === service ? undefined : 'other-service');
 
   const dispatchQueued = (): void => {
-    while (mayDispatch() && queue.length > 0) {
-      const {taken, dropped} = takeNext(queue, {isKindBlocked: () => false, decide: checkQueueTime});
-      for (const {callId} of dropped) {
+    while (mayDispatch() && queue.length() > 0) {
+      const {taken, dropped} = queue.takeNext();
+      for (const callId of dropped) {
         refuse(calls.get(callId)!, 'queue-time');
       }
 
@@ -316,7 +305,7 @@
         return;
       }
 
-      const active = calls.get(taken.callId)!;
+      const active = calls.get(taken)!;
       const obstacle = findObstacle(active.inbound.call);
       if (obstacle === undefined) {
         dispatch(active);
@@ -326,26 +315,6 @@
     }
   };
 
-  const enqueueOrRefuse = (active: ActiveCall): void => {
-    const {call, key} = active.inbound;
-    const remainingMs = active.deadlineAt - now();
-    const waitMaxMs = Math.min(remainingMs * QUEUE_WAIT_SHARE, Math.max(call.targetMs, 0) + loadTracker.serviceMs());
-    const ahead = countAhead(queue, call.priority);
-    if (expectedWaitMs(ahead) > waitMaxMs) {
-      refuse(active, 'queue-full');
-      return;
-    }
-
-    if (rateLimit.waitMs(ahead + 1) > waitMaxMs) {
-      refuse(active, 'rate-limit');
-      return;
-    }
-
-    enqueue(queue, {
-      callId: key, priority: call.priority, requestKind: call.route, arrivedAt: active.arrivedAt, deadlineAt: active.deadlineAt, queueUntil: now() + waitMaxMs,
-    });
-  };
-
   return {
     submit(inbound) {
       const active: ActiveCall = {
@@ -362,10 +331,13 @@
         refuse(active, obstacle);
       } else if (inbound.call.remainingMs <= 0) {
         refuse(active, 'deadline-passed');
-      } else if (mayDispatch() && queue.length === 0) {
+      } else if (mayDispatch() && queue.length() === 0) {
         dispatch(active);
       } else {
-        enqueueOrRefuse(active);
+        const refusal = queue.add(active);
+        if (refusal !== undefined) {
+          refuse(active, refusal);
+        }
       }
     },
     cancel(key) {
@@ -376,9 +348,8 @@
 
       active.ended = true;
       calls.delete(key);
-      const {call} = active.inbound;
       if (active.run === undefined) {
-        removeQueued(queue, {priority: call.priority, requestKind: call.route}, key);
+        queue.remove(active);
       } else {
         active.run.exchange?.cancel('the caller disconnected');
       }
@@ -399,13 +370,13 @@
       publishState();
     },
     tick() {
-      for (const {callId} of removeOverdue(queue, now())) {
+      for (const callId of queue.removeOverdue(now())) {
         refuse(calls.get(callId)!, 'queue-time');
       }
 
       const unavailable = backendStatus.unavailableReason();
       if (unavailable !== undefined) {
-        for (const {callId} of removeOverdue(queue, Number.POSITIVE_INFINITY)) {
+        for (const callId of queue.removeOverdue(Number.POSITIVE_INFINITY)) {
           refuse(calls.get(callId)!, unavailable);
         }
       }
--- a/src/mesh/links/fleet.ts
+++ b/src/mesh/links/fleet.ts
@@ -8,21 +8,21 @@
 import type {DecisionLog} from '../decision-log.js';
 import type {InboundProxy} from '../inbound/inbound-proxy.js';
 import type {LearntRouteSpread} from '../entry/learnt-routes.js';
-import {createLinkTable} from './link-table.js';
 import type {MemberDirectory} from '../members/member-directory.js';
 import type {
   BackendState, CallHeader, CallResult, Member, Message,
 } from '../message.js';
-import {createPeerLink, type PeerLink} from './peer-link.js';
-import {createPeerServer, type IncomingLink} from './peer-server.js';
 import type {CountedCalls} from '../entry/retry-budget.js';
 import type {RoutingConfiguration} from '../entry/routing-configuration.js';
 import type {Candidate} from '../entry/selection.js';
+import {createStoreReaders, readingTimes, type StoreReaders} from '../members/store-readers.js';
+import {createStateExchange} from './state-exchange.js';
 import {
   estimateCallCounts, estimateServiceLoad, type BackendCounts, type LoadSample,
 } from './service-estimate.js';
-import {createStateExchange} from './state-exchange.js';
-import {createStoreReaders, readingTimes, type StoreReaders} from '../members/store-readers.js';
+import {createPeerServer, type IncomingLink} from './peer-server.js';
+import {createPeerLink, type PeerLink} from './peer-link.js';
+import {createLinkTable} from './link-table.js';
 import {chooseSubset, createRings, type Rings} from './subset.js';
 
 /** Destination of one attempt: a backend server, reached directly or through the process on its host. */
--- a/src/mesh/links/link-table.ts
+++ b/src/mesh/links/link-table.ts
@@ -1,7 +1,7 @@
 /** Opens links to the members that this process needs, and closes those that it no longer needs. */
 import type {Member} from '../message.js';
-import type {PeerLink} from './peer-link.js';
 import type {Reachability} from '../members/store-readers.js';
+import type {PeerLink} from './peer-link.js';
 
 /** Outgoing links of one process. */
 export type LinkTable = {
--- a/src/mesh/links/peer-link.ts
+++ b/src/mesh/links/peer-link.ts
@@ -4,14 +4,14 @@
 import {splitAddress} from '../../shared/address.js';
 import type {DecisionLog} from '../decision-log.js';
 import {createErrorBoundary} from '../error-boundary.js';
-import {
-  createFrameReader, createFrameWriter, type Frame, type FrameWriter,
-} from './frame.js';
-import {createLinkLiveness} from './link-liveness.js';
 import type {
   BackendLoad, BackendState, CallHeader, CallResult, Member, Message,
 } from '../message.js';
 import {findHeadFault} from '../entry/response-head.js';
+import {
+  createFrameReader, createFrameWriter, type Frame, type FrameWriter,
+} from './frame.js';
+import {createLinkLiveness} from './link-liveness.js';
 
 /** Result of a call over a link; undefined when the link closed before the result arrived. */
 export type PeerCallResult =
--- a/src/mesh/links/peer-server.ts
+++ b/src/mesh/links/peer-server.ts
@@ -4,9 +4,9 @@
 import type {DecisionLog} from '../decision-log.js';
 import {createErrorBoundary} from '../error-boundary.js';
 import type {InboundProxy} from '../inbound/inbound-proxy.js';
+import type {Member, Message} from '../message.js';
 import {createFrameReader, createFrameWriter, type Frame} from './frame.js';
 import {IDLE_PING_INTERVAL_MAX_MS} from './link-liveness.js';
-import type {Member, Message} from '../message.js';
 
 /** Listener for the links of other processes. */
 export type PeerServer = {
--- a/src/mesh/links/state-exchange.ts
+++ b/src/mesh/links/state-exchange.ts
@@ -1,7 +1,6 @@
 /** Exchanges state with other processes over the links: versions, the configuration, members, learnt routes, and what backend servers have stated. */
 import {Buffer} from 'node:buffer';
 import {isAddress} from '../../shared/address.js';
-import {createBackendRecords, type BackendRecords} from './backend-records.js';
 import type {CrashGuard} from '../inbound/crash-guard.js';
 import type {DecisionLog} from '../decision-log.js';
 import type {LearntRouteSpread} from '../entry/learnt-routes.js';
@@ -11,6 +10,7 @@
 } from '../message.js';
 import type {RoutingConfiguration} from '../entry/routing-configuration.js';
 import type {StoreReaders} from '../members/store-readers.js';
+import {createBackendRecords, type BackendRecords} from './backend-records.js';
 
 /** Link over which a message can be answered. */
 export type MessageSender = {send: (message: Message, body?: Buffer) => void};
--- a/src/mesh/members/listed-members.ts
+++ b/src/mesh/members/listed-members.ts
@@ -1,10 +1,10 @@
 /** Applies the member objects of the store to the member list. Objects that cannot be read name no member. */
 import type {DecisionLog} from '../decision-log.js';
 import {decodeDepartures} from '../inbound/departures.js';
-import type {ListedMember, MemberDirectory} from './member-directory.js';
 import type {StoredObject} from '../store/object-store.js';
 import type {ObjectChange} from '../store/object-watcher.js';
 import {decodeMember} from '../store/registration.js';
+import type {ListedMember, MemberDirectory} from './member-directory.js';
 
 /** Reader of member objects. */
 export type ListedMembers = {apply: (change: ObjectChange) => void};
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -21,6 +21,7 @@
 import {createLearntRouteSpread} from './entry/learnt-routes.js';
 import {createListedMembers} from './members/listed-members.js';
 import {createMemberDirectory} from './members/member-directory.js';
+import {createPlannedStop, sleep} from './planned-stop.js';
 import {createRegistration, MEMBER_KIND} from './store/registration.js';
 import {createRequestContent} from './inbound/request-content.js';
 import {createRetryBudget} from './entry/retry-budget.js';
@@ -67,11 +68,6 @@
 
 /** Interval of the periodic work, such as timeouts, pings and reconnects, in milliseconds. */
 const TICK_MS = 50;
-/** Shortest time for which a stopping process still accepts requests, in milliseconds: the platform checks readiness every second and needs two failed checks. */
-const STOP_ACCEPT_MS = 2700;
-/** Part of the grace period that is reserved for closing, in milliseconds. */
-const STOP_RESERVE_MS = 400;
-const IDLE_POLL_MS = 50;
 /** Interval at which the admitted shares are updated, in milliseconds. */
 const ADMISSION_INTERVAL_MS = 100;
 /** Interval at which the dependencies of routes are derived from the observed call graph, in milliseconds. */
@@ -85,10 +81,6 @@
 /** Time in which changes of the member list are collected, in milliseconds: many processes may start or stop at once. */
 const MEMBER_BATCH_MS = 200;
 
-const sleep = async (milliseconds: number): Promise<void> => new Promise(resolve => {
-  setTimeout(resolve, milliseconds);
-});
-
 /** Creates a host node; nothing listens before `start`. */
 export const createHostNode = (options: NodeOptions): HostNode => {
   const {settings, log, store, random} = options;
@@ -325,17 +317,6 @@
     );
   };
 
-  /** Longest time that an accepted request may take; it has to end before the process does. */
-  const maxRequestMs = (): number => Math.max(0, ...(routeTable?.configuration.routes.map(({timeoutMs}) => timeoutMs) ?? []));
-
-  const waitUntilIdle = async (deadlineAt: number): Promise<void> => {
-    /* eslint-disable no-await-in-loop */
-    while (now() < deadlineAt && callerListener.inFlight() + inboundProxy.inFlight() > 0) {
-      await sleep(IDLE_POLL_MS);
-    }
-    /* eslint-enable no-await-in-loop */
-  };
-
   const kill = (): void => {
     clearInterval(tickTimer);
     for (const watcher of watchers) {
@@ -349,25 +330,16 @@
     store.close();
   };
 
-  const stopNow = async (): Promise<void> => {
-    stopping = true;
-    const stopRequestedAt = now();
-    const deadlineAt = stopRequestedAt + settings.bounds.graceMs - STOP_RESERVE_MS;
-    callerListener.drainConnections();
-    if (inboundProxy.hasBackendLeft()) {
-      await Promise.race([registration.unregister(), sleep(STOP_RESERVE_MS)]);
-    }
-
-    // The backend server keeps running, so it gets calls as long as they can end before this process does.
-    await sleep(Math.max(0, STOP_ACCEPT_MS - maxRequestMs()));
-    inboundProxy.drain();
-    await sleep(Math.max(0, stopRequestedAt + STOP_ACCEPT_MS - now()));
-    await waitUntilIdle(deadlineAt - maxRequestMs());
-    callerListener.refuseRequests();
-    await waitUntilIdle(deadlineAt);
-    log.write('info', 'stopping', {entry: callerListener.inFlight(), door: inboundProxy.inFlight(), ms: Math.round(now() - stopRequestedAt)});
-    kill();
-  };
+  const stopNow = createPlannedStop({
+    now,
+    log,
+    graceMs: settings.bounds.graceMs,
+    callerListener,
+    inboundProxy,
+    registration,
+    requestMaxMs: () => Math.max(0, ...(routeTable?.configuration.routes.map(({timeoutMs}) => timeoutMs) ?? [])),
+    kill,
+  });
 
   /** Whether the store holds all departures, now or shortly. */
   const areDeparturesKept = async (): Promise<boolean> => {
@@ -401,6 +373,7 @@
       watchStore();
     },
     async stop() {
+      stopping = true;
       stopped ??= stopNow();
       return stopped;
     },
