--- a/src/mesh/entry/caller-listener.ts
+++ b/src/mesh/entry/caller-listener.ts
@@ -196,6 +196,8 @@
       requestId: requestId!,
       route,
       service,
+      workspace: undefined,
+      priority: route.priority,
       rank: table!.rankOf(service, route.priority),
       method: request.method ?? 'GET',
       path: request.url ?? '/',
--- a/src/mesh/entry/request-forwarder.ts
+++ b/src/mesh/entry/request-forwarder.ts
@@ -9,7 +9,7 @@
 import type {Dependencies} from './dependencies.js';
 import type {AdmissionController} from './admission.js';
 import type {CallRank, RetryBudget} from './retry-budget.js';
-import type {Route} from './routing-configuration.js';
+import type {Route, Workspace} from './routing-configuration.js';
 import {chooseCandidate} from './selection.js';
 
 /** Why the caller gets an error of this process instead of a response of a backend server. */
@@ -42,6 +42,10 @@
   requestId: string;
   route: Route;
   service: string;
+  /** Undefined for calls of backend servers, and without workspaces in the configuration. */
+  workspace: Workspace | undefined;
+  /** Priority of the workspace, or else of the route. */
+  priority: number;
   /** Whether other calls to the service are more urgent. */
   rank: CallRank;
   method: string;
@@ -155,7 +159,7 @@
       request: request.requestId,
       route: route.name,
       service: request.service,
-      priority: route.priority,
+      priority: request.priority,
       version: request.configurationVersion,
       outcome: outcome.kind,
       ...(outcome.kind === 'answered' ? {status: outcome.status, lackingBelow: outcome.lackingBelow} : {reason: outcome.reason}),
@@ -353,7 +357,8 @@
       rawHeaders: request.rawHeaders,
       idempotent: route.idempotent,
       isRepeat: attempts > 1,
-      priority: route.priority,
+      priority: request.priority,
+      ...(request.workspace === undefined ? {} : {workspace: request.workspace.name}),
       route: route.name,
       remainingMs: request.deadlineAt - now(),
       targetMs: request.arrivedAt + route.targetMs - now(),
--- a/src/mesh/entry/routing-configuration.ts
+++ b/src/mesh/entry/routing-configuration.ts
@@ -21,6 +21,21 @@
   attemptsMax: number;
   /** At least one. */
   targets: RouteTarget[];
+  /** Whether requests need no API key although the configuration has workspaces. @default false */
+  isPublic?: boolean;
+};
+
+/** Customer that sends requests with an API key. */
+export type Workspace = {
+  name: string;
+  /** SHA-256 digests of its API keys, in base64url; the keys themselves leave the decoder of the configuration nowhere. */
+  keyDigests: string[];
+  /** Takes the place of the priority of the route; 0 is the most urgent. */
+  priority: number | undefined;
+  /** Requests per second over the whole fleet; undefined for no limit. */
+  ratePerS: number | undefined;
+  /** Requests that may exceed the rate at once. */
+  burst: number;
 };
 
 /** Limits for the requests and connections of clients. */
@@ -40,4 +55,6 @@
   routes: Route[];
   services: ServiceLimits[];
   limits: ClientLimits;
+  /** Undefined when requests need no API key. */
+  workspaces?: Workspace[];
 };
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -92,6 +92,8 @@
   /** Whether the call is a retry, so that another backend server may already have received it. */
   isRepeat: boolean;
   priority: number;
+  /** Workspace of the request; missing for calls of backend servers, and without workspaces in the configuration. */
+  workspace?: string;
   /** Route that selected the service. */
   route: string;
   /** Time until the deadline of the caller, in milliseconds. */
