fix(mesh): reset a connection whose response without a length is cut by the end of the process

Node's server.close destroys a connection as idle once its response has been ended, although bytes of it are unsent, so the caller got a part of the body and a regular end. Connections with an unframed response are reset first.

--- a/src/mesh/entry/caller-listener.ts
+++ b/src/mesh/entry/caller-listener.ts
@@ -83,6 +83,7 @@
 /** Requests of a connection whose response has not ended, in their order. */
 type SocketState = {pending: Set<RequestState>};
 type RequestState = {
+  response: ServerResponse;
   reservation: Reservation;
   /** Cancels the request; undefined before it is forwarded. */
   cancel: (() => void) | undefined;
@@ -98,6 +99,9 @@
   return bytes;
 };
 
+/** Whether the end of a response is the end of its connection, because it states no length. */
+const isUnframed = (response: ServerResponse): boolean => response.headersSent && !response.useChunkedEncodingByDefault;
+
 /** Creates a listener; it accepts connections after `start`. */
 export const createCallerListener = (options: CallerListenerOptions): CallerListener => {
   const {dialect, log, now} = options;
@@ -260,7 +264,9 @@
 
   const onRequest = (request: IncomingMessage, response: ServerResponse): void => {
     const socketState = sockets.get(request.socket) ?? {pending: new Set()};
-    const state: RequestState = {reservation: heldBytes.reserve(), cancel: undefined, settled: false};
+    const state: RequestState = {
+      response, reservation: heldBytes.reserve(), cancel: undefined, settled: false,
+    };
     sockets.set(request.socket, socketState);
     socketState.pending.add(state);
     inFlight++;
@@ -299,6 +305,13 @@
     },
     inFlight: () => inFlight,
     close() {
+      // `server.close` closes connections whose response has been ended but not sent, so the reset comes first.
+      for (const [socket, {pending}] of sockets) {
+        if ([...pending].some(({response}) => isUnframed(response))) {
+          socket.resetAndDestroy();
+        }
+      }
+
       server.close();
       server.closeAllConnections();
     },
