feat(mesh): identify the workspace of a request by its API key

Cause: a configuration with workspaces had no effect on requests. Change: the listener for callers identifies a request before its body is read. An unknown key gets 401 (unknown-key). The backend server gets the name of the workspace, and neither the key nor a workspace that the caller stated. The priority of the workspace takes the place of that of the route in admission control, in queues and in the retry budget.

--- a/src/mesh/entry/caller-listener.ts
+++ b/src/mesh/entry/caller-listener.ts
@@ -8,11 +8,11 @@
 import {createHeldBytes, type Reservation} from '../held-bytes.js';
 import {createTurnQueue} from '../turn-queue.js';
 import {forwardRequest, type ForwardingOptions, type RequestOutcome} from './request-forwarder.js';
-import type {HttpDialect} from './http-dialect.js';
+import type {HttpDialect, RequestMetadata, WorkspaceHeader} from './http-dialect.js';
 import {hasBody, readBody} from './request-body.js';
 import {createResponseWriter, type ErrorResponse} from './response-writer.js';
 import type {RouteTable} from './route-table.js';
-import type {ClientLimits, Route} from './routing-configuration.js';
+import type {ClientLimits, Route, Workspace} from './routing-configuration.js';
 
 /** Accepts requests of the callers of this host and forwards them to backend servers. */
 export type CallerListener = {
@@ -43,7 +43,9 @@
   /** Called when a request for a route arrives. */
   onArrived: (route: string) => void;
   /** Called with the outcome of each request and its duration in milliseconds. */
-  onFinished: (route: Route, outcome: RequestOutcome['kind'], milliseconds: number) => void;
+  onFinished: (route: Route, outcome: RequestOutcome['kind'], milliseconds: number, workspace: WorkspaceHeader) => void;
+  /** Called when a request with a route is refused before it is forwarded. */
+  onRefused: (workspace: WorkspaceHeader) => void;
   /** Called with the overloaded services when a request fails. It may be a call of the backend server, which cannot be distinguished from a client's request. */
   onCallFailed: (overloadedServices: readonly string[]) => void;
 };
@@ -80,6 +82,9 @@
   }
 };
 
+/** Route and sender of a request; `workspace` is undefined for calls of backend servers, and without workspaces in the configuration. */
+type MatchedRequest = {route: Route; workspace: Workspace | undefined};
+
 /** Requests of a connection whose response has not ended, in their order. */
 type SocketState = {pending: Set<RequestState>};
 type RequestState = {
@@ -130,8 +135,8 @@
     });
   };
 
-  /** Finds the route of a request, or the error response for one that is not forwarded. */
-  const matchRoute = (request: IncomingMessage, table: RouteTable | undefined, requestId: string | undefined): Route | ErrorResponse => {
+  /** Finds the route and the workspace of a request, or the error response for one that is not forwarded. */
+  const matchRequest = (request: IncomingMessage, table: RouteTable | undefined, {requestId, apiKey}: RequestMetadata): MatchedRequest | ErrorResponse => {
     if (table === undefined) {
       return {status: 503, reason: 'no-configuration', retryAfterMs: RETRY_AFTER_STARTING_MS};
     }
@@ -149,14 +154,22 @@
       return {status: 404, reason: 'no-route'};
     }
 
-    return requestId === undefined ? {status: 400, reason: 'request-id-missing'} : route;
+    const identity = table.workspaces.identify(apiKey, route);
+    if (identity.kind === 'unknown-key') {
+      return {status: 401, reason: 'unknown-key'};
+    }
+
+    return requestId === undefined
+      ? {status: 400, reason: 'request-id-missing'}
+      : {route, workspace: identity.kind === 'workspace' ? identity.workspace : undefined};
   };
 
   const handleRequest = async (request: IncomingMessage, response: ServerResponse, state: RequestState): Promise<void> => {
     const arrivedAt = now();
     const table = options.routeTable();
-    const {requestId, deadlineMs} = dialect.readRequest(request.headers);
-    const matched = matchRoute(request, table, requestId);
+    const metadata = dialect.readRequest(request.headers);
+    const {requestId, deadlineMs} = metadata;
+    const matched = matchRequest(request, table, metadata);
     if ('status' in matched) {
       log.write('info', 'request-refused', {request: requestId, ...matched, version: table?.version});
       request.resume();
@@ -164,7 +177,8 @@
       return;
     }
 
-    const route = matched;
+    const {route, workspace} = matched;
+    const workspaceHeader = table!.workspaces.headerOf(workspace);
     options.onArrived(route.name);
     const statedDeadlineMs = deadlineMs ?? DEADLINE_DEFAULT_MS;
     const deadlineAt = arrivedAt + Math.max(0, Math.min(statedDeadlineMs - DEADLINE_MARGIN_MS, route.timeoutMs));
@@ -178,11 +192,13 @@
     }
 
     if (body === 'too-large') {
+      options.onRefused(workspaceHeader);
       writeError(request, response, requestId, {status: 413, reason: 'body-too-large'});
       return;
     }
 
     if (body === 'memory-full') {
+      options.onRefused(workspaceHeader);
       writeError(request, response, requestId, {status: 503, reason: 'memory-full', retryAfterMs: RETRY_AFTER_MEMORY_MS});
       return;
     }
@@ -192,16 +208,17 @@
     }
 
     const service = table!.selectService(route);
+    const priority = workspace?.priority ?? route.priority;
     const requestHandle = forwardRequest(options, {
       requestId: requestId!,
       route,
       service,
-      workspace: undefined,
-      priority: route.priority,
-      rank: table!.rankOf(service, route.priority),
+      workspace,
+      priority,
+      rank: table!.rankOf(service, {priority, workspace}),
       method: request.method ?? 'GET',
       path: request.url ?? '/',
-      rawHeaders: dialect.forwardedRequestHeaders(request.rawHeaders, options.callerService),
+      rawHeaders: dialect.forwardedRequestHeaders(request.rawHeaders, {callerService: options.callerService, workspace: workspaceHeader}),
       body,
       isClientRetry: detectClientRetry(route.name, statedDeadlineMs),
       configurationVersion: table!.version,
@@ -211,7 +228,7 @@
       boundary.run(requestId, () => {
         const milliseconds = now() - arrivedAt;
         const failed = outcome.kind !== 'answered' || outcome.status >= FIRST_SERVER_ERROR_STATUS;
-        options.onFinished(route, outcome.kind, milliseconds);
+        options.onFinished(route, outcome.kind, milliseconds, workspaceHeader);
         if (failed) {
           options.onCallFailed(overloadedServices(outcome, service));
         }
--- a/src/mesh/entry/http-dialect.ts
+++ b/src/mesh/entry/http-dialect.ts
@@ -2,7 +2,18 @@
 import type {IncomingHttpHeaders} from 'node:http';
 
 /** Values of the request headers of a caller. */
-export type RequestMetadata = {requestId: string | undefined; deadlineMs: number | undefined};
+export type RequestMetadata = {
+  requestId: string | undefined;
+  deadlineMs: number | undefined;
+  /** API key; several keys are joined with commas, so that they are an unknown one. Undefined without the header. */
+  apiKey: string | undefined;
+};
+
+/** Workspace that a forwarded request states: `unused` without workspaces in the configuration, `none` for a request without one. */
+export type WorkspaceHeader = {kind: 'unused'} | {kind: 'none'} | {kind: 'named'; name: string};
+
+/** What this system adds to the headers of a forwarded request. */
+export type ForwardedOrigin = {callerService: string; workspace: WorkspaceHeader};
 
 /** Values of the response headers of a backend server. */
 export type ResponseMetadata = {
@@ -30,8 +41,8 @@
 /** Reads and writes the platform's HTTP headers. Raw headers alternate names and values, as in Node's `rawHeaders`. */
 export type HttpDialect = {
   readRequest: (headers: IncomingHttpHeaders) => RequestMetadata;
-  /** Request headers that are forwarded to the backend server, with the caller service added. Other headers that the system sets itself are removed. */
-  forwardedRequestHeaders: (rawHeaders: readonly string[], callerService: string) => string[];
+  /** Request headers that are forwarded to the backend server, with the caller service and the workspace added. Other headers that the system sets itself are removed, and with workspaces the API key. */
+  forwardedRequestHeaders: (rawHeaders: readonly string[], origin: ForwardedOrigin) => string[];
   /** Reads the caller service from forwarded headers. */
   readCaller: (rawHeaders: readonly string[]) => string | undefined;
   /** Request headers that are added for the backend server: the expected instance and the remaining time. */
--- a/src/mesh/entry/request-forwarder.ts
+++ b/src/mesh/entry/request-forwarder.ts
@@ -104,6 +104,7 @@
 export const forwardRequest = (options: ForwardingOptions, request: ForwardedRequest, onOutcome: (outcome: RequestOutcome) => void): RequestHandle => {
   const {now, random, log, budget} = options;
   const {route} = request;
+  const admissionRequest = {name: route.name, priority: request.priority};
   const boundary = createErrorBoundary(log, 'request');
   const triedNodes = new Set<string>();
   let attempts = 0;
@@ -160,13 +161,14 @@
       route: route.name,
       service: request.service,
       priority: request.priority,
+      workspace: request.workspace?.name,
       version: request.configurationVersion,
       outcome: outcome.kind,
       ...(outcome.kind === 'answered' ? {status: outcome.status, lackingBelow: outcome.lackingBelow} : {reason: outcome.reason}),
       tried: [...triedNodes],
       sends: attempts,
       refusals,
-      admittedShare: options.admission.admittedShare(route),
+      admittedShare: options.admission.admittedShare(admissionRequest),
       ms: Math.round(now() - request.arrivedAt),
     });
   };
@@ -380,7 +382,7 @@
     }
   };
 
-  if (!options.isClientRoute(route.name) || options.admission.admit(route, request.isClientRetry, random)) {
+  if (!options.isClientRoute(route.name) || options.admission.admit(admissionRequest, request.isClientRetry, random)) {
     runStep(sendAttempt);
   } else {
     retryAfterMs = route.targetMs * RETRY_AFTER_TARGET_SHARE;
--- a/src/mesh/entry/route-table.ts
+++ b/src/mesh/entry/route-table.ts
@@ -1,6 +1,7 @@
 /** Route lookup for requests, and weighted selection of a service among the targets of a route. */
+import {createWorkspaceDirectory, type WorkspaceDirectory} from '../workspaces/workspace-directory.js';
 import type {CallRank} from './retry-budget.js';
-import type {Route, RoutingConfiguration} from './routing-configuration.js';
+import type {Route, RoutingConfiguration, Workspace} from './routing-configuration.js';
 
 /** Route table of one configuration. */
 export type RouteTable = {
@@ -8,8 +9,9 @@
   configuration: RoutingConfiguration;
   /** Finds the route of the host with the longest matching path prefix. */
   findRoute: (host: string, path: string) => Route | undefined;
-  /** `ordinary` when another route to the service has a more urgent priority, otherwise `urgent`. */
-  rankOf: (service: string, priority: number) => CallRank;
+  workspaces: WorkspaceDirectory;
+  /** `ordinary` when another route to the service has a more urgent priority, otherwise `urgent`. A request of a workspace is `ordinary` also when another workspace has a more urgent priority. */
+  rankOf: (service: string, request: {priority: number; workspace: Workspace | undefined}) => CallRank;
   /** Selects the service of the next request of a route; the shares follow the weights over any sequence of requests. */
   selectService: (route: Route) => string;
 };
@@ -61,15 +63,22 @@
     }
   }
 
+  const workspaces = createWorkspaceDirectory(configuration.workspaces);
+  const highestWorkspacePriority = Math.min(...workspaces.priorities);
+
   const weightedTargets = new Map<string, WeightedTarget[]>();
   return {
     version: configuration.version,
     configuration,
+    workspaces,
     findRoute(host, url) {
       const path = stripQuery(url);
       return byHost.get(normalizeHost(host))?.find(route => path.startsWith(route.prefix));
     },
-    rankOf: (service, priority) => priority <= (highestPriorities.get(service) ?? priority) ? 'urgent' : 'ordinary',
+    rankOf(service, {priority, workspace}) {
+      const highest = Math.min(highestPriorities.get(service) ?? priority, workspace === undefined ? Number.POSITIVE_INFINITY : highestWorkspacePriority);
+      return priority <= highest ? 'urgent' : 'ordinary';
+    },
     selectService(route) {
       if (route.targets.length === 1) {
         return route.targets[0]!.service;
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -163,7 +163,9 @@
     }
 
     routeTable = createRouteTable(configuration);
-    log.write('info', 'configuration-in-force', {version: configuration.version, routes: configuration.routes.length, from});
+    log.write('info', 'configuration-in-force', {
+      version: configuration.version, routes: configuration.routes.length, workspaces: configuration.workspaces?.length, from,
+    });
     callerListener.setLimits(configuration.limits);
     fleet.announceVersions();
   };
@@ -186,8 +188,20 @@
     }
   };
 
+  /** Adds the priorities that requests of workspaces have in place of those of their routes. */
+  const withWorkspacePriorities = (priorities: number[]): number[] => {
+    const added = routeTable?.workspaces.priorities ?? [];
+    return added.length === 0 ? priorities : [...new Set([...priorities, ...added])];
+  };
+
   const admission = createAdmissionController({
-    now, log, dependencies, serviceLoad: service => fleet.serviceLoad(service),
+    now,
+    log,
+    dependencies: {
+      servicesOf: dependencies.servicesOf,
+      dependentPriorities: service => withWorkspacePriorities(dependencies.dependentPriorities(service)),
+    },
+    serviceLoad: service => fleet.serviceLoad(service),
   });
 
   const callerListener = createCallerListener({
@@ -211,6 +225,7 @@
     },
     heldBytesMax: settings.heldBytesMax,
     onFinished: metrics.record,
+    onRefused: metrics.recordRefused,
     onCallFailed(overloadedServices) {
       downstreamFailures.lastFailureAt = now();
       for (const service of overloadedServices) {
--- /dev/null
+++ b/src/mesh/workspaces/workspace-directory.ts
@@ -0,0 +1,58 @@
+/** Identifies the workspace of a request by its API key. */
+import type {WorkspaceHeader} from '../entry/http-dialect.js';
+import type {Route, Workspace} from '../entry/routing-configuration.js';
+import {digestHeaderValue} from './key-digest.js';
+
+/** Who sends a request. A request without a key is `anonymous`: it may be a call of a backend server. */
+export type Identity =
+  | {kind: 'workspace'; workspace: Workspace}
+  | {kind: 'anonymous'}
+  | {kind: 'unknown-key'};
+
+/** Workspaces of one configuration. */
+export type WorkspaceDirectory = {
+  /** Identifies the sender of a request by the value of its key header; undefined when it has none. */
+  identify: (apiKey: string | undefined, route: Pick<Route, 'isPublic'>) => Identity;
+  /** Workspace that a forwarded request states. */
+  headerOf: (workspace: Workspace | undefined) => WorkspaceHeader;
+  /** Distinct priorities of the workspaces that have one. */
+  priorities: readonly number[];
+};
+
+const ANONYMOUS: Identity = {kind: 'anonymous'};
+const UNKNOWN_KEY: Identity = {kind: 'unknown-key'};
+
+const UNUSED: WorkspaceHeader = {kind: 'unused'};
+const NONE: WorkspaceHeader = {kind: 'none'};
+
+const withoutWorkspaces: WorkspaceDirectory = {
+  identify: () => ANONYMOUS,
+  headerOf: () => UNUSED,
+  priorities: [],
+};
+
+/** Creates the directory of a configuration; undefined when the configuration has no workspaces, so that requests need no key. */
+export const createWorkspaceDirectory = (workspaces: readonly Workspace[] | undefined): WorkspaceDirectory => {
+  if (workspaces === undefined) {
+    return withoutWorkspaces;
+  }
+
+  // The digest decides which entry is compared, so the time of a look-up does not show how much of a key is right.
+  const byDigest = new Map(workspaces.flatMap(workspace => workspace.keyDigests.map(digest => [digest, workspace] as const)));
+  return {
+    identify(apiKey, route) {
+      if (apiKey === undefined) {
+        return ANONYMOUS;
+      }
+
+      const workspace = byDigest.get(digestHeaderValue(apiKey));
+      if (workspace !== undefined) {
+        return {kind: 'workspace', workspace};
+      }
+
+      return route.isPublic === true ? ANONYMOUS : UNKNOWN_KEY;
+    },
+    headerOf: workspace => workspace === undefined ? NONE : {kind: 'named', name: workspace.name},
+    priorities: [...new Set(workspaces.map(({priority}) => priority))].filter(priority => priority !== undefined),
+  };
+};
