--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -188,18 +188,15 @@
     }
   };
 
-  /** Adds the priorities that requests of workspaces have in place of those of their routes. */
-  const withWorkspacePriorities = (priorities: number[]): number[] => {
-    const added = routeTable?.workspaces.priorities ?? [];
-    return added.length === 0 ? priorities : [...new Set([...priorities, ...added])];
-  };
-
   const admission = createAdmissionController({
     now,
     log,
     dependencies: {
       servicesOf: dependencies.servicesOf,
-      dependentPriorities: service => withWorkspacePriorities(dependencies.dependentPriorities(service)),
+      dependentPriorities(service) {
+        const priorities = dependencies.dependentPriorities(service);
+        return routeTable?.workspaces.withPriorities(priorities) ?? priorities;
+      },
     },
     serviceLoad: service => fleet.serviceLoad(service),
   });
--- a/src/mesh/workspaces/workspace-directory.ts
+++ b/src/mesh/workspaces/workspace-directory.ts
@@ -17,6 +17,8 @@
   headerOf: (workspace: Workspace | undefined) => WorkspaceHeader;
   /** Distinct priorities of the workspaces that have one. */
   priorities: readonly number[];
+  /** Adds those priorities to the ones of routes, because requests of workspaces have them in place of the latter. */
+  withPriorities: (routePriorities: number[]) => number[];
 };
 
 const ANONYMOUS: Identity = {kind: 'anonymous'};
@@ -29,6 +31,7 @@
   identify: () => ANONYMOUS,
   headerOf: () => UNUSED,
   priorities: [],
+  withPriorities: routePriorities => routePriorities,
 };
 
 /** Creates the directory of a configuration; undefined when the configuration has no workspaces, so that requests need no key. */
@@ -37,6 +40,7 @@
     return withoutWorkspaces;
   }
 
+  const priorities = [...new Set(workspaces.map(({priority}) => priority))].filter(priority => priority !== undefined);
   // The digest decides which entry is compared, so the time of a look-up does not show how much of a key is right.
   const byDigest = new Map(workspaces.flatMap(workspace => workspace.keyDigests.map(digest => [digest, workspace] as const)));
   return {
@@ -53,6 +57,7 @@
       return route.isPublic === true ? ANONYMOUS : UNKNOWN_KEY;
     },
     headerOf: workspace => workspace === undefined ? NONE : {kind: 'named', name: workspace.name},
-    priorities: [...new Set(workspaces.map(({priority}) => priority))].filter(priority => priority !== undefined),
+    priorities,
+    withPriorities: routePriorities => [...new Set([...routePriorities, ...priorities])],
   };
 };
