--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -163,7 +163,9 @@
     }
 
     routeTable = createRouteTable(configuration);
-    log.write('info', 'configuration-in-force', {version: configuration.version, routes: configuration.routes.length, from});
+    log.write('info', 'configuration-in-force', {
+      version: configuration.version, routes: configuration.routes.length, workspaces: configuration.workspaces?.length, from,
+    });
     callerListener.setLimits(configuration.limits);
     fleet.announceVersions();
   };
@@ -187,7 +189,16 @@
   };
 
   const admission = createAdmissionController({
-    now, log, dependencies, serviceLoad: service => fleet.serviceLoad(service),
+    now,
+    log,
+    dependencies: {
+      servicesOf: dependencies.servicesOf,
+      dependentPriorities(service) {
+        const priorities = dependencies.dependentPriorities(service);
+        return routeTable?.workspaces.withPriorities(priorities) ?? priorities;
+      },
+    },
+    serviceLoad: service => fleet.serviceLoad(service),
   });
 
   const callerListener = createCallerListener({
@@ -211,6 +222,7 @@
     },
     heldBytesMax: settings.heldBytesMax,
     onFinished: metrics.record,
+    onRefused: metrics.recordRefused,
     onCallFailed(overloadedServices) {
       downstreamFailures.lastFailureAt = now();
       for (const service of overloadedServices) {
