--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 const config = {
-  files: ['{src,platform}/**/__tests__/**/*.spec.ts'],
+  files: ['{src,platform}/**/__tests__/**/*.spec.ts', '!platform/__tests__/untrusted-clients/**'],
   extensions: {ts: 'module'},
   nodeArguments: ['--import=tsx'],
   workerThreads: false,
