--- a/src/mesh/entry/caller-listener.ts
+++ b/src/mesh/entry/caller-listener.ts
@@ -12,7 +12,8 @@
 import {hasBody, readBody} from './request-body.js';
 import {createResponseWriter, type ErrorResponse} from './response-writer.js';
 import type {RouteTable} from './route-table.js';
-import type {ClientLimits, Route} from './routing-configuration.js';
+import type {WorkspaceRateLimiter} from '../rate-limits/workspace-rate-limiter.js';
+import type {ClientLimits, Route, Workspace} from './routing-configuration.js';
 
 /** Accepts requests of the callers of this host and forwards them to backend servers. */
 export type CallerListener = {
@@ -40,6 +41,7 @@
   log: DecisionLog;
   /** Memory that the bodies of requests hold at most, in bytes. */
   heldBytesMax: number;
+  rateLimits: Pick<WorkspaceRateLimiter, 'acquire'>;
   /** Called when a request for a route arrives. */
   onArrived: (route: string) => void;
   /** Called with the outcome of each request and its duration in milliseconds. */
@@ -191,12 +193,24 @@
       return;
     }
 
+    const workspace = undefined as Workspace | undefined;
+    const permit = workspace === undefined ? undefined : await options.rateLimits.acquire(workspace);
+    if (permit?.kind === 'limited') {
+      writeError(request, response, requestId, {status: 429, reason: 'workspace-rate-limit', retryAfterMs: permit.retryAfterMs});
+      return;
+    }
+
+    if (state.settled) {
+      permit?.giveBack();
+      return;
+    }
+
     const service = table!.selectService(route);
     const requestHandle = forwardRequest(options, {
       requestId: requestId!,
       route,
       service,
-      workspace: undefined,
+      workspace,
       priority: route.priority,
       rank: table!.rankOf(service, route.priority),
       method: request.method ?? 'GET',
@@ -210,6 +224,10 @@
     }, outcome => {
       boundary.run(requestId, () => {
         const milliseconds = now() - arrivedAt;
+        if (outcome.kind === 'not-run') {
+          permit?.giveBack();
+        }
+
         const failed = outcome.kind !== 'answered' || outcome.status >= FIRST_SERVER_ERROR_STATUS;
         options.onFinished(route, outcome.kind, milliseconds);
         if (failed) {
--- a/src/mesh/links/fleet.ts
+++ b/src/mesh/links/fleet.ts
@@ -15,6 +15,7 @@
 import type {CountedCalls} from '../entry/retry-budget.js';
 import type {RoutingConfiguration} from '../entry/routing-configuration.js';
 import type {Candidate} from '../entry/selection.js';
+import type {WorkspaceRateLimiter} from '../rate-limits/workspace-rate-limiter.js';
 import {createStoreReaders, readingTimes, type StoreReaders} from '../members/store-readers.js';
 import {createStateExchange} from './state-exchange.js';
 import {
@@ -55,6 +56,10 @@
   storeReaders: Pick<StoreReaders, 'isReader' | 'isLastingReader' | 'retryMaxMs'>;
   /** Records that this process has read the configuration as the store held it at a time of the clock. */
   recordStoreRead: (readAt: number) => void;
+  /** Whether an outgoing link to a process is open. */
+  isOpen: (node: string) => boolean;
+  /** Sends a message over the outgoing link to a process, if it is open. */
+  send: (node: string, message: Message) => void;
   /** Sends records of crashes: to all linked processes those that this process has found out, to some of them those that it passes on. */
   publishCrashes: (records: CrashRecord[], isOwn: boolean) => void;
   /** Drives the links and publishes what is due; called periodically. */
@@ -75,6 +80,7 @@
   directory: MemberDirectory;
   learntRoutes: LearntRouteSpread;
   crashGuard: Pick<CrashGuard, 'all' | 'merge'>;
+  rateLimits: Pick<WorkspaceRateLimiter, 'answer' | 'receive' | 'contacts'>;
   random: Random;
   /** Time after its confirmation by the store from which a version of the configuration must be in force, in milliseconds. */
   configurationMs: number;
@@ -120,7 +126,7 @@
     },
   });
   const stateExchange = createStateExchange({
-    now, log, directory, learntRoutes, storeReaders, crashGuard: options.crashGuard, configuration: options.configuration, onConfiguration: options.onConfiguration,
+    now, log, directory, learntRoutes, storeReaders, crashGuard: options.crashGuard, rateLimits: options.rateLimits, configuration: options.configuration, onConfiguration: options.onConfiguration,
   });
   const {known} = stateExchange;
   const failureRates = new Map<string, FailureRate>();
@@ -239,7 +245,8 @@
     contacts = new Set(storeReaders.contacts(links.reachability));
     const contactMembers = zoneMembers.filter(({node}) => contacts.has(node));
     const subsets = wantedServices().flatMap(service => chooseSubset(rings, self, service, links.isUsable));
-    links.setWanted([...new Map([...contactMembers, ...subsets].map(member => [member.node, member])).values()]);
+    const coordinators = options.rateLimits.contacts(links.reachability).flatMap(node => directory.entryOf(node)?.member ?? []);
+    links.setWanted([...new Map([...contactMembers, ...coordinators, ...subsets].map(member => [member.node, member])).values()]);
   };
 
   const linksTo = (service: string) => links.open().filter(({member}) => member.service === service);
@@ -334,6 +341,13 @@
       server.broadcast({type: 'state', state, record: inboundProxy.record()});
     },
     announceVersions,
+    isOpen: node => links.linkTo(node)?.isOpen() ?? false,
+    send(node, message) {
+      const link = links.linkTo(node);
+      if (link?.isOpen()) {
+        link.send(message);
+      }
+    },
     publishCrashes(records, isOwn) {
       const open = links.open().map(({link}) => link);
       if (isOwn) {
--- a/src/mesh/links/peer-link.ts
+++ b/src/mesh/links/peer-link.ts
@@ -227,6 +227,8 @@
       case 'learnt':
       case 'members':
       case 'members-wanted':
+      case 'permits':
+      case 'permits-wanted':
       case 'ping': {
         options.onMessage(link, message, body);
       }
--- a/src/mesh/links/peer-server.ts
+++ b/src/mesh/links/peer-server.ts
@@ -175,6 +175,8 @@
         case 'load':
         case 'members':
         case 'members-wanted':
+        case 'permits':
+        case 'permits-wanted':
         case 'pong':
         case 'result':
         case 'state':
--- a/src/mesh/links/state-exchange.ts
+++ b/src/mesh/links/state-exchange.ts
@@ -10,6 +10,7 @@
 } from '../message.js';
 import type {RoutingConfiguration} from '../entry/routing-configuration.js';
 import type {StoreReaders} from '../members/store-readers.js';
+import type {WorkspaceRateLimiter} from '../rate-limits/workspace-rate-limiter.js';
 import {createBackendRecords, type BackendRecords} from './backend-records.js';
 
 /** Link over which a message can be answered. */
@@ -33,6 +34,7 @@
   learntRoutes: LearntRouteSpread;
   crashGuard: Pick<CrashGuard, 'all' | 'merge'>;
   storeReaders: Pick<StoreReaders, 'latest' | 'ownAt' | 'recordPeer'>;
+  rateLimits: Pick<WorkspaceRateLimiter, 'answer' | 'receive'>;
   configuration: () => RoutingConfiguration | undefined;
   /** Called with each newer configuration that a peer sends; `from` is the peer. */
   onConfiguration: (configuration: RoutingConfiguration, from: string) => void;
@@ -194,6 +196,20 @@
         return;
       }
 
+      case 'permits-wanted': {
+        const answer = options.rateLimits.answer(from, message);
+        if (answer !== undefined) {
+          sender.send(answer);
+        }
+
+        return;
+      }
+
+      case 'permits': {
+        options.rateLimits.receive(from, message);
+        return;
+      }
+
       case 'call':
       case 'cancel':
       case 'load':
--- a/src/mesh/members/__tests__/zone-simulation.ts
+++ b/src/mesh/members/__tests__/zone-simulation.ts
@@ -267,6 +267,7 @@
       } as unknown as ReturnType<typeof createLearntRouteSpread>,
       storeReaders: process.readers,
       crashGuard: {all: () => [], merge: () => undefined},
+      rateLimits: {answer: () => undefined, receive: () => undefined},
       configuration: () => process.configuration,
       onConfiguration(configuration) {
         apply(process, configuration);
--- a/src/mesh/members/member-directory.ts
+++ b/src/mesh/members/member-directory.ts
@@ -30,6 +30,8 @@
   /** Entry of a member; undefined when it is not listed. */
   entryOf: (node: string) => ListedMember | undefined;
   members: () => Member[];
+  /** Members that are listed in the store. */
+  listedMembers: () => Member[];
 };
 
 /** Removals that are remembered for `changesSince`; a peer that is further behind gets the whole list. */
@@ -55,7 +57,7 @@
 
     entries.set(listed.member.node, listed);
     removals = removals.filter(({node}) => node !== listed.member.node);
-    if (known === undefined || !isSameMember(known.member, listed.member)) {
+    if (known === undefined || known.revision === 0 || !isSameMember(known.member, listed.member)) {
       generation++;
     }
   };
@@ -144,5 +146,6 @@
     generation: () => generation,
     entryOf: node => entries.get(node),
     members: () => [...entries.values()].map(({member}) => member),
+    listedMembers: () => [...entries.values()].flatMap(entry => entry.revision > 0 ? [entry.member] : []),
   };
 };
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -120,6 +120,12 @@
   ownReadingAgeMs: number | undefined;
 };
 
+/** Permits that a process asks for, for one workspace; `returned` are unused ones of earlier answers. */
+export type PermitAsk = {workspace: string; wanted: number; returned: number};
+
+/** Permits that a coordinator grants, usable for `lifetimeMs` after the poll was sent; `retryAfterMs` is the time until more are expected. */
+export type PermitGrant = {workspace: string; permits: number; lifetimeMs: number; retryAfterMs: number};
+
 /** Message over a link; the body of a `call`, `result` or `configuration` follows it in the frame. */
 export type Message =
   /** `record`: what the sender knows of the receiver's backend server. */
@@ -143,4 +149,8 @@
   | {type: 'load'; load: BackendLoad}
   | {type: 'learnt'; learnt: LearntRoutes}
   /** Requests that are blamed for crashes of backend servers, or cleared of them. */
-  | {type: 'crashes'; records: CrashRecord[]};
+  | {type: 'crashes'; records: CrashRecord[]}
+  /** Poll of a coordinator of rate limits. `exchange` increases with each poll of the sender; `loan` is the part of all limits that it lends, with the last clock that it has from the coordinator. */
+  | {type: 'permits-wanted'; exchange: number; loan: {fraction: number; echoedClock: number | undefined} | undefined; asks: PermitAsk[]}
+  /** Answer to a poll, with the clock of the coordinator in milliseconds. */
+  | {type: 'permits'; exchange: number; clock: number; grants: PermitGrant[]};
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -28,6 +28,7 @@
 import {createRouteTable, type RouteTable} from './entry/route-table.js';
 import type {RoutingConfiguration} from './entry/routing-configuration.js';
 import type {HostSettings} from './settings.js';
+import {createWorkspaceRateLimiter} from './rate-limits/workspace-rate-limiter.js';
 import {readingTimes} from './members/store-readers.js';
 import {decodeCrashRecords} from './store/stored-crash-records.js';
 
@@ -168,8 +169,20 @@
     fleet.announceVersions();
   };
 
+  const rateLimits = createWorkspaceRateLimiter({
+    self,
+    now,
+    log,
+    workspaces: () => routeTable?.configuration.workspaces,
+    fleet: {generation: directory.generation, members: directory.listedMembers},
+    isOpen: node => fleet.isOpen(node),
+    send(node, message) {
+      fleet.send(node, message);
+    },
+  });
+
   const fleet = createFleet({
-    self, now, log, random, inboundProxy, directory, learntRoutes, crashGuard, configurationMs: settings.bounds.configurationMs, configuration: () => routeTable?.configuration, onConfiguration: applyConfiguration,
+    self, now, log, random, rateLimits, inboundProxy, directory, learntRoutes, crashGuard, configurationMs: settings.bounds.configurationMs, configuration: () => routeTable?.configuration, onConfiguration: applyConfiguration,
   });
 
   const budget = createRetryBudget({
@@ -204,6 +217,7 @@
     crashGuard,
     admission,
     dependencies,
+    rateLimits,
     isClientRoute: clientRoutes.has,
     onArrived(route) {
       clientRoutes.observe(route);
@@ -220,7 +234,7 @@
   });
 
   const registration = createRegistration({
-    self, store, log, random, onRestored: inboundProxy.restoreDepartures,
+    self, store, log, random, onRestored: inboundProxy.restoreDepartures, onCreated: rateLimits.recordListed,
   });
   const departedHosts = createDepartedHosts({
     now, random, store, log,
@@ -259,6 +273,7 @@
     lastTickAt = now();
 
     fleet.tick();
+    rateLimits.tick();
     for (const watcher of watchers) {
       watcher.wake();
     }
--- a/src/mesh/store/registration.ts
+++ b/src/mesh/store/registration.ts
@@ -57,6 +57,8 @@
   random: Random;
   /** Called once with the departures in the object that an earlier start of this process has left; with none if there is no object. */
   onRestored?: (departures: Departure[]) => void;
+  /** Called when the object was created, so that other processes may not know this one yet. */
+  onCreated?: () => void;
 };
 
 /** Creates the registration; nothing is written before the first `register` or `reconcile`. */
@@ -139,6 +141,7 @@
   const writeNow = async (): Promise<void> => {
     const value = createValue();
     const written = changes;
+    const isNew = revision === undefined;
     const result = revision === undefined
       ? await store.create(MEMBER_KIND, self.node, value, responseMs)
       : await store.replace(MEMBER_KIND, self.node, value, revision, responseMs);
@@ -147,6 +150,10 @@
     if (result.kind === 'ok') {
       revision = result.value.revision;
       restore(undefined);
+      if (isNew) {
+        options.onCreated?.();
+      }
+
       log.write('info', 'registered', {address: self.address, revision});
       recordKept(written);
       writeIfOutdated();
