--- a/src/mesh/rate-limits/__tests__/fleet-simulation.ts
+++ b/src/mesh/rate-limits/__tests__/fleet-simulation.ts
@@ -89,6 +89,7 @@
   const processes = new Map<string, Process>();
   const cutZones = new Set<string>();
   const blocked = new Map<string, {isBlocked: boolean; since: number}>();
+  const arrivedAt = new Map<string, number>();
   const lines: string[] = [];
   const log = createDecisionLog({
     node: 'simulation',
@@ -211,7 +212,11 @@
       }
     };
 
-    at((from.zone === to.zone ? 0.3 : 1) + (random() * 2) + (random() < faults.late ? random() * 3000 : 0), run);
+    // Messages of a connection keep their order, except for those that are late.
+    const key = `${from.node}|${to.node}`;
+    const arrivesAt = Math.max(arrivedAt.get(key) ?? 0, time + (from.zone === to.zone ? 0.3 : 1) + (random() * 2));
+    arrivedAt.set(key, arrivesAt);
+    agenda.add(arrivesAt + (random() < faults.late ? random() * 3000 : 0), run);
   };
 
   function transmit(from: Process, to: Process, message: LimitMessage): void {
--- a/src/mesh/rate-limits/coordinator.ts
+++ b/src/mesh/rate-limits/coordinator.ts
@@ -61,8 +61,9 @@
 const SPARE_ROUNDING = 0.25;
 /** Time in which a coordinator of another zone answers, in milliseconds; processes that are short ask again after it. */
 const BORROW_MS = 25;
-/** Time for which a coordinator that could borrow nothing tells the true time of its next permit, in milliseconds. */
-const DRY_MS = 100;
+/** Shortest and longest time for which a coordinator that had too few permits is not asked again, in milliseconds. */
+const DRY_MIN_MS = 20;
+const DRY_MAX_MS = 2000;
 /** Time after which an answer is no longer expected, in milliseconds. */
 const ANSWER_MS = 100;
 /** `Retry-After` for a workspace that has no limit in the configuration here, or while nothing is lent, in milliseconds. */
@@ -90,7 +91,8 @@
   asked: Map<number, {permits: number; at: number}>;
   /** Part that is asked of each other coordinator; it falls when that one has little to give. */
   weights: Map<string, number>;
-  dryUntil: number;
+  /** Times until which other coordinators have no permits. */
+  dryUntil: Map<string, number>;
   usedAt: number;
 };
 
@@ -227,7 +229,7 @@
     }
 
     const created: Entry = {
-      bucket: createBucket(workspace, limit, time), borrowed: createPermitLots(), used: createDemandEstimate(time), unmet: new Map(), asked: new Map(), weights: new Map(), dryUntil: time, usedAt: time,
+      bucket: createBucket(workspace, limit, time), borrowed: createPermitLots(), used: createDemandEstimate(time), unmet: new Map(), asked: new Map(), weights: new Map(), dryUntil: new Map(), usedAt: time,
     };
     entries.set(workspace, created);
     return created;
@@ -250,12 +252,15 @@
     }
   };
 
+  const isDry = (entry: Entry, node: string, time: number): boolean => (entry.dryUntil.get(node) ?? time) > time;
+
   const asksFor = (workspace: string, entry: Entry, others: readonly OtherCoordinator[], time: number): Array<{to: string; ask: PermitAsk}> => {
     dropUnanswered(entry, time);
     const lacking = lackingPermits(entry, time);
     if (lacking > 0) {
-      const parts = divide(lacking, others.map(({node, members}) => members * (entry.weights.get(node) ?? 1)));
-      return others.flatMap(({node}, index) => parts[index] === 0 ? [] : [{to: node, ask: {workspace, wanted: parts[index]!, returned: 0}}]);
+      const able = others.filter(({node}) => !isDry(entry, node, time));
+      const parts = divide(lacking, able.map(({node, members}) => members * (entry.weights.get(node) ?? 1)));
+      return able.flatMap(({node}, index) => parts[index] === 0 ? [] : [{to: node, ask: {workspace, wanted: parts[index]!, returned: 0}}]);
     }
 
     return others.flatMap(({node}) => {
@@ -300,7 +305,7 @@
       askOthers();
     } else {
       isRoundScheduled = true;
-      options.schedule(waitMs, () => {
+      options.schedule(Math.ceil(waitMs), () => {
         isRoundScheduled = false;
         askOthers();
       });
@@ -309,16 +314,14 @@
 
   /** Time after which a process that lacks permits should ask again, in milliseconds. */
   const retryAfterMs = (entry: Entry, time: number): number => {
-    if (time >= entry.dryUntil && options.others().length > 0) {
+    const others = options.others();
+    if (others.some(({node}) => !isDry(entry, node, time))) {
       return BORROW_MS;
     }
 
-    if (entry.bucket.ratePerS() === 0) {
-      return UNKNOWN_RETRY_MS;
-    }
-
-    const waitMs = entry.bucket.waitMs(time, Math.max(1, unmetPermits(entry, time)));
-    return Math.min(RETRY_AFTER_MAX_MS, Math.max(RETRY_MIN_MS, Math.ceil(waitMs)));
+    const ownMs = entry.bucket.ratePerS() === 0 ? UNKNOWN_RETRY_MS : entry.bucket.waitMs(time, Math.max(1, unmetPermits(entry, time)));
+    const othersMs = others.map(({node}) => entry.dryUntil.get(node)! - time + BORROW_MS);
+    return Math.min(RETRY_AFTER_MAX_MS, Math.max(RETRY_MIN_MS, Math.ceil(Math.min(ownMs, ...othersMs))));
   };
 
   const putBack = (asker: Asker, entry: Entry, {workspace, returned}: PermitAsk, isOwnZone: boolean, time: number): void => {
@@ -337,11 +340,13 @@
     return [...borrowed, {permits: own, lifetimeMs: PERMIT_LIFETIME_MS}];
   };
 
-  /** Another zone gets what the own zone does not need: the bucket stays as full as the own zone uses its rate. */
+  /** Another zone gets what the own zone does not need until the next poll; a small bucket stays as full as the own zone uses its rate. */
   const grantOtherZone = (entry: Entry, wanted: number, time: number): Array<{permits: number; lifetimeMs: number}> => {
     const {bucket} = entry;
-    const usedShare = bucket.ratePerS() === 0 ? 1 : Math.min(1, entry.used.ratePerS() / bucket.ratePerS());
-    const spare = Math.floor(bucket.available(time) - (bucket.size() * usedShare) + SPARE_ROUNDING);
+    const usedPerS = entry.used.ratePerS();
+    const usedShare = bucket.ratePerS() === 0 ? 1 : Math.min(1, usedPerS / bucket.ratePerS());
+    const reserved = Math.min(bucket.size() * usedShare, usedPerS * POLL_MS / SECOND_MS);
+    const spare = Math.floor(bucket.available(time) - reserved + SPARE_ROUNDING);
     const permits = unmetPermits(entry, time) > 0 ? 0 : bucket.take(time, Math.max(0, Math.min(wanted, spare)));
     return [{permits, lifetimeMs: PERMIT_LIFETIME_MS}];
   };
@@ -393,7 +398,7 @@
   };
 
   /** Asks less of a coordinator that granted less than it was asked for, and more of one that granted all. */
-  const recordAnswer = ({from, exchange, entry, granted, time}: {from: string; exchange: number; entry: Entry; granted: number; time: number}): void => {
+  const recordAnswer = ({from, exchange, entry, granted, retryMs, time}: {from: string; exchange: number; entry: Entry; granted: number; retryMs: number; time: number}): void => {
     const asked = entry.asked.get(exchange)?.permits ?? 0;
     entry.asked.delete(exchange);
     if (asked === 0) {
@@ -402,8 +407,14 @@
 
     const weight = entry.weights.get(from) ?? 1;
     entry.weights.set(from, granted < asked ? Math.max(WEIGHT_MIN, weight * granted / asked) : Math.min(1, weight * WEIGHT_GROWTH));
-    if (granted < asked && entry.asked.size === 0 && entry.borrowed.count(time) === 0) {
-      entry.dryUntil = time + DRY_MS;
+    if (granted < asked) {
+      entry.dryUntil.set(from, time + Math.min(DRY_MAX_MS, Math.max(DRY_MIN_MS, retryMs)));
+    } else {
+      entry.dryUntil.delete(from);
+    }
+
+    if (granted < asked && unmetPermits(entry, time) > 0) {
+      requestRound();
     }
   };
 
@@ -439,17 +450,17 @@
         return;
       }
 
-      const granted = new Map<string, number>();
-      for (const {workspace, permits, lifetimeMs} of message.grants) {
-        granted.set(workspace, (granted.get(workspace) ?? 0) + permits);
+      const granted = new Map<string, {permits: number; retryMs: number}>();
+      for (const {workspace, permits, lifetimeMs, retryAfterMs: retryMs} of message.grants) {
+        granted.set(workspace, {permits: (granted.get(workspace)?.permits ?? 0) + permits, retryMs});
         entries.get(workspace)?.borrowed.add({permits, expiresAt: sentAt + Math.min(lifetimeMs, PERMIT_LIFETIME_MS), source: from});
       }
 
-      for (const [workspace, permits] of granted) {
+      for (const [workspace, {permits, retryMs}] of granted) {
         const entry = entries.get(workspace);
         if (entry !== undefined) {
           recordAnswer({
-            from, exchange: message.exchange, entry, granted: permits, time,
+            from, exchange: message.exchange, entry, granted: permits, retryMs, time,
           });
           log.count('permits', 'borrowed', permits);
         }
--- a/src/mesh/rate-limits/workspace-rate-limiter.ts
+++ b/src/mesh/rate-limits/workspace-rate-limiter.ts
@@ -86,6 +86,8 @@
 const STALL_MS = 300;
 /** Processes of a zone that a link is kept to, and that keep links to other zones: the coordinator and the one that follows it. */
 const CANDIDATES = 2;
+/** Resolution of timers, in milliseconds; they may fire early by less. */
+const TIMER_MS = 1;
 const RETRY_MIN_MS = 50;
 /** Time without refusals after which the next one is logged again, in milliseconds. */
 const REFUSING_MS = 5000;
@@ -242,7 +244,7 @@
       if (permit !== undefined) {
         waitingCount--;
         request.resolve(permit);
-      } else if (request.expiresAt <= time || request.expiresAt < holding.limitedUntil) {
+      } else if (request.expiresAt - time < TIMER_MS || request.expiresAt < holding.limitedUntil) {
         waitingCount--;
         request.resolve(refuse(holding, time));
       } else {
@@ -321,7 +323,7 @@
       poll(false);
     } else if (dueAt < pollDueAt) {
       pollDueAt = dueAt;
-      schedule(dueAt - time, () => {
+      schedule(Math.max(TIMER_MS, Math.ceil(dueAt - time)), () => {
         pollDueAt = Number.POSITIVE_INFINITY;
         pollForWaiting();
       });
