--- a/src/mesh/entry/caller-listener.ts
+++ b/src/mesh/entry/caller-listener.ts
@@ -8,7 +8,7 @@
 import {createHeldBytes, type Reservation} from '../held-bytes.js';
 import {createTurnQueue} from '../turn-queue.js';
 import {forwardRequest, type ForwardingOptions, type RequestOutcome} from './request-forwarder.js';
-import type {HttpDialect} from './http-dialect.js';
+import type {HttpDialect, RequestMetadata, WorkspaceHeader} from './http-dialect.js';
 import {hasBody, readBody} from './request-body.js';
 import {createResponseWriter, type ErrorResponse} from './response-writer.js';
 import type {RouteTable} from './route-table.js';
@@ -45,7 +45,9 @@
   /** Called when a request for a route arrives. */
   onArrived: (route: string) => void;
   /** Called with the outcome of each request and its duration in milliseconds. */
-  onFinished: (route: Route, outcome: RequestOutcome['kind'], milliseconds: number) => void;
+  onFinished: (route: Route, outcome: RequestOutcome['kind'], milliseconds: number, workspace: WorkspaceHeader) => void;
+  /** Called when a request with a route is refused before it is forwarded. */
+  onRefused: (workspace: WorkspaceHeader) => void;
   /** Called with the overloaded services when a request fails. It may be a call of the backend server, which cannot be distinguished from a client's request. */
   onCallFailed: (overloadedServices: readonly string[]) => void;
 };
@@ -82,9 +84,13 @@
   }
 };
 
+/** Route and sender of a request; `workspace` is undefined for calls of backend servers, and without workspaces in the configuration. */
+type MatchedRequest = {route: Route; workspace: Workspace | undefined};
+
 /** Requests of a connection whose response has not ended, in their order. */
 type SocketState = {pending: Set<RequestState>};
 type RequestState = {
+  response: ServerResponse;
   reservation: Reservation;
   /** Cancels the request; undefined before it is forwarded. */
   cancel: (() => void) | undefined;
@@ -100,6 +106,9 @@
   return bytes;
 };
 
+/** Whether the end of a response is the end of its connection, because it states no length. */
+const isUnframed = (response: ServerResponse): boolean => response.headersSent && !response.useChunkedEncodingByDefault;
+
 /** Creates a listener; it accepts connections after `start`. */
 export const createCallerListener = (options: CallerListenerOptions): CallerListener => {
   const {dialect, log, now} = options;
@@ -132,8 +141,8 @@
     });
   };
 
-  /** Finds the route of a request, or the error response for one that is not forwarded. */
-  const matchRoute = (request: IncomingMessage, table: RouteTable | undefined, requestId: string | undefined): Route | ErrorResponse => {
+  /** Finds the route and the workspace of a request, or the error response for one that is not forwarded. */
+  const matchRequest = (request: IncomingMessage, table: RouteTable | undefined, {requestId, apiKey}: RequestMetadata): MatchedRequest | ErrorResponse => {
     if (table === undefined) {
       return {status: 503, reason: 'no-configuration', retryAfterMs: RETRY_AFTER_STARTING_MS};
     }
@@ -151,14 +160,22 @@
       return {status: 404, reason: 'no-route'};
     }
 
-    return requestId === undefined ? {status: 400, reason: 'request-id-missing'} : route;
+    const identity = table.workspaces.identify(apiKey, route);
+    if (identity.kind === 'unknown-key') {
+      return {status: 401, reason: 'unknown-key'};
+    }
+
+    return requestId === undefined
+      ? {status: 400, reason: 'request-id-missing'}
+      : {route, workspace: identity.kind === 'workspace' ? identity.workspace : undefined};
   };
 
   const handleRequest = async (request: IncomingMessage, response: ServerResponse, state: RequestState): Promise<void> => {
     const arrivedAt = now();
     const table = options.routeTable();
-    const {requestId, deadlineMs} = dialect.readRequest(request.headers);
-    const matched = matchRoute(request, table, requestId);
+    const metadata = dialect.readRequest(request.headers);
+    const {requestId, deadlineMs} = metadata;
+    const matched = matchRequest(request, table, metadata);
     if ('status' in matched) {
       log.write('info', 'request-refused', {request: requestId, ...matched, version: table?.version});
       request.resume();
@@ -166,7 +183,8 @@
       return;
     }
 
-    const route = matched;
+    const {route, workspace} = matched;
+    const workspaceHeader = table!.workspaces.headerOf(workspace);
     options.onArrived(route.name);
     const statedDeadlineMs = deadlineMs ?? DEADLINE_DEFAULT_MS;
     const deadlineAt = arrivedAt + Math.max(0, Math.min(statedDeadlineMs - DEADLINE_MARGIN_MS, route.timeoutMs));
@@ -180,11 +198,13 @@
     }
 
     if (body === 'too-large') {
+      options.onRefused(workspaceHeader);
       writeError(request, response, requestId, {status: 413, reason: 'body-too-large'});
       return;
     }
 
     if (body === 'memory-full') {
+      options.onRefused(workspaceHeader);
       writeError(request, response, requestId, {status: 503, reason: 'memory-full', retryAfterMs: RETRY_AFTER_MEMORY_MS});
       return;
     }
@@ -193,9 +213,9 @@
       return;
     }
 
-    const workspace = undefined as Workspace | undefined;
     const permit = workspace === undefined ? undefined : await options.rateLimits.acquire(workspace);
     if (permit?.kind === 'limited') {
+      options.onRefused(workspaceHeader);
       writeError(request, response, requestId, {status: 429, reason: 'workspace-rate-limit', retryAfterMs: permit.retryAfterMs});
       return;
     }
@@ -206,16 +226,17 @@
     }
 
     const service = table!.selectService(route);
+    const priority = workspace?.priority ?? route.priority;
     const requestHandle = forwardRequest(options, {
       requestId: requestId!,
       route,
       service,
       workspace,
-      priority: route.priority,
-      rank: table!.rankOf(service, route.priority),
+      priority,
+      rank: table!.rankOf(service, {priority, workspace}),
       method: request.method ?? 'GET',
       path: request.url ?? '/',
-      rawHeaders: dialect.forwardedRequestHeaders(request.rawHeaders, options.callerService),
+      rawHeaders: dialect.forwardedRequestHeaders(request.rawHeaders, {callerService: options.callerService, workspace: workspaceHeader}),
       body,
       isClientRetry: detectClientRetry(route.name, statedDeadlineMs),
       configurationVersion: table!.version,
@@ -229,7 +250,7 @@
         }
 
         const failed = outcome.kind !== 'answered' || outcome.status >= FIRST_SERVER_ERROR_STATUS;
-        options.onFinished(route, outcome.kind, milliseconds);
+        options.onFinished(route, outcome.kind, milliseconds, workspaceHeader);
         if (failed) {
           options.onCallFailed(overloadedServices(outcome, service));
         }
@@ -278,7 +299,9 @@
 
   const onRequest = (request: IncomingMessage, response: ServerResponse): void => {
     const socketState = sockets.get(request.socket) ?? {pending: new Set()};
-    const state: RequestState = {reservation: heldBytes.reserve(), cancel: undefined, settled: false};
+    const state: RequestState = {
+      response, reservation: heldBytes.reserve(), cancel: undefined, settled: false,
+    };
     sockets.set(request.socket, socketState);
     socketState.pending.add(state);
     inFlight++;
@@ -317,6 +340,13 @@
     },
     inFlight: () => inFlight,
     close() {
+      // `server.close` closes connections whose response has been ended but not sent, so the reset comes first.
+      for (const [socket, {pending}] of sockets) {
+        if ([...pending].some(({response}) => isUnframed(response))) {
+          socket.resetAndDestroy();
+        }
+      }
+
       server.close();
       server.closeAllConnections();
     },
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -164,7 +164,9 @@
     }
 
     routeTable = createRouteTable(configuration);
-    log.write('info', 'configuration-in-force', {version: configuration.version, routes: configuration.routes.length, from});
+    log.write('info', 'configuration-in-force', {
+      version: configuration.version, routes: configuration.routes.length, workspaces: configuration.workspaces?.length, from,
+    });
     callerListener.setLimits(configuration.limits);
     fleet.announceVersions();
   };
@@ -200,7 +202,16 @@
   };
 
   const admission = createAdmissionController({
-    now, log, dependencies, serviceLoad: service => fleet.serviceLoad(service),
+    now,
+    log,
+    dependencies: {
+      servicesOf: dependencies.servicesOf,
+      dependentPriorities(service) {
+        const priorities = dependencies.dependentPriorities(service);
+        return routeTable?.workspaces.withPriorities(priorities) ?? priorities;
+      },
+    },
+    serviceLoad: service => fleet.serviceLoad(service),
   });
 
   const callerListener = createCallerListener({
@@ -225,6 +236,7 @@
     },
     heldBytesMax: settings.heldBytesMax,
     onFinished: metrics.record,
+    onRefused: metrics.recordRefused,
     onCallFailed(overloadedServices) {
       downstreamFailures.lastFailureAt = now();
       for (const service of overloadedServices) {
