--- a/src/mesh/rate-limits/coordinator.ts
+++ b/src/mesh/rate-limits/coordinator.ts
@@ -314,14 +314,14 @@
     }
   };
 
-  /** Time after which a process that lacks permits should ask again, in milliseconds. */
-  const retryAfterMs = (entry: Entry, time: number): number => {
+  /** Time after which a process that lacks permits should ask again, in milliseconds: what other processes lack comes first. */
+  const retryAfterMs = (entry: Entry, from: string, time: number): number => {
     const others = options.others();
     if (others.some(({node}) => !isDry(entry, node, time))) {
       return BORROW_MS;
     }
 
-    const ownMs = entry.bucket.ratePerS() === 0 ? UNKNOWN_RETRY_MS : entry.bucket.waitMs(time, Math.max(1, unmetPermits(entry, time)));
+    const ownMs = entry.bucket.ratePerS() === 0 ? UNKNOWN_RETRY_MS : entry.bucket.waitMs(time, 1 + Math.max(0, unmetPermits(entry, time) - (entry.unmet.get(from)?.permits ?? 0)));
     const othersMs = others.map(({node}) => entry.dryUntil.get(node)! - time + BORROW_MS);
     return Math.min(RETRY_AFTER_MAX_MS, Math.max(RETRY_MIN_MS, Math.ceil(Math.min(ownMs, ...othersMs))));
   };
@@ -383,7 +383,7 @@
       requestRound();
     }
 
-    const retryMs = isShort ? (isOwnZone ? retryAfterMs(entry, time) : Math.min(RETRY_AFTER_MAX_MS, Math.ceil(entry.bucket.waitMs(time, 1)))) : 0;
+    const retryMs = isShort ? (isOwnZone ? retryAfterMs(entry, from, time) : Math.min(RETRY_AFTER_MAX_MS, Math.ceil(entry.bucket.waitMs(time, 1)))) : 0;
     return parts.filter(({permits}) => permits > 0 || granted === 0).map(part => ({workspace, ...part, retryAfterMs: retryMs}));
   };
 
