--- a/src/mesh/rate-limits/coordinator.ts
+++ b/src/mesh/rate-limits/coordinator.ts
@@ -59,8 +59,6 @@
 const HISTORY_MS = 10_000;
 /** Interval at which state that is no longer needed is dropped, in milliseconds. */
 const CLEANING_MS = 1000;
-/** Part of a permit that another zone may get ahead of the own one, because permits are whole. */
-const SPARE_ROUNDING = 0.25;
 /** Time in which a coordinator of another zone answers, in milliseconds; processes that are short ask again after it. */
 const BORROW_MS = 25;
 /** Shortest and longest time for which a coordinator that had too few permits is not asked again, in milliseconds. */
@@ -347,8 +345,8 @@
     const {bucket} = entry;
     const usedPerS = entry.used.ratePerS();
     const usedShare = bucket.ratePerS() === 0 ? 1 : Math.min(1, usedPerS / bucket.ratePerS());
-    const reserved = Math.min(bucket.size() * usedShare, usedPerS * POLL_MS / SECOND_MS);
-    const spare = Math.floor(bucket.available(time) - reserved + SPARE_ROUNDING);
+    const reserved = Math.floor(Math.min(bucket.size() * usedShare, usedPerS * POLL_MS / SECOND_MS));
+    const spare = bucket.available(time) - reserved;
     const permits = unmetPermits(entry, time) > 0 ? 0 : bucket.take(time, Math.max(0, Math.min(wanted, spare)));
     return [{permits, lifetimeMs: PERMIT_LIFETIME_MS}];
   };
