--- a/src/mesh/entry/caller-listener.ts
+++ b/src/mesh/entry/caller-listener.ts
@@ -7,12 +7,12 @@
 import {createErrorBoundary} from '../error-boundary.js';
 import {createHeldBytes, type Reservation} from '../held-bytes.js';
 import {createTurnQueue} from '../turn-queue.js';
+import type {WorkspaceRateLimiter} from '../rate-limits/workspace-rate-limiter.js';
 import {forwardRequest, type ForwardingOptions, type RequestOutcome} from './request-forwarder.js';
 import type {HttpDialect, RequestMetadata, WorkspaceHeader} from './http-dialect.js';
 import {hasBody, readBody} from './request-body.js';
 import {createResponseWriter, type ErrorResponse} from './response-writer.js';
 import type {RouteTable} from './route-table.js';
-import type {WorkspaceRateLimiter} from '../rate-limits/workspace-rate-limiter.js';
 import type {ClientLimits, Route, Workspace} from './routing-configuration.js';
 
 /** Accepts requests of the callers of this host and forwards them to backend servers. */
--- a/src/mesh/rate-limits/__tests__/calm-load.spec.ts
+++ b/src/mesh/rate-limits/__tests__/calm-load.spec.ts
@@ -41,9 +41,11 @@
         simulation.resetCounts();
         await simulation.run(10_000);
         const {used, refused, messages, longestWaitMs} = simulation.counts();
-        t.log({used, refused, messages, longestWaitMs: Math.round(longestWaitMs), worst: simulation.worst().share.toFixed(3)});
-        t.true(refused <= limit.refusedShareMax * (used + refused), String(refused));
-        t.true(used > 0.8 * RUN_SHARE * LIMIT_SHARE * limit.ratePerS * 10, String(used));
+        t.log({
+          used, refused, messages, longestWaitMs: Math.round(longestWaitMs), worst: simulation.worst().share.toFixed(3),
+        });
+        t.true(refused <= limit.refusedShareMax * (used + refused), `${refused}`);
+        t.true(used > 0.8 * RUN_SHARE * LIMIT_SHARE * limit.ratePerS * 10, `${used}`);
       });
     }
   }
--- a/src/mesh/rate-limits/__tests__/decisions.spec.ts
+++ b/src/mesh/rate-limits/__tests__/decisions.spec.ts
@@ -143,9 +143,9 @@
     estimate.update(at);
   }
 
-  t.true(estimate.ratePerS() > 190 && estimate.ratePerS() <= 200, String(estimate.ratePerS()));
+  t.true(estimate.ratePerS() > 190 && estimate.ratePerS() <= 200, `${estimate.ratePerS()}`);
   estimate.update(2000);
-  t.true(estimate.ratePerS() < 10, String(estimate.ratePerS()));
+  t.true(estimate.ratePerS() < 10, `${estimate.ratePerS()}`);
 });
 
 const divisions: Array<{permits: number; weights: number[]; parts: number[]}> = [
--- a/src/mesh/rate-limits/__tests__/fleet-simulation.ts
+++ b/src/mesh/rate-limits/__tests__/fleet-simulation.ts
@@ -112,7 +112,7 @@
     },
   });
   let time = 0;
-  let limits = options.limits;
+  let {limits} = options;
   /** Limits that some process may still apply, each up to a time. */
   let earlierLimits: Array<{limits: Record<string, {ratePerS: number; burst: number}>; until: number}> = [];
   let members: Member[] = [];
@@ -164,7 +164,7 @@
     const key = `${from.node}|${to}`;
     const is = isBlocked(from, peer);
     const known = blocked.get(key);
-    if (known === undefined || known.isBlocked !== is) {
+    if (known?.isBlocked !== is) {
       blocked.set(key, {isBlocked: is, since: known === undefined ? time - SILENT_MS : time});
     }
 
--- a/src/mesh/rate-limits/__tests__/workspace-rate-limiter.spec.ts
+++ b/src/mesh/rate-limits/__tests__/workspace-rate-limiter.spec.ts
@@ -40,22 +40,28 @@
       timers.push({at: time + milliseconds, run});
     },
   });
+  const advanceOne = (): void => {
+    time++;
+    const due = timers.filter(({at}) => at <= time);
+    timers = timers.filter(({at}) => at > time);
+    for (const {run} of due) {
+      run();
+    }
+
+    if (time % 50 === 0) {
+      limiter.tick();
+    }
+  };
+
   const advance = (milliseconds: number): void => {
     for (let step = 0; step < milliseconds; step++) {
-      time++;
-      const due = timers.filter(({at}) => at <= time);
-      timers = timers.filter(({at}) => at > time);
-      for (const {run} of due) {
-        run();
-      }
-
-      if (time % 50 === 0) {
-        limiter.tick();
-      }
+      advanceOne();
     }
   };
 
-  return {limiter, advance, sent, log};
+  return {
+    limiter, advance, sent, log,
+  };
 };
 
 test('no process polls another or keeps a link while no workspace has a limit', async t => {
@@ -77,13 +83,15 @@
   advance(5000);
   const first = limiter.acquire(workspace(10, 10));
   advance(1);
-  t.is((await first).kind, 'granted');
-  const others = Array.from({length: 40}, () => limiter.acquire(workspace(10, 10)));
+  const {kind: firstKind} = await first;
+  t.is(firstKind, 'granted');
+  const others = Array.from({length: 40}, async () => limiter.acquire(workspace(10, 10)));
   advance(160);
-  const kinds = (await Promise.all(others)).map(({kind}) => kind);
+  const permits = await Promise.all(others);
+  const kinds = permits.map(({kind}) => kind);
   const granted = kinds.filter(kind => kind === 'granted').length;
-  t.true(granted >= 12 && granted <= 15, String(granted));
-  const [held] = (await Promise.all(others)).filter(permit => permit.kind === 'granted');
+  t.true(granted >= 12 && granted <= 15, `${granted}`);
+  const held = permits.find(permit => permit.kind === 'granted');
   t.is(log.counters().get('permits')?.get('granted'), granted + 1);
   if (held?.kind === 'granted') {
     held.giveBack();
@@ -96,7 +104,7 @@
 test('a request is refused within 150 ms when the coordinator does not answer, and the number of those that wait is bounded', async t => {
   const {limiter, advance, sent} = createAlone(workspace(10), ['self', 'a', 'b', 'c', 'd', 'e', 'f']);
   advance(1000);
-  const waiting = Array.from({length: 1000}, () => limiter.acquire(workspace(10)));
+  const waiting = Array.from({length: 1000}, async () => limiter.acquire(workspace(10)));
   const beyond = limiter.acquire(workspace(10)) as Permit;
   t.is(beyond.kind, 'limited');
   const polls = sent.length;
@@ -109,11 +117,12 @@
 test('refused requests are told to come back one after the other', async t => {
   const {limiter, advance} = createAlone(workspace(10, 0));
   advance(5000);
-  const asked = Array.from({length: 30}, () => limiter.acquire(workspace(10, 0)));
+  const asked = Array.from({length: 30}, async () => limiter.acquire(workspace(10, 0)));
   advance(160);
-  const times = (await Promise.all(asked)).flatMap(permit => permit.kind === 'limited' ? [permit.retryAfterMs] : []);
+  const permits = await Promise.all(asked);
+  const times = permits.flatMap(permit => permit.kind === 'limited' ? [permit.retryAfterMs] : []);
   t.true(times.length > 20);
   t.deepEqual(times, [...times].sort((a, b) => a - b));
   t.true(times[0]! < 300, 'the first one when the next permit is due');
-  t.true(times.at(-1)! - times[0]! > 1000, String(times));
+  t.true(times.at(-1)! - times[0]! > 1000, times.join(' '));
 });
--- a/src/mesh/rate-limits/coordinator.ts
+++ b/src/mesh/rate-limits/coordinator.ts
@@ -96,11 +96,13 @@
   usedAt: number;
 };
 
+type GrantedPart = {permits: number; lifetimeMs: number};
+
 /** State of one process that asks. */
 type Asker = {lastExchange: number; seenAt: number; /** Permits granted to it that may still be unused. */ issued: Map<string, PermitLots>};
 
 const sumRecent = (items: ReadonlyMap<unknown, {permits: number; at: number}>, since: number): number =>
-  [...items.values()].reduce((sum, {permits, at}) => at >= since ? sum + permits : sum, 0);
+  [...items.values()].filter(({at}) => at >= since).reduce((sum, {permits}) => sum + permits, 0);
 
 /** Divides a number of permits in proportion to weights, in whole parts. */
 export const divide = (permits: number, weights: readonly number[]): number[] => {
@@ -324,14 +326,14 @@
     return Math.min(RETRY_AFTER_MAX_MS, Math.max(RETRY_MIN_MS, Math.ceil(Math.min(ownMs, ...othersMs))));
   };
 
-  const putBack = (asker: Asker, entry: Entry, {workspace, returned}: PermitAsk, isOwnZone: boolean, time: number): void => {
+  const putBack = (asker: Asker, entry: Entry, {workspace, returned}: PermitAsk, time: number): number => {
     const issued = asker.issued.get(workspace)?.take(time, returned) ?? [];
     const permits = issued.reduce((sum, lot) => sum + lot.permits, 0);
     entry.bucket.putBack(time, permits);
-    entry.used.add(isOwnZone ? -permits : 0);
+    return permits;
   };
 
-  const grantOwnZone = (from: string, entry: Entry, wanted: number, time: number): Array<{permits: number; lifetimeMs: number}> => {
+  const grantOwnZone = (from: string, entry: Entry, wanted: number, time: number): GrantedPart[] => {
     const borrowed = entry.borrowed.take(time, wanted).map(({permits, expiresAt}) => ({permits, lifetimeMs: expiresAt - time}));
     const borrowedPermits = borrowed.reduce((sum, {permits}) => sum + permits, 0);
     const own = entry.bucket.take(time, wanted - borrowedPermits);
@@ -341,7 +343,7 @@
   };
 
   /** Another zone gets what the own zone does not need until the next poll; a small bucket stays as full as the own zone uses its rate. */
-  const grantOtherZone = (entry: Entry, wanted: number, time: number): Array<{permits: number; lifetimeMs: number}> => {
+  const grantOtherZone = (entry: Entry, wanted: number, time: number): GrantedPart[] => {
     const {bucket} = entry;
     const usedPerS = entry.used.ratePerS();
     const usedShare = bucket.ratePerS() === 0 ? 1 : Math.min(1, usedPerS / bucket.ratePerS());
@@ -362,7 +364,8 @@
 
     const entry = entryOf(workspace, limit, time);
     const isOwnZone = options.isInZone(from);
-    putBack(asker, entry, ask, isOwnZone, time);
+    const returned = putBack(asker, entry, ask, time);
+    entry.used.add(isOwnZone ? -returned : 0);
     if (wanted === 0) {
       entry.unmet.delete(from);
       return [];
--- a/src/mesh/rate-limits/exchanges.ts
+++ b/src/mesh/rate-limits/exchanges.ts
@@ -32,7 +32,7 @@
     },
     end(exchange, from) {
       const entry = open.get(exchange);
-      if (entry === undefined || entry.to !== from) {
+      if (entry?.to !== from) {
         return undefined;
       }
 
--- a/src/mesh/rate-limits/workspace-rate-limiter.ts
+++ b/src/mesh/rate-limits/workspace-rate-limiter.ts
@@ -440,7 +440,7 @@
   };
 
   return {
-    acquire({name, ratePerS, burst}) {
+    async acquire({name, ratePerS, burst}) {
       if (ratePerS === undefined) {
         return UNLIMITED;
       }
