--- a/src/mesh/rate-limits/__tests__/workspace-rate-limiter.spec.ts
+++ b/src/mesh/rate-limits/__tests__/workspace-rate-limiter.spec.ts
@@ -124,5 +124,5 @@
   t.true(times.length > 20);
   t.deepEqual(times, [...times].sort((a, b) => a - b));
   t.true(times[0]! < 300, 'the first one when the next permit is due');
-  t.true(times.at(-1)! - times[0]! > 1000, times.join(' '));
+  t.true(times.at(-1)! - times[0]! > 1000, `${times.join(' ')}`);
 });
--- a/src/mesh/rate-limits/workspace-rate-limiter.ts
+++ b/src/mesh/rate-limits/workspace-rate-limiter.ts
@@ -440,7 +440,7 @@
   };
 
   return {
-    async acquire({name, ratePerS, burst}) {
+    acquire({name, ratePerS, burst}): Permit | Promise<Permit> {
       if (ratePerS === undefined) {
         return UNLIMITED;
       }
