feat(mesh): divide the capacity of an overloaded service among workspaces

Admission control refused the requests of an overloaded service at random, so one workspace that sends a multiple of its usual load took the capacity of all others. Inbound proxies now add up the service time by workspace and report it with their load, and admission divides what it admits in total as max-min fair shares. Without workspaces it decides as before, with the same random draws.

--- a/src/mesh/entry/__tests__/admission.spec.ts
+++ b/src/mesh/entry/__tests__/admission.spec.ts
@@ -27,8 +27,16 @@
   write() {
     return undefined;
   },
+  count() {
+    return undefined;
+  },
 };
 
+/** Request without a workspace. */
+const requestFor = ({name, priority}: {name: string; priority: number}, isClientRetry = false) => ({
+  route: {name, targets: [{service: 'first', weight: 1}]}, priority, workspace: undefined, isClientRetry,
+});
+
 type StartedRequest = {process: number; calls: number; waitedSteps: number};
 type Result = {served: number; started: number; shares: number[]};
 
@@ -41,7 +49,7 @@
   });
   dependencies.merge([{route: route.name, priority: route.priority, service: 'below'}]);
   return createAdmissionController({
-    now, log: silentLog, dependencies, serviceLoad,
+    now, log: silentLog, dependencies, serviceLoad, workspaceUse: () => undefined,
   });
 };
 
@@ -59,7 +67,7 @@
   while (clock.now() < seconds * 1000) {
     for (let index = 0; index < demand; index++) {
       const process = Math.floor(random() * PROCESSES);
-      if (!withAdmission || processes[process]!.admit(route, false, random)) {
+      if (!withAdmission || processes[process]!.admit(requestFor(route), random)) {
         started++;
         waiting.push({process, calls: 0, waitedSteps: 0});
       }
@@ -89,7 +97,7 @@
     }
   }
 
-  return {served, started, shares: processes.map(admission => admission.admittedShare(route))};
+  return {served, started, shares: processes.map(admission => admission.admittedShare(requestFor(route)))};
 };
 
 const cases = [
@@ -151,7 +159,7 @@
   });
   dependencies.merge(routes.map(({name, priority}) => ({route: name, priority, service: 'below'})));
   const admission = createAdmissionController({
-    now: clock.now, log: silentLog, dependencies, serviceLoad: () => current,
+    now: clock.now, log: silentLog, dependencies, serviceLoad: () => current, workspaceUse: () => undefined,
   });
   for (const {load, ms} of loads) {
     current = load;
@@ -161,7 +169,7 @@
     }
   }
 
-  return routes.map(prioritizedRoute => admission.admittedShare(prioritizedRoute));
+  return routes.map(prioritizedRoute => admission.admittedShare(requestFor(prioritizedRoute)));
 };
 
 const singleRoute = [route];
@@ -190,8 +198,8 @@
   const admission = createProcess(clock.now, () => OVERLOADED);
   clock.advance(400);
   admission.update();
-  t.true(admission.admittedShare(route) < 1);
-  t.is(admission.admittedShare({name: 'independent', priority: 9}), 1);
+  t.true(admission.admittedShare(requestFor(route)) < 1);
+  t.is(admission.admittedShare(requestFor({name: 'independent', priority: 9})), 1);
 });
 
 test('a retry by a client is admitted with a higher probability', t => {
@@ -203,7 +211,7 @@
     admission.update();
   }
 
-  const measureShare = (isClientRetry: boolean) => Array.from({length: 2000}, () => admission.admit(route, isClientRetry, random)).filter(Boolean).length / 2000;
+  const measureShare = (isClientRetry: boolean) => Array.from({length: 2000}, () => admission.admit(requestFor(route, isClientRetry), random)).filter(Boolean).length / 2000;
   t.true(measureShare(true) > measureShare(false) * 1.5);
 });
 
@@ -212,5 +220,5 @@
   const admission = createProcess(clock.now, () => OVERLOADED);
   clock.advance(10_000);
   admission.update();
-  t.true(admission.admittedShare(route) >= 0.5);
+  t.true(admission.admittedShare(requestFor(route)) >= 0.5);
 });
--- a/src/mesh/entry/admission.ts
+++ b/src/mesh/entry/admission.ts
@@ -3,10 +3,18 @@
 
 A request that fails deep in the call graph has already used capacity of every service above; one that is rejected at its start costs nothing and can be retried.
 Each process decides by the queue lengths that the inbound proxies of the service report, so all processes arrive at about the same share without coordination.
+Requests of workspaces are refused in another distribution: the share that is admitted in total is divided among the workspaces (`src/mesh/fair-shares`).
 */
 import type {Random} from '../../shared/random.js';
 import type {DecisionLog} from '../decision-log.js';
+import {createBoundedNames} from '../fair-shares/bounded-names.js';
+import {createEntryServices} from '../fair-shares/entry-services.js';
+import {createReturnSchedule} from '../fair-shares/return-schedule.js';
+import {createServiceShares, type ServiceShares} from '../fair-shares/service-shares.js';
+import {addServiceUses, type ServiceUse} from '../fair-shares/service-use.js';
+import {createShareLog} from '../fair-shares/share-log.js';
 import type {Dependencies} from './dependencies.js';
+import type {Route, Workspace} from './routing-configuration.js';
 
 /** Total load of the backend servers of a service that this process can reach. */
 export type ServiceLoad = {
@@ -20,24 +28,37 @@
 
 /** Decides which client requests this process forwards. */
 export type AdmissionController = {
-  /** Whether to admit a request. A retry by a client is admitted with a higher probability than a new request. */
-  admit: (route: PrioritizedRoute, isClientRetry: boolean, random: Random) => boolean;
+  /**
+  Whether to admit a request.
+  A retry by a client is admitted with a higher probability than a new request, except where capacity is divided among workspaces.
+  */
+  admit: (request: AdmissionRequest, random: Random) => boolean;
   /** Updates the admitted shares from the load of the services that routes depend on; to be called at short intervals. */
   update: () => void;
-  /** Share of a route's new requests that is admitted. */
-  admittedShare: (route: PrioritizedRoute) => number;
+  /** Share of the new requests of this kind that is admitted. */
+  admittedShare: (kind: RequestKind) => number;
+  /** Time after which a refused request of a workspace may return, in milliseconds; undefined for a request without a workspace. */
+  retryAfterMs: (workspace: Pick<Workspace, 'name'> | undefined, remainingMs: number) => number | undefined;
 };
 
-/** Name and priority of a route; a lower number is more urgent. */
-export type PrioritizedRoute = {name: string; priority: number};
+/** What decides about the admission of a request; a lower priority number is more urgent. */
+export type RequestKind = {route: Pick<Route, 'name' | 'targets'>; priority: number; workspace: Pick<Workspace, 'name'> | undefined};
+
+/** A request that may be admitted. */
+export type AdmissionRequest = RequestKind & {
+  /** Whether the client seems to be retrying the request. */
+  isClientRetry: boolean;
+};
 
 /** Options of the admission controller. */
 export type AdmissionControllerOptions = {
   now: () => number;
-  log: Pick<DecisionLog, 'write'>;
+  log: Pick<DecisionLog, 'write' | 'count'>;
   dependencies: Pick<Dependencies, 'servicesOf' | 'dependentPriorities'>;
   /** Current load of a service. */
   serviceLoad: (service: string) => ServiceLoad;
+  /** Recent use of a service by workspace; undefined without a recent report. */
+  workspaceUse: (service: string) => ServiceUse | undefined;
 };
 
 /** Queued calls per slot above which fewer requests are admitted. At 0.5 a call waits for half of its service time, and a chain of calls still meets its deadline. */
@@ -60,6 +81,10 @@
 const REFUSAL_LEVEL_MAX = 2;
 /** Longest interval that one update accounts for, in milliseconds: the load during a suspension of the process is not known. */
 const UPDATE_INTERVAL_MAX_MS = 500;
+/** Time for which the shares of the workspaces are kept after the refusal level has fallen to zero, in milliseconds: the reported use still follows from them. */
+const SHARES_KEPT_MS = 3000;
+/** Workspaces whose refused requests are counted by name. */
+const COUNTED_WORKSPACES_MAX = 100;
 /** Smallest change of the refusal level that is logged. */
 const LOGGED_CHANGE_MIN = 0.2;
 const SECOND_MS = 1000;
@@ -81,23 +106,70 @@
   return queueRatio < QUEUE_RATIO_LOW ? -REFUSAL_DECREASE_PER_S * factor : 0;
 };
 
+/** Shares of the workspaces at a service, and the last time at which it was overloaded. */
+type DividedService = {shares: ServiceShares; overloadedAt: number};
+
 /** Creates an admission controller; it admits everything until `update` observes an overload. */
-export const createAdmissionController = ({now, log, dependencies, serviceLoad}: AdmissionControllerOptions): AdmissionController => {
+export const createAdmissionController = ({now, log, dependencies, serviceLoad, workspaceUse}: AdmissionControllerOptions): AdmissionController => {
   /** By service, the refused share of the least urgent routes that depend on it; it may exceed 1. */
   const refusalLevels = new Map<string, number>();
   const loggedLevels = new Map<string, number>();
+  const entryServices = createEntryServices(now);
+  const dividedServices = new Map<string, DividedService>();
+  const returnSchedule = createReturnSchedule(now);
+  const logShares = createShareLog(now, log);
+  const workspaceLabel = createBoundedNames(COUNTED_WORKSPACES_MAX);
   let updatedAt = now();
 
-  const refusedShare = (service: string, priority: number): number => {
-    const lessUrgentPriorities = dependencies.dependentPriorities(service).filter(other => other > priority).length;
-    return (refusalLevels.get(service) ?? 0) * (PRIORITY_FACTOR ** lessUrgentPriorities);
+  /** Factor that a priority has on the refused share at a service. */
+  const urgencyFactor = (service: string, priority: number): number =>
+    PRIORITY_FACTOR ** dependencies.dependentPriorities(service).filter(other => other > priority).length;
+
+  /** Services whose overload matters to a request. Those that it is sent to count for workspaces only, since their queues refuse requests without regard to workspaces. */
+  const servicesOf = ({route, workspace}: RequestKind): string[] => workspace === undefined
+    ? dependencies.servicesOf(route.name)
+    : [...new Set([...dependencies.servicesOf(route.name), ...route.targets.map(({service}) => service)])];
+
+  const refusedShare = (service: string, {priority, workspace}: RequestKind): number => {
+    const factor = urgencyFactor(service, priority);
+    const divided = workspace === undefined ? undefined : dividedServices.get(service);
+    return divided === undefined ? (refusalLevels.get(service) ?? 0) * factor : 1 - divided.shares.admittedShare(workspace!.name, factor);
   };
 
-  const admittedShare = ({name, priority}: PrioritizedRoute): number => {
-    const refused = Math.max(0, ...dependencies.servicesOf(name).map(service => refusedShare(service, priority)));
+  const admittedShare = (kind: RequestKind): number => {
+    const refused = Math.max(0, ...servicesOf(kind).map(service => refusedShare(service, kind)));
     return Math.max(ADMITTED_SHARE_MIN, 1 - refused);
   };
 
+  /** Use by workspace of the services through which requests reach a service. */
+  const findUse = (service: string): ServiceUse | undefined => {
+    const counted = [...entryServices.byRoute()].flatMap(([route, targets]) => {
+      if (targets.includes(service)) {
+        return [service];
+      }
+
+      return dependencies.servicesOf(route).includes(service) ? targets : [];
+    });
+    return addServiceUses([...new Set(counted)].map(counting => workspaceUse(counting)).filter(use => use !== undefined));
+  };
+
+  /** Divides what is admitted for a service among the workspaces. Without recent reports of their use, all are refused alike. */
+  const divide = (service: string): void => {
+    const level = refusalLevels.get(service)!;
+    const known = dividedServices.get(service);
+    const overloadedAt = level > 0 ? now() : (known?.overloadedAt ?? Number.NEGATIVE_INFINITY);
+    const use = now() - overloadedAt <= SHARES_KEPT_MS ? findUse(service) : undefined;
+    if (use === undefined) {
+      dividedServices.delete(service);
+      return;
+    }
+
+    const {shares} = known ?? {shares: createServiceShares(now)};
+    dividedServices.set(service, {shares, overloadedAt});
+    shares.update(use, Math.max(ADMITTED_SHARE_MIN, 1 - (level * shares.meanUrgencyFactor())));
+    logShares(service, use, shares.shares()!);
+  };
+
   /** Logs a noticeable change of the refusal level of a service. */
   const logChange = (service: string, load: ServiceLoad): void => {
     const level = refusalLevels.get(service) ?? 0;
@@ -112,17 +184,38 @@
     update() {
       const seconds = Math.min(UPDATE_INTERVAL_MAX_MS, now() - updatedAt) / SECOND_MS;
       updatedAt = now();
-      for (const service of dependencies.servicesOf()) {
+      for (const service of new Set([...dependencies.servicesOf(), ...[...entryServices.byRoute().values()].flat()])) {
         const load = serviceLoad(service);
         const level = (refusalLevels.get(service) ?? 0) + (refusalLevelSlope(load) * seconds);
         refusalLevels.set(service, Math.max(0, Math.min(REFUSAL_LEVEL_MAX, level)));
         logChange(service, load);
+        divide(service);
       }
     },
-    admit(route, isClientRetry, random) {
-      const admitted = admittedShare(route);
-      return random() < (isClientRetry ? Math.sqrt(admitted) : admitted);
+    admit(request, random) {
+      const {route, priority, workspace, isClientRetry} = request;
+      const admitted = admittedShare(request);
+      if (workspace === undefined) {
+        return random() < (isClientRetry ? Math.sqrt(admitted) : admitted);
+      }
+
+      entryServices.record(route);
+      const divided = servicesOf(request).filter(service => dividedServices.has(service));
+      for (const service of divided) {
+        dividedServices.get(service)!.shares.recordRequest(workspace.name, urgencyFactor(service, priority));
+      }
+
+      // A workspace whose clients retry at once would otherwise get more than its share.
+      const isAdmitted = random() < (isClientRetry && divided.length === 0 ? Math.sqrt(admitted) : admitted);
+      if (isAdmitted) {
+        returnSchedule.recordAdmitted(workspace.name);
+      } else {
+        log.count('workspace_refusals', workspaceLabel(workspace.name));
+      }
+
+      return isAdmitted;
     },
     admittedShare,
+    retryAfterMs: (workspace, remainingMs) => workspace === undefined ? undefined : returnSchedule.delayMs(workspace.name, remainingMs),
   };
 };
--- a/src/mesh/entry/request-forwarder.ts
+++ b/src/mesh/entry/request-forwarder.ts
@@ -75,7 +75,7 @@
   zone: string;
   budget: RetryBudget;
   crashGuard: Pick<CrashGuard, 'assess' | 'beginTrial' | 'recordFor'>;
-  admission: Pick<AdmissionController, 'admit' | 'admittedShare'>;
+  admission: Pick<AdmissionController, 'admit' | 'admittedShare' | 'retryAfterMs'>;
   dependencies: Pick<Dependencies, 'recordOutcome'>;
   /** Whether clients send requests to the route. Only those pass admission control: refusing a call within a running request would waste the work done for it. */
   isClientRoute: (route: string) => boolean;
@@ -166,7 +166,7 @@
       tried: [...triedNodes],
       sends: attempts,
       refusals,
-      admittedShare: options.admission.admittedShare(route),
+      admittedShare: options.admission.admittedShare(request),
       ms: Math.round(now() - request.arrivedAt),
     });
   };
@@ -380,11 +380,14 @@
     }
   };
 
-  if (!options.isClientRoute(route.name) || options.admission.admit(route, request.isClientRetry, random)) {
+  if (!options.isClientRoute(route.name) || options.admission.admit(request, random)) {
     runStep(sendAttempt);
   } else {
-    retryAfterMs = route.targetMs * RETRY_AFTER_TARGET_SHARE;
-    fail('no-room-below');
+    finish({
+      kind: 'not-run',
+      reason: 'no-room-below',
+      retryAfterMs: options.admission.retryAfterMs(request.workspace, request.deadlineAt - now()) ?? withJitter(route.targetMs * RETRY_AFTER_TARGET_SHARE),
+    });
   }
 
   return {
--- a/src/mesh/inbound/backend-load-tracker.ts
+++ b/src/mesh/inbound/backend-load-tracker.ts
@@ -1,10 +1,16 @@
 /** Tracks the load of the backend server of this host: running calls, service times, and the call counts for the retry budget. */
+import {createWorkspaceUseTracker, type WorkspaceUse} from '../fair-shares/use-tracker.js';
 import type {BackendLoad} from '../message.js';
 import {createWindowCounter} from '../window-counter.js';
 import {createServiceTimes} from './service-times.js';
 
 /** A call that the backend server is running. */
-export type RunningCall = {route: string; startedAt: number};
+export type RunningCall = {
+  route: string;
+  startedAt: number;
+  /** Workspace of the request; missing for calls of backend servers, and without workspaces in the configuration. */
+  workspace?: string;
+};
 
 /** Queue in front of a backend server, and what bounds the calls that leave it. */
 export type QueueState = {
@@ -33,8 +39,10 @@
   serviceMs: () => number;
   /** Removes the service times, because the backend server has been replaced. */
   reset: () => void;
-  /** Load report for callers, with the service times of all routes or of one. */
+  /** Load report for callers, with the service times of all routes and the use by workspace, or with the service time of one route only. */
   report: (queue: QueueState, route?: string) => BackendLoad;
+  /** Recent use by workspace; undefined without calls of workspaces. */
+  workspaceUse: () => WorkspaceUse | undefined;
 };
 
 const SECOND_MS = 1000;
@@ -56,6 +64,7 @@
   const serviceTimes = createServiceTimes();
   const requests = createWindowCounter(now, windowMs);
   const repeats = createWindowCounter(now, windowMs);
+  const workspaceUse = createWorkspaceUseTracker(now);
   const runningByRoute = new Map<string, number>();
   let running = 0;
   /** Sum of the start times of the running calls. */
@@ -84,6 +93,9 @@
     },
     recordEnd(run) {
       adjustRunning(run, -1);
+      if (run.workspace !== undefined) {
+        workspaceUse.record(run.workspace, now() - run.startedAt);
+      }
     },
     recordSuccess({route, startedAt}) {
       serviceTimes.record(route, now() - startedAt);
@@ -96,6 +108,7 @@
       const meanMs = serviceTimes.mean();
       const slowdown = Math.max(1, meanAgeMs() / meanMs);
       const {limit, serviceMs} = applyRateLimit(queue, meanMs * slowdown);
+      const workspaces = route === undefined ? workspaceUse.report() : undefined;
       return {
         running,
         queued: queue.queued,
@@ -103,7 +116,9 @@
         serviceMs: toTenths(serviceMs),
         routes: serviceTimes.byRoute(route).map(time => ({route: time.route, serviceMs: toTenths(time.serviceMs * slowdown)})),
         counted: {requests: requests.count(), repeats: repeats.count()},
+        ...(workspaces === undefined ? {} : {workspaces}),
       };
     },
+    workspaceUse: workspaceUse.report,
   };
 };
--- a/src/mesh/links/peer-link.ts
+++ b/src/mesh/links/peer-link.ts
@@ -34,6 +34,8 @@
   isIdle: () => boolean;
   /** Time at which the link opened or was lost, or at which the first attempt to open it began, in milliseconds of the clock. */
   changedAt: () => number;
+  /** Time since the peer last reported the use by workspace, in milliseconds. */
+  workspaceUseAgeMs: () => number;
   /** Calls sent since the peer last reported its load. */
   sentSinceReport: () => number;
   /** Sends a call. `onResult` is called once, unless the call is cancelled. */
@@ -74,10 +76,11 @@
 /** Non-idempotent call that is held until data arrives from the peer. */
 type HeldCall = {id: number; expiresAt: number; send: () => void; onResult: (result: PeerCallResult) => void};
 
-/** Merges a load report, which may contain the service times of some routes only, into the known load. */
+/** Merges a load report, which may lack the service times of some routes and the use by workspace, into the known load. */
 const mergeLoad = (known: BackendLoad, reported: BackendLoad): BackendLoad => {
   const unreported = known.routes.filter(({route}) => !reported.routes.some(time => time.route === route));
-  return {...reported, routes: [...unreported, ...reported.routes]};
+  const workspaces = reported.workspaces ?? known.workspaces;
+  return {...reported, routes: [...unreported, ...reported.routes], ...(workspaces === undefined ? {} : {workspaces})};
 };
 
 /** Creates a link; `tick` opens its connection and keeps it open until `close`. */
@@ -97,6 +100,7 @@
   let reconnectDelayMs = RECONNECT_DELAY_MIN_MS;
   let nextId = 1;
   let sentSinceReport = 0;
+  let useReportedAt = Number.NEGATIVE_INFINITY;
   let member: Member | undefined;
   let state: BackendState = {kind: 'absent'};
 
@@ -152,13 +156,23 @@
     failAllCalls();
   };
 
+  const recordUse = (load: BackendLoad | undefined): void => {
+    useReportedAt = load?.workspaces === undefined ? useReportedAt : now();
+  };
+
   const updateLoad = (load: BackendLoad): void => {
+    recordUse(load);
     if (state.kind !== 'absent') {
       state.load = mergeLoad(state.load, load);
       sentSinceReport = 0;
     }
   };
 
+  const setState = (reported: BackendState): void => {
+    state = reported;
+    recordUse(reported.kind === 'absent' ? undefined : reported.load);
+  };
+
   /** Hands over a result. A response whose head cannot be passed on counts as lost, since the call has run; the link goes on in any case. */
   const passResult = ({requestId, onResult}: PendingCall, result: CallResult, body: Buffer): void => {
     const fault = result.kind === 'answered' ? findHeadFault(result) : undefined;
@@ -176,7 +190,7 @@
     switch (message.type) {
       case 'welcome': {
         member = message.member;
-        state = message.state;
+        setState(message.state);
         open = true;
         changedAt = now();
         reconnectDelayMs = RECONNECT_DELAY_MIN_MS;
@@ -186,7 +200,7 @@
       }
 
       case 'state': {
-        state = message.state;
+        setState(message.state);
         sentSinceReport = 0;
         options.onMessage(link, message, body);
         return;
@@ -286,6 +300,7 @@
     isOpen: () => open,
     isIdle: () => pendingCalls.size === 0 && heldCalls.length === 0,
     changedAt: () => changedAt,
+    workspaceUseAgeMs: () => now() - useReportedAt,
     sentSinceReport: () => sentSinceReport,
     call(call, body, onResult) {
       const id = nextId;
--- a/src/mesh/links/peer-server.ts
+++ b/src/mesh/links/peer-server.ts
@@ -4,7 +4,8 @@
 import type {DecisionLog} from '../decision-log.js';
 import {createErrorBoundary} from '../error-boundary.js';
 import type {InboundProxy} from '../inbound/inbound-proxy.js';
-import type {Member, Message} from '../message.js';
+import {REPORT_INTERVAL_MS} from '../fair-shares/use-tracker.js';
+import type {BackendLoad, Member, Message} from '../message.js';
 import {createFrameReader, createFrameWriter, type Frame} from './frame.js';
 import {IDLE_PING_INTERVAL_MAX_MS} from './link-liveness.js';
 
@@ -80,9 +81,29 @@
       }
     };
 
+    /** Time at which the peer was last sent the use by workspace. */
+    let useSentAt = Number.NEGATIVE_INFINITY;
+    /** Load that accompanies the result of a call; it is sent with each one, so the use by workspace is left out while the last one is recent. */
+    const resultLoad = (route: string): BackendLoad => {
+      const load = inboundProxy.load(route);
+      const workspaces = now() - useSentAt < REPORT_INTERVAL_MS ? undefined : inboundProxy.workspaceUse();
+      if (workspaces === undefined) {
+        return load;
+      }
+
+      useSentAt = now();
+      return {...load, workspaces};
+    };
+
     const link: AcceptedLink = {
       socket,
-      send,
+      send(message, body) {
+        if (message.type === 'load') {
+          useSentAt = now();
+        }
+
+        send(message, body);
+      },
       member: () => member,
       tick() {
         if (now() - receivedAt > LINK_TIMEOUT_MS) {
@@ -105,7 +126,7 @@
         onResult(result, responseBody) {
           callKeys.delete(key);
           send({
-            type: 'result', id: message.id, result, load: inboundProxy.load(message.call.route),
+            type: 'result', id: message.id, result, load: resultLoad(message.call.route),
           }, responseBody);
         },
       });
--- a/src/mesh/links/service-estimate.ts
+++ b/src/mesh/links/service-estimate.ts
@@ -1,10 +1,16 @@
 /** Estimates the load of a whole service from the backend servers that this process is linked with. */
 import type {ServiceLoad} from '../entry/admission.js';
+import {estimateServiceUse, type ServiceUse} from '../fair-shares/service-use.js';
 import type {BackendLoad} from '../message.js';
 import type {CountedCalls} from '../entry/retry-budget.js';
 
 /** Backend server whose load is known; `load` is undefined when it accepts no calls. */
-export type LoadSample = {zone: string; load: BackendLoad | undefined};
+export type LoadSample = {
+  zone: string;
+  load: BackendLoad | undefined;
+  /** Time since the use by workspace in the load was reported, in milliseconds. @default 0 */
+  useAgeMs?: number;
+};
 
 /** Number of backend servers of a service, by zone. */
 export type BackendCounts = ReadonlyMap<string, number>;
@@ -41,3 +47,7 @@
       repeats: estimateTotal(samples, counts, ({counted}) => counted.repeats),
     }
     : undefined;
+
+/** Estimates the use of a service by workspace; undefined without a recent report. */
+export const estimateWorkspaceUse = (samples: readonly LoadSample[], counts: BackendCounts): ServiceUse | undefined =>
+  estimateServiceUse(samples.map(({zone, load, useAgeMs = 0}) => ({zone, workspaces: load?.workspaces, ageMs: useAgeMs})), counts);
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -3,6 +3,7 @@
 import type {LearntRoutes} from './entry/learnt-routes.js';
 import type {MemberChanges} from './members/member-directory.js';
 import type {CountedCalls} from './entry/retry-budget.js';
+import type {WorkspaceUse} from './fair-shares/use-tracker.js';
 import type {RouteServiceTime} from './inbound/service-times.js';
 
 /** Identity, address, availability zone and service of a process of the fleet. */
@@ -29,6 +30,8 @@
   routes: RouteServiceTime[];
   /** Calls that arrived within the retry budget window. */
   counted: CountedCalls;
+  /** Recent use by workspace. Missing without calls of workspaces and from processes of earlier versions; a report without it leaves the last one in force. */
+  workspaces?: WorkspaceUse;
 };
 
 /** State of the backend server on the host of a process. `coldMs` is the time for which it is still warming up. */
