fix(mesh): divide by new requests, so that retries gain nothing

The demand of a workspace was counted in requests with their retries, so a minimum share of each retry added up to nearly all requests of the heaviest workspaces, and the refusal level oscillated under heavy overload. The division now counts new requests only; a limited workspace has its share spread over its retries.

--- a/src/mesh/entry/admission.ts
+++ b/src/mesh/entry/admission.ts
@@ -106,6 +106,12 @@
   return queueRatio < QUEUE_RATIO_LOW ? -REFUSAL_DECREASE_PER_S * factor : 0;
 };
 
+/**
+Share of all work that is admitted for division among the workspaces at a mean refusal level.
+It falls from 1 like today's share, and more slowly the less is left: with a heavy overload, a straight line would make a small step of the level halve the admitted work.
+*/
+const dividedShare = (level: number): number => ADMITTED_SHARE_MIN ** (level / REFUSAL_LEVEL_MAX);
+
 /** Shares of the workspaces at a service, and the last time at which it was overloaded. */
 type DividedService = {shares: ServiceShares; overloadedAt: number};
 
@@ -130,16 +136,16 @@
     ? dependencies.servicesOf(route.name)
     : [...new Set([...dependencies.servicesOf(route.name), ...route.targets.map(({service}) => service)])];
 
-  const refusedShare = (service: string, {priority, workspace}: RequestKind): number => {
+  /** Admitted share of a request as far as one service is concerned. */
+  const admittedShareAt = (service: string, {priority, workspace}: RequestKind): number => {
     const factor = urgencyFactor(service, priority);
     const divided = workspace === undefined ? undefined : dividedServices.get(service);
-    return divided === undefined ? (refusalLevels.get(service) ?? 0) * factor : 1 - divided.shares.admittedShare(workspace!.name, factor);
+    return divided === undefined
+      ? Math.max(ADMITTED_SHARE_MIN, 1 - ((refusalLevels.get(service) ?? 0) * factor))
+      : divided.shares.admittedShare(workspace!.name, factor);
   };
 
-  const admittedShare = (kind: RequestKind): number => {
-    const refused = Math.max(0, ...servicesOf(kind).map(service => refusedShare(service, kind)));
-    return Math.max(ADMITTED_SHARE_MIN, 1 - refused);
-  };
+  const admittedShare = (kind: RequestKind): number => Math.min(1, ...servicesOf(kind).map(service => admittedShareAt(service, kind)));
 
   /** Use by workspace of the services through which requests reach a service. */
   const findUse = (service: string): ServiceUse | undefined => {
@@ -166,7 +172,7 @@
 
     const {shares} = known ?? {shares: createServiceShares(now)};
     dividedServices.set(service, {shares, overloadedAt});
-    shares.update(use, Math.max(ADMITTED_SHARE_MIN, 1 - (level * shares.meanUrgencyFactor())));
+    shares.update(use, dividedShare(level * shares.meanUrgencyFactor()));
     logShares(service, use, shares.shares()!);
   };
 
@@ -202,7 +208,7 @@
       entryServices.record(route);
       const divided = servicesOf(request).filter(service => dividedServices.has(service));
       for (const service of divided) {
-        dividedServices.get(service)!.shares.recordRequest(workspace.name, urgencyFactor(service, priority));
+        dividedServices.get(service)!.shares.recordRequest({workspace: workspace.name, urgencyFactor: urgencyFactor(service, priority), isClientRetry});
       }
 
       // A workspace whose clients retry at once would otherwise get more than its share.
