fix(mesh): let each call tell what was admitted beside it

Processes divided the use of a workspace by their own admitted share. Where they differed, one that admitted all took the use for the demand and went on admitting all, so a workspace whose clients retry at once was served in full. Calls now carry the admitted share and the part of new requests, and the inbound proxy adds up the demand.

--- a/src/mesh/entry/admission.ts
+++ b/src/mesh/entry/admission.ts
@@ -8,10 +8,12 @@
 import type {Random} from '../../shared/random.js';
 import type {DecisionLog} from '../decision-log.js';
 import {createBoundedNames} from '../fair-shares/bounded-names.js';
+import type {CallOrigin} from '../fair-shares/demand-tracker.js';
 import {createEntryServices} from '../fair-shares/entry-services.js';
+import {createRequestMix} from '../fair-shares/request-mix.js';
 import {createReturnSchedule} from '../fair-shares/return-schedule.js';
 import {createServiceShares, type ServiceShares} from '../fair-shares/service-shares.js';
-import {addServiceUses, type ServiceUse} from '../fair-shares/service-use.js';
+import {addServiceDemands, type ServiceDemand} from '../fair-shares/service-demand.js';
 import {createShareLog} from '../fair-shares/share-log.js';
 import type {Dependencies} from './dependencies.js';
 import type {Route, Workspace} from './routing-configuration.js';
@@ -37,6 +39,8 @@
   update: () => void;
   /** Share of the new requests of this kind that is admitted. */
   admittedShare: (kind: RequestKind) => number;
+  /** What the calls for a request tell of it, so that they also stand for the requests that are refused. */
+  callOrigin: (kind: RequestKind) => CallOrigin;
   /** Time after which a refused request of a workspace may return, in milliseconds; undefined for a request without a workspace. */
   retryAfterMs: (workspace: Pick<Workspace, 'name'> | undefined, remainingMs: number) => number | undefined;
 };
@@ -57,8 +61,8 @@
   dependencies: Pick<Dependencies, 'servicesOf' | 'dependentPriorities'>;
   /** Current load of a service. */
   serviceLoad: (service: string) => ServiceLoad;
-  /** Recent use of a service by workspace; undefined without a recent report. */
-  workspaceUse: (service: string) => ServiceUse | undefined;
+  /** Recent demand for a service by workspace; undefined without a recent report. */
+  workspaceDemand: (service: string) => ServiceDemand | undefined;
 };
 
 /** Queued calls per slot above which fewer requests are admitted. At 0.5 a call waits for half of its service time, and a chain of calls still meets its deadline. */
@@ -81,7 +85,7 @@
 const REFUSAL_LEVEL_MAX = 2;
 /** Longest interval that one update accounts for, in milliseconds: the load during a suspension of the process is not known. */
 const UPDATE_INTERVAL_MAX_MS = 500;
-/** Time for which the shares of the workspaces are kept after the refusal level has fallen to zero, in milliseconds: the reported use still follows from them. */
+/** Time for which the shares of the workspaces are kept after the refusal level has fallen to zero, in milliseconds: the reported demand still follows from them. */
 const SHARES_KEPT_MS = 3000;
 /** Workspaces whose refused requests are counted by name. */
 const COUNTED_WORKSPACES_MAX = 100;
@@ -116,12 +120,13 @@
 type DividedService = {shares: ServiceShares; overloadedAt: number};
 
 /** Creates an admission controller; it admits everything until `update` observes an overload. */
-export const createAdmissionController = ({now, log, dependencies, serviceLoad, workspaceUse}: AdmissionControllerOptions): AdmissionController => {
+export const createAdmissionController = ({now, log, dependencies, serviceLoad, workspaceDemand}: AdmissionControllerOptions): AdmissionController => {
   /** By service, the refused share of the least urgent routes that depend on it; it may exceed 1. */
   const refusalLevels = new Map<string, number>();
   const loggedLevels = new Map<string, number>();
   const entryServices = createEntryServices(now);
   const dividedServices = new Map<string, DividedService>();
+  const requestMix = createRequestMix();
   const returnSchedule = createReturnSchedule(now);
   const logShares = createShareLog(now, log);
   const workspaceLabel = createBoundedNames(COUNTED_WORKSPACES_MAX);
@@ -138,17 +143,22 @@
 
   /** Admitted share of a request as far as one service is concerned. */
   const admittedShareAt = (service: string, {priority, workspace}: RequestKind): number => {
-    const factor = urgencyFactor(service, priority);
+    const level = refusalLevels.get(service) ?? 0;
     const divided = workspace === undefined ? undefined : dividedServices.get(service);
+    if (level === 0 && divided === undefined) {
+      return 1;
+    }
+
+    const factor = urgencyFactor(service, priority);
     return divided === undefined
-      ? Math.max(ADMITTED_SHARE_MIN, 1 - ((refusalLevels.get(service) ?? 0) * factor))
+      ? Math.max(ADMITTED_SHARE_MIN, 1 - (level * factor))
       : divided.shares.admittedShare(workspace!.name, factor);
   };
 
   const admittedShare = (kind: RequestKind): number => Math.min(1, ...servicesOf(kind).map(service => admittedShareAt(service, kind)));
 
-  /** Use by workspace of the services through which requests reach a service. */
-  const findUse = (service: string): ServiceUse | undefined => {
+  /** Demand by workspace of the services through which requests reach a service. */
+  const findDemand = (service: string): ServiceDemand | undefined => {
     const counted = [...entryServices.byRoute()].flatMap(([route, targets]) => {
       if (targets.includes(service)) {
         return [service];
@@ -156,7 +166,7 @@
 
       return dependencies.servicesOf(route).includes(service) ? targets : [];
     });
-    return addServiceUses([...new Set(counted)].map(counting => workspaceUse(counting)).filter(use => use !== undefined));
+    return addServiceDemands([...new Set(counted)].map(counting => workspaceDemand(counting)).filter(demand => demand !== undefined));
   };
 
   /** Divides what is admitted for a service among the workspaces. Without recent reports of their use, all are refused alike. */
@@ -164,16 +174,16 @@
     const level = refusalLevels.get(service)!;
     const known = dividedServices.get(service);
     const overloadedAt = level > 0 ? now() : (known?.overloadedAt ?? Number.NEGATIVE_INFINITY);
-    const use = now() - overloadedAt <= SHARES_KEPT_MS ? findUse(service) : undefined;
-    if (use === undefined) {
+    const demand = now() - overloadedAt <= SHARES_KEPT_MS ? findDemand(service) : undefined;
+    if (demand === undefined) {
       dividedServices.delete(service);
       return;
     }
 
-    const {shares} = known ?? {shares: createServiceShares(now)};
+    const {shares} = known ?? {shares: createServiceShares()};
     dividedServices.set(service, {shares, overloadedAt});
-    shares.update(use, dividedShare(level * shares.meanUrgencyFactor()));
-    logShares(service, use, shares.shares()!);
+    shares.update(demand, dividedShare(level * shares.meanUrgencyFactor()));
+    logShares(service, demand, shares.shares()!);
   };
 
   /** Logs a noticeable change of the refusal level of a service. */
@@ -208,7 +218,11 @@
       entryServices.record(route);
       const divided = servicesOf(request).filter(service => dividedServices.has(service));
       for (const service of divided) {
-        dividedServices.get(service)!.shares.recordRequest({workspace: workspace.name, urgencyFactor: urgencyFactor(service, priority), isClientRetry});
+        dividedServices.get(service)!.shares.recordRequest(workspace.name, urgencyFactor(service, priority));
+      }
+
+      if (divided.length > 0) {
+        requestMix.record(workspace.name, isClientRetry);
       }
 
       // A workspace whose clients retry at once would otherwise get more than its share.
@@ -222,6 +236,15 @@
       return isAdmitted;
     },
     admittedShare,
+    callOrigin(kind) {
+      if (kind.workspace === undefined) {
+        return {};
+      }
+
+      const {name: workspace} = kind.workspace;
+      const share = admittedShare(kind);
+      return share < 1 ? {workspace, admittedShare: share, freshShare: requestMix.freshShare(workspace)} : {workspace};
+    },
     retryAfterMs: (workspace, remainingMs) => workspace === undefined ? undefined : returnSchedule.delayMs(workspace.name, remainingMs),
   };
 };
--- a/src/mesh/entry/request-forwarder.ts
+++ b/src/mesh/entry/request-forwarder.ts
@@ -75,7 +75,7 @@
   zone: string;
   budget: RetryBudget;
   crashGuard: Pick<CrashGuard, 'assess' | 'beginTrial' | 'recordFor'>;
-  admission: Pick<AdmissionController, 'admit' | 'admittedShare' | 'retryAfterMs'>;
+  admission: Pick<AdmissionController, 'admit' | 'admittedShare' | 'callOrigin' | 'retryAfterMs'>;
   dependencies: Pick<Dependencies, 'recordOutcome'>;
   /** Whether clients send requests to the route. Only those pass admission control: refusing a call within a running request would waste the work done for it. */
   isClientRoute: (route: string) => boolean;
@@ -358,7 +358,7 @@
       idempotent: route.idempotent,
       isRepeat: attempts > 1,
       priority: request.priority,
-      ...(request.workspace === undefined ? {} : {workspace: request.workspace.name}),
+      ...(request.workspace === undefined ? {} : callOrigin),
       route: route.name,
       remainingMs: request.deadlineAt - now(),
       targetMs: request.arrivedAt + route.targetMs - now(),
@@ -380,7 +380,10 @@
     }
   };
 
-  if (!options.isClientRoute(route.name) || options.admission.admit(request, random)) {
+  const isClientRequest = options.isClientRoute(route.name);
+  /** As of the arrival of the request, when its admission is decided. */
+  const callOrigin = isClientRequest ? options.admission.callOrigin(request) : {workspace: request.workspace?.name};
+  if (!isClientRequest || options.admission.admit(request, random)) {
     runStep(sendAttempt);
   } else {
     finish({
--- a/src/mesh/fair-shares/__tests__/overload-simulation.ts
+++ b/src/mesh/fair-shares/__tests__/overload-simulation.ts
@@ -8,8 +8,10 @@
 import {createRandom} from '../../../shared/random.js';
 import {createAdmissionController, type AdmissionController, type ServiceLoad} from '../../entry/admission.js';
 import {createDependencies} from '../../entry/dependencies.js';
-import {estimateServiceUse, type UseSample} from '../service-use.js';
-import {createWorkspaceUseTracker, type WorkspaceUse, type WorkspaceUseTracker} from '../use-tracker.js';
+import {estimateServiceDemand, type DemandSample} from '../service-demand.js';
+import {
+  createDemandTracker, type CallOrigin, type DemandTracker, type ReportedDemand,
+} from '../demand-tracker.js';
 
 /** Load that a workspace sends. */
 export type SimulatedWorkspace = {
@@ -38,10 +40,10 @@
   seconds?: number;
   /** Start of the time in which requests are counted, in seconds. @default 8 */
   countedFromS?: number;
-  /** Time that a report of use takes, in milliseconds. @default 20 */
+  /** Time that a report takes, in milliseconds. @default 20 */
   reportDelayMs?: number;
-  /** Backend servers that report use, by index; the others are of an earlier version. @default all */
-  reportsUse?: (index: number) => boolean;
+  /** Backend servers that report the demand, by index; the others are of an earlier version. @default all */
+  reportsDemand?: (index: number) => boolean;
   /** Time from which the zone is cut off from the others, in milliseconds, and the zone. */
   cut?: {zone: string; fromMs: number};
   /** Time at which all processes are restarted, in milliseconds. */
@@ -65,10 +67,10 @@
 type Request = {
   workspace: SimulatedWorkspace; zone: string; deadlineAt: number; attempt: number; isCounted: boolean; workMs: number;
 };
-type Run = {request: Request; backend: Backend; tracker: WorkspaceUseTracker; startedAt: number; queuedAt: number; endsAt: number};
-type Backend = {index: number; zone: string; running: Run[]; queued: Run[]; tracker: WorkspaceUseTracker};
+type Run = {request: Request; origin: CallOrigin; backend: Backend; tracker: DemandTracker; startedAt: number; queuedAt: number; endsAt: number};
+type Backend = {index: number; zone: string; running: Run[]; queued: Run[]; tracker: DemandTracker};
 type Process = {zone: string; admission: AdmissionController};
-type Report = {at: number; backend: Backend; running: number; queued: number; limit: number; workspaces: WorkspaceUse | undefined};
+type Report = {at: number; backend: Backend; running: number; queued: number; limit: number; demand: ReportedDemand | undefined};
 
 const STEP_MS = 10;
 const REPORT_MS = 250;
@@ -93,7 +95,7 @@
 /** Runs a simulated load. */
 export const simulateOverload = (options: SimulationOptions): SimulationResult => {
   const {
-    rule, workspaces, overloaded = 'below', seconds = 25, countedFromS = 8, reportDelayMs = 20, reportsUse = () => true, cut, restartAtMs, slots = SLOTS, seed = 3,
+    rule, workspaces, overloaded = 'below', seconds = 25, countedFromS = 8, reportDelayMs = 20, reportsDemand = () => true, cut, restartAtMs, slots = SLOTS, seed = 3,
   } = options;
   const random = createRandom(seed);
   const clock = createManualClock();
@@ -142,9 +144,9 @@
         log: silentLog,
         dependencies,
         serviceLoad: service => serviceLoad(zone, service),
-        workspaceUse(service) {
-          const samples = service === 'first' ? received(zone).map(({at, backend, workspaces}): UseSample => ({zone: backend.zone, workspaces, ageMs: now() - at - reportDelayMs})) : [];
-          return estimateServiceUse(samples, new Map(ZONES.map(name => [name, backends.filter(backend => backend.zone === name).length])));
+        workspaceDemand(service) {
+          const samples = service === 'first' ? received(zone).map(({at, backend, demand}): DemandSample => ({zone: backend.zone, demand, ageMs: now() - at - reportDelayMs})) : [];
+          return estimateServiceDemand(samples, new Map(ZONES.map(name => [name, backends.filter(backend => backend.zone === name).length])));
         },
       }),
     };
@@ -153,7 +155,7 @@
   const restart = (): void => {
     reports = [];
     backends = Array.from({length: BACKENDS}, (_, index) => ({
-      index, zone: ZONES[index % ZONES.length]!, running: [], queued: [], tracker: createWorkspaceUseTracker(now),
+      index, zone: ZONES[index % ZONES.length]!, running: [], queued: [], tracker: createDemandTracker(now),
     }));
     processes = Array.from({length: PROCESSES}, (_, index) => createProcess(index));
   };
@@ -174,9 +176,11 @@
     const local = processes.filter(({zone}) => zone === request.zone);
     const {admission, zone} = local[Math.floor(random() * local.length)]!;
     const workspace = rule === 'fair' ? {name: request.workspace.name} : undefined;
-    if (!admission.admit({
+    const admissionRequest = {
       route: ROUTE, priority: 1, workspace, isClientRetry: request.attempt > 1,
-    }, random)) {
+    };
+    const origin = admission.callOrigin(admissionRequest);
+    if (!admission.admit(admissionRequest, random)) {
       refuse(request, admission.retryAfterMs(workspace, request.deadlineAt - now()) ?? TARGET_MS * 0.2 * (1 + random()));
       return;
     }
@@ -187,16 +191,16 @@
     // Without a queue of its own, the first service runs on any of its backend servers while the one below is waited for.
     const first = overloaded === 'first' ? backend : reachable[Math.floor(random() * reachable.length)]!;
     backend.queued.push({
-      request, backend, tracker: first.tracker, startedAt: now(), queuedAt: now(), endsAt: 0,
+      request, origin, backend, tracker: first.tracker, startedAt: now(), queuedAt: now(), endsAt: 0,
     });
   };
 
   const runBackend = (backend: Backend): void => {
     const ended = backend.running.filter(({endsAt}) => endsAt <= now());
     backend.running = backend.running.filter(({endsAt}) => endsAt > now());
-    for (const {request, tracker, startedAt} of ended) {
+    for (const {request, tracker, startedAt, origin} of ended) {
       if (rule === 'fair') {
-        tracker.record(request.workspace.name, now() - startedAt);
+        tracker.record(origin, now() - startedAt);
       }
 
       if (request.isCounted && now() <= request.deadlineAt) {
@@ -255,7 +259,7 @@
       // Reports of different backend servers leave at different moments.
       if ((now() + (backend.index * 40)) % REPORT_MS === 0) {
         reports.push({
-          at: now(), backend, running: backend.running.length, queued: backend.queued.length, limit: slotsPerBackend, workspaces: reportsUse(backend.index) ? backend.tracker.report() : undefined,
+          at: now(), backend, running: backend.running.length, queued: backend.queued.length, limit: slotsPerBackend, demand: reportsDemand(backend.index) ? backend.tracker.report() : undefined,
         });
       }
     }
--- a/src/mesh/fair-shares/entry-services.ts
+++ b/src/mesh/fair-shares/entry-services.ts
@@ -1,4 +1,4 @@
-/** Services that the requests of workspaces go to first. The use by workspace is counted there, because calls of backend servers name no workspace. */
+/** Services that the requests of workspaces go to first. The demand by workspace is counted there, because calls of backend servers name no workspace. */
 
 /** Route of a client request, as far as its first service is concerned. */
 export type TargetedRoute = {name: string; targets: ReadonlyArray<{service: string}>};
--- a/src/mesh/fair-shares/share-log.ts
+++ b/src/mesh/fair-shares/share-log.ts
@@ -1,6 +1,6 @@
 /** Logs noticeable changes of the shares of the workspaces at a service. */
 import type {DecisionLog} from '../decision-log.js';
-import type {ServiceUse} from './service-use.js';
+import type {ServiceDemand} from './service-demand.js';
 import type {WorkspaceShares} from './workspace-shares.js';
 
 /** Smallest change of the share of a workspace that is logged. */
@@ -20,9 +20,9 @@
 const isNoticeable = (share: number, logged: number): boolean => Math.abs(share - logged) >= LOGGED_CHANGE_MIN || (share === 1 && logged < 1);
 
 /** Creates a function that logs the shares of a service if they have changed noticeably since its last line. */
-export const createShareLog = (now: () => number, log: Pick<DecisionLog, 'write'>): ((service: string, use: ServiceUse, shares: WorkspaceShares) => void) => {
+export const createShareLog = (now: () => number, log: Pick<DecisionLog, 'write'>): ((service: string, demand: ServiceDemand, shares: WorkspaceShares) => void) => {
   const logged = new Map<string, LoggedShares>();
-  return (service, use, {level, named, others}) => {
+  return (service, demand, {level, named, others}) => {
     const last = logged.get(service) ?? NOTHING_LOGGED;
     const names = new Set([...named.keys(), ...last.limited.keys()]);
     const hasChanged = isNoticeable(others, last.others) || [...names].some(name => isNoticeable(named.get(name) ?? others, last.limited.get(name) ?? 1));
@@ -36,14 +36,14 @@
       service,
       levelMsPerS: Number.isFinite(level) ? Math.round(level) : undefined,
       limited: limited
-        .map(([workspace, share]) => ({workspace, admittedShare: toHundredths(share), useMsPerS: Math.round(use.named.get(workspace) ?? 0)}))
-        .sort((a, b) => b.useMsPerS - a.useMsPerS)
+        .map(([workspace, share]) => ({workspace, admittedShare: toHundredths(share), demandMsPerS: Math.round(demand.named.get(workspace)?.total ?? 0)}))
+        .sort((a, b) => b.demandMsPerS - a.demandMsPerS)
         .slice(0, LOGGED_MAX),
       limitedCount: limited.length,
       othersShare: toHundredths(others),
-      othersUseMsPerS: Math.round(use.others.use),
-      othersCount: use.others.count,
-      ageMs: Math.round(use.ageMs),
+      othersDemandMsPerS: Math.round(demand.others.mean.total * demand.others.count),
+      othersCount: demand.others.count,
+      ageMs: Math.round(demand.ageMs),
     });
   };
 };
--- a/src/mesh/fair-shares/workspace-shares.ts
+++ b/src/mesh/fair-shares/workspace-shares.ts
@@ -4,11 +4,19 @@
 Capacity and demand are service time. A workspace whose demand is below the level is admitted in full; every other one gets the level.
 */
 
-/** Demand of the workspaces of a service, in milliseconds of service time per second. */
+/** Demand of a workspace, in milliseconds of service time per second. */
+export type Demand = {
+  /** By all its requests. */
+  total: number;
+  /** By its requests without the retries of clients. */
+  fresh: number;
+};
+
+/** Demand of the workspaces of a service. */
 export type WorkspaceDemands = {
-  named: ReadonlyMap<string, number>;
+  named: ReadonlyMap<string, Demand>;
   /** Workspaces that are not known by name: their number, and the mean demand of one. */
-  others: {meanDemand: number; count: number};
+  others: {mean: Demand; count: number};
 };
 
 /** Result of a division: the share of its requests that is admitted, by workspace. */
@@ -19,44 +27,44 @@
   others: number;
 };
 
-/** Lowest admitted share of a workspace. */
+/** Lowest admitted share of the fresh demand of a workspace. */
 export const WORKSPACE_SHARE_MIN = 0.1;
-/** Lowest admitted share of a workspace relative to that of all requests; the promised quarter with a margin for errors of the estimated demands. */
+/** Lowest admitted share of the fresh demand of a workspace relative to that of all; the promised quarter with a margin for errors of the estimated demands. */
 export const SHARE_OF_MEAN_MIN = 0.3;
 
-type Demand = {demand: number; count: number};
+type CountedDemand = {demand: Demand; count: number};
 
-/** Lowest share that a workspace gets when `admittedShare` of all demand is admitted. */
-export const minimumShare = (admittedShare: number): number =>
-  Math.min(admittedShare, Math.max(WORKSPACE_SHARE_MIN, SHARE_OF_MEAN_MIN * admittedShare));
+/** Service time that a workspace gets at least when `admittedShare` of the fresh demand of all is admitted. Its retries do not raise it. */
+export const minimumAmount = ({fresh}: Demand, admittedShare: number): number =>
+  fresh * Math.min(admittedShare, Math.max(WORKSPACE_SHARE_MIN, SHARE_OF_MEAN_MIN * admittedShare));
 
-/** Service time that is admitted in total at a level. */
-const admittedAt = (level: number, demands: readonly Demand[], shareMin: number): number =>
-  demands.reduce((total, {demand, count}) => total + (count * Math.max(shareMin * demand, Math.min(demand, level))), 0);
+/** Service time that a workspace gets at a level. */
+const amountAt = (level: number, demand: Demand, admittedShare: number): number =>
+  Math.max(minimumAmount(demand, admittedShare), Math.min(demand.total, level));
 
-/** Level at which `total` is admitted. The admitted sum is linear between two neighbouring breakpoints. */
-const findLevel = (demands: readonly Demand[], total: number, shareMin: number): number => {
-  const breakpoints = [0, ...demands.flatMap(({demand}) => [shareMin * demand, demand])].sort((a, b) => a - b);
-  const above = breakpoints.findIndex(level => admittedAt(level, demands, shareMin) >= total);
+/** Level at which `capacity` is admitted. The admitted sum is linear between two neighbouring breakpoints. */
+const findLevel = (demands: readonly CountedDemand[], capacity: number, admittedShare: number): number => {
+  const admittedAt = (level: number): number => demands.reduce((sum, {demand, count}) => sum + (count * amountAt(level, demand, admittedShare)), 0);
+  const breakpoints = [0, ...demands.flatMap(({demand}) => [minimumAmount(demand, admittedShare), demand.total])].sort((a, b) => a - b);
+  const above = breakpoints.findIndex(level => admittedAt(level) >= capacity);
   if (above <= 0) {
     return above === 0 ? 0 : breakpoints.at(-1)!;
   }
 
   const [low, high] = [breakpoints[above - 1]!, breakpoints[above]!];
-  const [admittedLow, admittedHigh] = [admittedAt(low, demands, shareMin), admittedAt(high, demands, shareMin)];
-  return low + ((high - low) * (total - admittedLow) / (admittedHigh - admittedLow));
+  const [admittedLow, admittedHigh] = [admittedAt(low), admittedAt(high)];
+  return low + ((high - low) * (capacity - admittedLow) / (admittedHigh - admittedLow));
 };
 
-/** Divides the share `admittedShare` of all demand among the workspaces. */
+/** Divides a capacity for the share `admittedShare` of the fresh demand of all workspaces. */
 export const divideCapacity = ({named, others}: WorkspaceDemands, admittedShare: number): WorkspaceShares => {
   if (admittedShare >= 1) {
     return {level: Number.POSITIVE_INFINITY, named: new Map([...named.keys()].map(name => [name, 1])), others: 1};
   }
 
-  const demands = [...[...named.values()].map(demand => ({demand, count: 1})), {demand: others.meanDemand, count: others.count}];
-  const total = admittedShare * demands.reduce((sum, {demand, count}) => sum + (demand * count), 0);
-  const shareMin = minimumShare(admittedShare);
-  const level = findLevel(demands, total, shareMin);
-  const shareOf = (demand: number): number => demand <= level ? 1 : Math.max(shareMin, level / demand);
-  return {level, named: new Map([...named].map(([name, demand]) => [name, shareOf(demand)])), others: shareOf(others.meanDemand)};
+  const demands = [...[...named.values()].map(demand => ({demand, count: 1})), {demand: others.mean, count: others.count}];
+  const capacity = admittedShare * demands.reduce((sum, {demand, count}) => sum + (demand.fresh * count), 0);
+  const level = findLevel(demands, capacity, admittedShare);
+  const shareOf = (demand: Demand): number => demand.total <= level ? 1 : amountAt(level, demand, admittedShare) / demand.total;
+  return {level, named: new Map([...named].map(([name, demand]) => [name, shareOf(demand)])), others: shareOf(others.mean)};
 };
--- a/src/mesh/inbound/backend-load-tracker.ts
+++ b/src/mesh/inbound/backend-load-tracker.ts
@@ -1,16 +1,11 @@
 /** Tracks the load of the backend server of this host: running calls, service times, and the call counts for the retry budget. */
-import {createWorkspaceUseTracker, type WorkspaceUse} from '../fair-shares/use-tracker.js';
+import {createDemandTracker, type CallOrigin, type ReportedDemand} from '../fair-shares/demand-tracker.js';
 import type {BackendLoad} from '../message.js';
 import {createWindowCounter} from '../window-counter.js';
 import {createServiceTimes} from './service-times.js';
 
 /** A call that the backend server is running. */
-export type RunningCall = {
-  route: string;
-  startedAt: number;
-  /** Workspace of the request; missing for calls of backend servers, and without workspaces in the configuration. */
-  workspace?: string;
-};
+export type RunningCall = CallOrigin & {route: string; startedAt: number};
 
 /** Queue in front of a backend server, and what bounds the calls that leave it. */
 export type QueueState = {
@@ -39,10 +34,10 @@
   serviceMs: () => number;
   /** Removes the service times, because the backend server has been replaced. */
   reset: () => void;
-  /** Load report for callers, with the service times of all routes and the use by workspace, or with the service time of one route only. */
+  /** Load report for callers, with the service times of all routes and the demand by workspace, or with the service time of one route only. */
   report: (queue: QueueState, route?: string) => BackendLoad;
-  /** Recent use by workspace; undefined without calls of workspaces. */
-  workspaceUse: () => WorkspaceUse | undefined;
+  /** Recent demand by workspace; undefined without calls of workspaces. */
+  workspaceDemand: () => ReportedDemand | undefined;
 };
 
 const SECOND_MS = 1000;
@@ -64,7 +59,7 @@
   const serviceTimes = createServiceTimes();
   const requests = createWindowCounter(now, windowMs);
   const repeats = createWindowCounter(now, windowMs);
-  const workspaceUse = createWorkspaceUseTracker(now);
+  const workspaceDemand = createDemandTracker(now);
   const runningByRoute = new Map<string, number>();
   let running = 0;
   /** Sum of the start times of the running calls. */
@@ -93,9 +88,7 @@
     },
     recordEnd(run) {
       adjustRunning(run, -1);
-      if (run.workspace !== undefined) {
-        workspaceUse.record(run.workspace, now() - run.startedAt);
-      }
+      workspaceDemand.record(run, now() - run.startedAt);
     },
     recordSuccess({route, startedAt}) {
       serviceTimes.record(route, now() - startedAt);
@@ -108,7 +101,7 @@
       const meanMs = serviceTimes.mean();
       const slowdown = Math.max(1, meanAgeMs() / meanMs);
       const {limit, serviceMs} = applyRateLimit(queue, meanMs * slowdown);
-      const workspaces = route === undefined ? workspaceUse.report() : undefined;
+      const workspaces = route === undefined ? workspaceDemand.report() : undefined;
       return {
         running,
         queued: queue.queued,
@@ -119,6 +112,6 @@
         ...(workspaces === undefined ? {} : {workspaces}),
       };
     },
-    workspaceUse: workspaceUse.report,
+    workspaceDemand: workspaceDemand.report,
   };
 };
--- a/src/mesh/inbound/inbound-proxy.ts
+++ b/src/mesh/inbound/inbound-proxy.ts
@@ -1,7 +1,7 @@
 /** Inbound proxy: every call to the backend server of this host passes through it. It refuses, queues and dispatches calls, drains, and runs non-idempotent calls at most once. */
 import {Buffer} from 'node:buffer';
 import type {DecisionLog} from '../decision-log.js';
-import type {WorkspaceUse} from '../fair-shares/use-tracker.js';
+import type {ReportedDemand} from '../fair-shares/demand-tracker.js';
 import type {
   BackendLoad, BackendRecord, BackendState, RefusalReason, CallResult,
 } from '../message.js';
@@ -45,10 +45,10 @@
   resetAnnouncementTimeout: () => void;
   /** State of the backend server, as published to the other processes. */
   state: () => BackendState;
-  /** Current load, with the service times of all routes and the use by workspace, or with the service time of one route only. */
+  /** Current load, with the service times of all routes and the demand by workspace, or with the service time of one route only. */
   load: (route?: string) => BackendLoad;
-  /** Recent use of the backend server by workspace; undefined without calls of workspaces. */
-  workspaceUse: () => WorkspaceUse | undefined;
+  /** Recent demand for the backend server by workspace; undefined without calls of workspaces. */
+  workspaceDemand: () => ReportedDemand | undefined;
   /** Number of calls that are queued or running. */
   inFlight: () => number;
   /** Routes of the calls that the backend server is running. */
@@ -197,7 +197,10 @@
 
   const handleExchangeResult = (active: ActiveCall, result: ExchangeResult): void => {
     const {call} = active.inbound;
-    const run = {route: call.route, startedAt: active.run!.startedAt, workspace: call.workspace};
+    const {route, workspace, admittedShare, freshShare} = call;
+    const run = {
+      route, startedAt: active.run!.startedAt, workspace, admittedShare, freshShare,
+    };
     loadTracker.recordEnd(run);
     suspectIsolation.recordEnd(active.inbound);
     switch (result.kind) {
@@ -392,7 +395,7 @@
     resetAnnouncementTimeout: backendStatus.resetAnnouncementTimeout,
     state,
     load,
-    workspaceUse: loadTracker.workspaceUse,
+    workspaceDemand: loadTracker.workspaceDemand,
     inFlight: () => calls.size,
     runningRoutes: loadTracker.runningRoutes,
     hasBackendLeft: backendStatus.hasLeft,
--- a/src/mesh/links/fleet.ts
+++ b/src/mesh/links/fleet.ts
@@ -3,7 +3,7 @@
 import {randomUUID} from 'node:crypto';
 import type {Random} from '../../shared/random.js';
 import type {ServiceLoad} from '../entry/admission.js';
-import type {ServiceUse} from '../fair-shares/service-use.js';
+import type {ServiceDemand} from '../fair-shares/service-demand.js';
 import type {CrashGuard} from '../inbound/crash-guard.js';
 import type {CrashRecord} from '../inbound/crash-records.js';
 import type {DecisionLog} from '../decision-log.js';
@@ -19,7 +19,7 @@
 import {createStoreReaders, readingTimes, type StoreReaders} from '../members/store-readers.js';
 import {createStateExchange} from './state-exchange.js';
 import {
-  estimateCallCounts, estimateServiceLoad, estimateWorkspaceUse, type BackendCounts, type LoadSample,
+  estimateCallCounts, estimateServiceLoad, estimateWorkspaceDemand, type BackendCounts, type LoadSample,
 } from './service-estimate.js';
 import {createPeerServer, type IncomingLink} from './peer-server.js';
 import {createPeerLink, type PeerLink} from './peer-link.js';
@@ -48,8 +48,8 @@
   announceVersions: () => void;
   /** Estimated capacity and load of a service. */
   serviceLoad: (service: string) => ServiceLoad;
-  /** Estimated use of a service by workspace; undefined without a recent report. */
-  workspaceUse: (service: string) => ServiceUse | undefined;
+  /** Estimated demand for a service by workspace; undefined without a recent report. */
+  workspaceDemand: (service: string) => ServiceDemand | undefined;
   /** Estimated calls that the hosts of a service have received within the retry budget window; undefined when no host is reachable. */
   callCounts: (service: string) => CountedCalls | undefined;
   /** Services of the members, always including the service of this host. */
@@ -279,9 +279,9 @@
 
   /** Loads of the linked backend servers of a service and of the local one. */
   const loadSamples = (service: string, isCounted: (state: BackendState) => boolean): LoadSample[] => {
-    const linked = linksTo(service).map(({link, member}) => ({zone: member.zone, state: link.state(), useAgeMs: link.workspaceUseAgeMs()}));
-    const all = self.service === service ? [{zone: self.zone, state: inboundProxy.state(), useAgeMs: 0}, ...linked] : linked;
-    return all.map(({zone, state, useAgeMs}) => ({zone, useAgeMs, load: state.kind !== 'absent' && state.service === service && isCounted(state) ? state.load : undefined}));
+    const linked = linksTo(service).map(({link, member}) => ({zone: member.zone, state: link.state(), demandAgeMs: link.demandAgeMs()}));
+    const all = self.service === service ? [{zone: self.zone, state: inboundProxy.state(), demandAgeMs: 0}, ...linked] : linked;
+    return all.map(({zone, state, demandAgeMs}) => ({zone, demandAgeMs, load: state.kind !== 'absent' && state.service === service && isCounted(state) ? state.load : undefined}));
   };
 
   /** Publishes the load while calls are queued, and once after the queue has emptied: peers that send no calls here get no load with a result. */
@@ -348,7 +348,7 @@
       }
     },
     serviceLoad: service => estimateServiceLoad(loadSamples(service, ({kind}) => kind === 'ready'), backendCounts(service)),
-    workspaceUse: service => estimateWorkspaceUse(loadSamples(service, () => true), backendCounts(service)),
+    workspaceDemand: service => estimateWorkspaceDemand(loadSamples(service, () => true), backendCounts(service)),
     callCounts: service => estimateCallCounts(loadSamples(service, () => true), backendCounts(service)),
     services: () => rings.services().has(self.service) ? rings.services() : new Set([...rings.services(), self.service]),
     storeReaders,
--- a/src/mesh/links/peer-link.ts
+++ b/src/mesh/links/peer-link.ts
@@ -34,8 +34,8 @@
   isIdle: () => boolean;
   /** Time at which the link opened or was lost, or at which the first attempt to open it began, in milliseconds of the clock. */
   changedAt: () => number;
-  /** Time since the peer last reported the use by workspace, in milliseconds. */
-  workspaceUseAgeMs: () => number;
+  /** Time since the peer last reported the demand by workspace, in milliseconds. */
+  demandAgeMs: () => number;
   /** Calls sent since the peer last reported its load. */
   sentSinceReport: () => number;
   /** Sends a call. `onResult` is called once, unless the call is cancelled. */
@@ -76,7 +76,7 @@
 /** Non-idempotent call that is held until data arrives from the peer. */
 type HeldCall = {id: number; expiresAt: number; send: () => void; onResult: (result: PeerCallResult) => void};
 
-/** Merges a load report, which may lack the service times of some routes and the use by workspace, into the known load. */
+/** Merges a load report, which may lack the service times of some routes and the demand by workspace, into the known load. */
 const mergeLoad = (known: BackendLoad, reported: BackendLoad): BackendLoad => {
   const unreported = known.routes.filter(({route}) => !reported.routes.some(time => time.route === route));
   const workspaces = reported.workspaces ?? known.workspaces;
@@ -100,7 +100,7 @@
   let reconnectDelayMs = RECONNECT_DELAY_MIN_MS;
   let nextId = 1;
   let sentSinceReport = 0;
-  let useReportedAt = Number.NEGATIVE_INFINITY;
+  let demandReportedAt = Number.NEGATIVE_INFINITY;
   let member: Member | undefined;
   let state: BackendState = {kind: 'absent'};
 
@@ -156,12 +156,12 @@
     failAllCalls();
   };
 
-  const recordUse = (load: BackendLoad | undefined): void => {
-    useReportedAt = load?.workspaces === undefined ? useReportedAt : now();
+  const recordDemand = (load: BackendLoad | undefined): void => {
+    demandReportedAt = load?.workspaces === undefined ? demandReportedAt : now();
   };
 
   const updateLoad = (load: BackendLoad): void => {
-    recordUse(load);
+    recordDemand(load);
     if (state.kind !== 'absent') {
       state.load = mergeLoad(state.load, load);
       sentSinceReport = 0;
@@ -170,7 +170,7 @@
 
   const setState = (reported: BackendState): void => {
     state = reported;
-    recordUse(reported.kind === 'absent' ? undefined : reported.load);
+    recordDemand(reported.kind === 'absent' ? undefined : reported.load);
   };
 
   /** Hands over a result. A response whose head cannot be passed on counts as lost, since the call has run; the link goes on in any case. */
@@ -300,7 +300,7 @@
     isOpen: () => open,
     isIdle: () => pendingCalls.size === 0 && heldCalls.length === 0,
     changedAt: () => changedAt,
-    workspaceUseAgeMs: () => now() - useReportedAt,
+    demandAgeMs: () => now() - demandReportedAt,
     sentSinceReport: () => sentSinceReport,
     call(call, body, onResult) {
       const id = nextId;
--- a/src/mesh/links/peer-server.ts
+++ b/src/mesh/links/peer-server.ts
@@ -4,7 +4,7 @@
 import type {DecisionLog} from '../decision-log.js';
 import {createErrorBoundary} from '../error-boundary.js';
 import type {InboundProxy} from '../inbound/inbound-proxy.js';
-import {REPORT_INTERVAL_MS} from '../fair-shares/use-tracker.js';
+import {REPORT_INTERVAL_MS} from '../fair-shares/demand-tracker.js';
 import type {BackendLoad, Member, Message} from '../message.js';
 import {createFrameReader, createFrameWriter, type Frame} from './frame.js';
 import {IDLE_PING_INTERVAL_MAX_MS} from './link-liveness.js';
@@ -81,17 +81,17 @@
       }
     };
 
-    /** Time at which the peer was last sent the use by workspace. */
-    let useSentAt = Number.NEGATIVE_INFINITY;
-    /** Load that accompanies the result of a call; it is sent with each one, so the use by workspace is left out while the last one is recent. */
+    /** Time at which the peer was last sent the demand by workspace. */
+    let demandSentAt = Number.NEGATIVE_INFINITY;
+    /** Load that accompanies the result of a call; it is sent with each one, so the demand by workspace is left out while the last one is recent. */
     const resultLoad = (route: string): BackendLoad => {
       const load = inboundProxy.load(route);
-      const workspaces = now() - useSentAt < REPORT_INTERVAL_MS ? undefined : inboundProxy.workspaceUse();
+      const workspaces = now() - demandSentAt < REPORT_INTERVAL_MS ? undefined : inboundProxy.workspaceDemand();
       if (workspaces === undefined) {
         return load;
       }
 
-      useSentAt = now();
+      demandSentAt = now();
       return {...load, workspaces};
     };
 
@@ -99,7 +99,7 @@
       socket,
       send(message, body) {
         if (message.type === 'load') {
-          useSentAt = now();
+          demandSentAt = now();
         }
 
         send(message, body);
--- a/src/mesh/links/service-estimate.ts
+++ b/src/mesh/links/service-estimate.ts
@@ -1,6 +1,6 @@
 /** Estimates the load of a whole service from the backend servers that this process is linked with. */
 import type {ServiceLoad} from '../entry/admission.js';
-import {estimateServiceUse, type ServiceUse} from '../fair-shares/service-use.js';
+import {estimateServiceDemand, type ServiceDemand} from '../fair-shares/service-demand.js';
 import type {BackendLoad} from '../message.js';
 import type {CountedCalls} from '../entry/retry-budget.js';
 
@@ -8,8 +8,8 @@
 export type LoadSample = {
   zone: string;
   load: BackendLoad | undefined;
-  /** Time since the use by workspace in the load was reported, in milliseconds. @default 0 */
-  useAgeMs?: number;
+  /** Time since the demand by workspace in the load was reported, in milliseconds. @default 0 */
+  demandAgeMs?: number;
 };
 
 /** Number of backend servers of a service, by zone. */
@@ -48,6 +48,6 @@
     }
     : undefined;
 
-/** Estimates the use of a service by workspace; undefined without a recent report. */
-export const estimateWorkspaceUse = (samples: readonly LoadSample[], counts: BackendCounts): ServiceUse | undefined =>
-  estimateServiceUse(samples.map(({zone, load, useAgeMs = 0}) => ({zone, workspaces: load?.workspaces, ageMs: useAgeMs})), counts);
+/** Estimates the demand for a service by workspace; undefined without a recent report. */
+export const estimateWorkspaceDemand = (samples: readonly LoadSample[], counts: BackendCounts): ServiceDemand | undefined =>
+  estimateServiceDemand(samples.map(({zone, load, demandAgeMs = 0}) => ({zone, demand: load?.workspaces, ageMs: demandAgeMs})), counts);
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -3,7 +3,7 @@
 import type {LearntRoutes} from './entry/learnt-routes.js';
 import type {MemberChanges} from './members/member-directory.js';
 import type {CountedCalls} from './entry/retry-budget.js';
-import type {WorkspaceUse} from './fair-shares/use-tracker.js';
+import type {ReportedDemand} from './fair-shares/demand-tracker.js';
 import type {RouteServiceTime} from './inbound/service-times.js';
 
 /** Identity, address, availability zone and service of a process of the fleet. */
@@ -30,8 +30,8 @@
   routes: RouteServiceTime[];
   /** Calls that arrived within the retry budget window. */
   counted: CountedCalls;
-  /** Recent use by workspace. Missing without calls of workspaces and from processes of earlier versions; a report without it leaves the last one in force. */
-  workspaces?: WorkspaceUse;
+  /** Recent demand by workspace. Missing without calls of workspaces and from processes of earlier versions; a report without it leaves the last one in force. */
+  workspaces?: ReportedDemand;
 };
 
 /** State of the backend server on the host of a process. `coldMs` is the time for which it is still warming up. */
@@ -97,6 +97,10 @@
   priority: number;
   /** Workspace of the request; missing for calls of backend servers, and without workspaces in the configuration. */
   workspace?: string;
+  /** Share that admission control admitted of requests like this one; missing without a workspace, and when it admitted all. */
+  admittedShare?: number;
+  /** Part of the requests of the workspace that were no retries of clients; missing without a workspace, and when all were new. */
+  freshShare?: number;
   /** Route that selected the service. */
   route: string;
   /** Time until the deadline of the caller, in milliseconds. */
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -187,7 +187,7 @@
   };
 
   const admission = createAdmissionController({
-    now, log, dependencies, serviceLoad: service => fleet.serviceLoad(service), workspaceUse: service => fleet.workspaceUse(service),
+    now, log, dependencies, serviceLoad: service => fleet.serviceLoad(service), workspaceDemand: service => fleet.workspaceDemand(service),
   });
 
   const callerListener = createCallerListener({
