fix(mesh): refuse nothing for a first service without known backend servers

Services that requests of workspaces go to count for admission. While their links were being opened, no backend server was known, which raised the refusal level and refused requests that would have waited for the links.

--- a/src/mesh/entry/__tests__/admission-shares.spec.ts
+++ b/src/mesh/entry/__tests__/admission-shares.spec.ts
@@ -23,7 +23,7 @@
   const clock = createManualClock();
   const counted: string[] = [];
   const lines: Array<{event: string; fields: LogFields | undefined}> = [];
-  const state = {load: HALF_IDLE, demand: workspaceDemand};
+  const state = {load: HALF_IDLE, firstLoad: HALF_IDLE, demand: workspaceDemand};
   const dependencies = createDependencies({now: clock.now, onLearnt: () => undefined});
   dependencies.merge([{route: 'r', priority: 1, service: 'below'}, {route: 'urgent', priority: 0, service: 'below'}]);
   const admission = createAdmissionController({
@@ -37,7 +37,7 @@
       },
     },
     dependencies,
-    serviceLoad: service => service === 'below' ? state.load : HALF_IDLE,
+    serviceLoad: service => service === 'below' ? state.load : state.firstLoad,
     workspaceDemand: service => state.demand(service),
   });
   const advance = (milliseconds: number): void => {
@@ -147,6 +147,17 @@
   t.is(admission.admittedShare(request(undefined, false, 1, independent)), 1);
 });
 
+test('a first service whose backend servers are not known yet refuses nothing', t => {
+  const {admission, advance, request, state} = createScenario(() => undefined);
+  const independent = {...ROUTE, name: 'independent'};
+  admission.admit(request('heavy', false, 1, independent), random);
+  state.firstLoad = {
+    backends: 0, running: 0, queued: 0, limit: 0,
+  };
+  advance(2000);
+  t.is(admission.admittedShare(request('heavy', false, 1, independent)), 1);
+});
+
 test('refusals are counted by workspace with a bound, and a change of the shares is logged once', t => {
   const {admission, advance, request, state, counted, lines} = createScenario(() => demand(9000, 100, 10));
   admission.admit(request('heavy'), random);
--- a/src/mesh/entry/admission.ts
+++ b/src/mesh/entry/admission.ts
@@ -200,10 +200,13 @@
     update() {
       const seconds = Math.min(UPDATE_INTERVAL_MAX_MS, now() - updatedAt) / SECOND_MS;
       updatedAt = now();
-      for (const service of new Set([...dependencies.servicesOf(), ...[...entryServices.byRoute().values()].flat()])) {
+      const dependedOn = new Set(dependencies.servicesOf());
+      for (const service of new Set([...dependedOn, ...[...entryServices.byRoute().values()].flat()])) {
         const load = serviceLoad(service);
         const level = (refusalLevels.get(service) ?? 0) + (refusalLevelSlope(load) * seconds);
-        refusalLevels.set(service, Math.max(0, Math.min(REFUSAL_LEVEL_MAX, level)));
+        // Requests wait for links to the service that they go to; its backend servers may be about to be known.
+        const isUnknown = load.backends === 0 && !dependedOn.has(service);
+        refusalLevels.set(service, isUnknown ? 0 : Math.max(0, Math.min(REFUSAL_LEVEL_MAX, level)));
         logChange(service, load);
         divide(service);
       }
