--- a/src/mesh/inbound/__tests__/backend-load-tracker.spec.ts
+++ b/src/mesh/inbound/__tests__/backend-load-tracker.spec.ts
@@ -1,6 +1,7 @@
-/** Guards against callers that send more to a backend server than it takes, because its report hides a rate limit. */
+/** Guards against callers that send more to a backend server than it takes, because its report hides a rate limit, and against reports that grow without need. */
 import test from 'ava';
 import {createManualClock} from '../../../shared/clock.js';
+import type {CallOrigin} from '../../fair-shares/demand-tracker.js';
 import {createBackendLoadTracker} from '../backend-load-tracker.js';
 
 const SECOND_MS = 1000;
@@ -38,3 +39,21 @@
     t.is(load.routes[0]!.serviceMs, serviceMs);
   });
 }
+
+test('the demand by workspace is in a full report only, and missing without calls of workspaces', t => {
+  const clock = createManualClock();
+  const tracker = createBackendLoadTracker(clock.now, 10 * SECOND_MS);
+  const queue = {queued: 0, limit: 2, perSecondMax: undefined};
+  const runCall = (origin: CallOrigin): void => {
+    const run = {route: 'r', startedAt: clock.now(), ...origin};
+    tracker.recordStart(run);
+    clock.advance(300);
+    tracker.recordEnd(run);
+  };
+
+  runCall({});
+  t.false('workspaces' in tracker.report(queue));
+  runCall({workspace: 'w', admittedShare: 0.5, freshShare: 0.8});
+  t.deepEqual(tracker.report(queue).workspaces, {heaviest: [{workspace: 'w', total: 600, fresh: 480}], others: {total: 0, fresh: 0, count: 0}});
+  t.false('workspaces' in tracker.report(queue, 'r'));
+});
