--- a/src/mesh/entry/__tests__/request-priority.spec.ts
+++ b/src/mesh/entry/__tests__/request-priority.spec.ts
@@ -68,6 +68,7 @@
           admitted.push(request.priority);
           return 1;
         },
+        callOrigin: ({workspace}: {workspace: Workspace | undefined}) => ({workspace: workspace?.name}),
       },
       dependencies: {recordOutcome() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
       isClientRoute: () => true,
--- a/src/mesh/entry/__tests__/workspace-permits.spec.ts
+++ b/src/mesh/entry/__tests__/workspace-permits.spec.ts
@@ -95,7 +95,9 @@
     fleet: {candidates: () => [candidate], isConnecting: () => false},
     budget: {recordRequest: () => undefined, tryAcquire: () => false},
     crashGuard: {assess: () => undefined, beginTrial: () => undefined, recordFor: () => undefined},
-    admission: {admit: () => true, admittedShare: () => 1},
+    admission: {
+      admit: () => true, admittedShare: () => 1, callOrigin: () => ({}), retryAfterMs: () => undefined,
+    },
     dependencies: {recordOutcome: () => undefined},
     isClientRoute: () => true,
     heldBytesMax: 10_000,
--- a/src/mesh/entry/request-forwarder.ts
+++ b/src/mesh/entry/request-forwarder.ts
@@ -75,7 +75,7 @@
   zone: string;
   budget: RetryBudget;
   crashGuard: Pick<CrashGuard, 'assess' | 'beginTrial' | 'recordFor'>;
-  admission: Pick<AdmissionController, 'admit' | 'admittedShare'>;
+  admission: Pick<AdmissionController, 'admit' | 'admittedShare' | 'callOrigin' | 'retryAfterMs'>;
   dependencies: Pick<Dependencies, 'recordOutcome'>;
   /** Whether clients send requests to the route. Only those pass admission control: refusing a call within a running request would waste the work done for it. */
   isClientRoute: (route: string) => boolean;
@@ -104,7 +104,6 @@
 export const forwardRequest = (options: ForwardingOptions, request: ForwardedRequest, onOutcome: (outcome: RequestOutcome) => void): RequestHandle => {
   const {now, random, log, budget} = options;
   const {route} = request;
-  const admissionRequest = {name: route.name, priority: request.priority};
   const boundary = createErrorBoundary(log, 'request');
   const triedNodes = new Set<string>();
   let attempts = 0;
@@ -168,7 +167,7 @@
       tried: [...triedNodes],
       sends: attempts,
       refusals,
-      admittedShare: options.admission.admittedShare(admissionRequest),
+      admittedShare: options.admission.admittedShare(request),
       ms: Math.round(now() - request.arrivedAt),
     });
   };
@@ -360,7 +359,7 @@
       idempotent: route.idempotent,
       isRepeat: attempts > 1,
       priority: request.priority,
-      ...(request.workspace === undefined ? {} : {workspace: request.workspace.name}),
+      ...(request.workspace === undefined ? {} : callOrigin),
       route: route.name,
       remainingMs: request.deadlineAt - now(),
       targetMs: request.arrivedAt + route.targetMs - now(),
@@ -382,11 +381,17 @@
     }
   };
 
-  if (!options.isClientRoute(route.name) || options.admission.admit(admissionRequest, request.isClientRetry, random)) {
+  const isClientRequest = options.isClientRoute(route.name);
+  /** As of the arrival of the request, when its admission is decided. */
+  const callOrigin = isClientRequest ? options.admission.callOrigin(request) : {workspace: request.workspace?.name};
+  if (!isClientRequest || options.admission.admit(request, random)) {
     runStep(sendAttempt);
   } else {
-    retryAfterMs = route.targetMs * RETRY_AFTER_TARGET_SHARE;
-    fail('no-room-below');
+    finish({
+      kind: 'not-run',
+      reason: 'no-room-below',
+      retryAfterMs: options.admission.retryAfterMs(request.workspace, request.deadlineAt - now()) ?? withJitter(route.targetMs * RETRY_AFTER_TARGET_SHARE),
+    });
   }
 
   return {
--- a/src/mesh/links/service-estimate.ts
+++ b/src/mesh/links/service-estimate.ts
@@ -1,10 +1,16 @@
 /** Estimates the load of a whole service from the backend servers that this process is linked with. */
 import type {ServiceLoad} from '../entry/admission.js';
+import {estimateServiceDemand, type ServiceDemand} from '../fair-shares/service-demand.js';
 import type {BackendLoad} from '../message.js';
 import type {CountedCalls} from '../entry/retry-budget.js';
 
 /** Backend server whose load is known; `load` is undefined when it accepts no calls. */
-export type LoadSample = {zone: string; load: BackendLoad | undefined};
+export type LoadSample = {
+  zone: string;
+  load: BackendLoad | undefined;
+  /** Time since the demand by workspace in the load was reported, in milliseconds. @default 0 */
+  demandAgeMs?: number;
+};
 
 /** Number of backend servers of a service, by zone. */
 export type BackendCounts = ReadonlyMap<string, number>;
@@ -41,3 +47,7 @@
       repeats: estimateTotal(samples, counts, ({counted}) => counted.repeats),
     }
     : undefined;
+
+/** Estimates the demand for a service by workspace; undefined without a recent report. */
+export const estimateWorkspaceDemand = (samples: readonly LoadSample[], counts: BackendCounts): ServiceDemand | undefined =>
+  estimateServiceDemand(samples.map(({zone, load, demandAgeMs = 0}) => ({zone, demand: load?.workspaces, ageMs: demandAgeMs})), counts);
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -212,6 +212,7 @@
       },
     },
     serviceLoad: service => fleet.serviceLoad(service),
+    workspaceDemand: service => fleet.workspaceDemand(service),
   });
 
   const callerListener = createCallerListener({
