fix(selection): rely less on old reports the fuller a service is

Each process weighted backend servers by the inverse expected latency to the power of 3. Reports are older than a call lasts, so all processes sent to the backend server that was free when it reported, and to the fastest one beyond its capacity.

The exponent now falls from 3 in an idle service to 1 at 80 % of its slots. Failures, a cold start and another zone keep the power of 3.

--- a/src/mesh/entry/__tests__/selection-simulation.ts
+++ b/src/mesh/entry/__tests__/selection-simulation.ts
@@ -627,8 +627,12 @@
 
 /** Load patterns, by title. */
 export const SCENARIOS: ReadonlyArray<{title: string; scenario: Scenario}> = [
+  {title: '4 backend servers, 30 %', scenario: {...FEW, utilization: 0.3}},
+  {title: '4 backend servers, 50 %', scenario: {...FEW, utilization: 0.5}},
   {title: '4 backend servers, 75 %', scenario: FEW},
   {title: '4 backend servers, 95 %', scenario: {...FEW, utilization: 0.95}},
+  {title: '29 backend servers, 30 %', scenario: {...MANY, utilization: 0.3}},
+  {title: '29 backend servers, 50 %', scenario: {...MANY, utilization: 0.5}},
   {title: '29 backend servers, 75 %', scenario: MANY},
   {title: '29 backend servers, 95 %', scenario: {...MANY, utilization: 0.95}},
   {title: 'group arrival, 4', scenario: {...FEW, event: 'group'}},
--- a/src/mesh/entry/__tests__/selection.spec.ts
+++ b/src/mesh/entry/__tests__/selection.spec.ts
@@ -83,6 +83,27 @@
   });
 }
 
+const preferenceCases: Array<{title: string; running: number; shareMin: number; shareMax: number}> = [
+  {
+    title: 'an idle service prefers the fast one', running: 0, shareMin: 0.85, shareMax: 0.95,
+  },
+  {
+    title: 'a nearly full service is used by speed, since all callers see the same reports', running: 9, shareMin: 0.6, shareMax: 0.75,
+  },
+];
+
+for (const {title, running, shareMin, shareMax} of preferenceCases) {
+  test(`one of two backend servers is twice as fast: ${title}`, t => {
+    const measured = share([candidate('fast', {load: load(running, 0, 20)}), candidate('slow', {load: load(running, 0, 40)})], 'fast');
+    t.true(measured >= shareMin && measured <= shareMax, `share ${measured}`);
+  });
+}
+
+test('a nearly full service still avoids a backend server that fails half of its calls', t => {
+  const measured = share([candidate('good', {load: load(9, 0)}), candidate('other', {load: load(9, 0), failureRate: 0.5})], 'good');
+  t.true(measured >= 0.9 && measured < 1, `share ${measured}`);
+});
+
 test('non-idempotent calls go to live processes only, others also to silent ones if there is no live one', t => {
   const random = createRandom(3);
   const silentOnly = [candidate('x', {isLive: false})];
