fix(mesh): rank requests by workspace and then by route, and refuse requests without a key

Workspaces now rank first and routes within them; the retry budget ranks by routes again. Requests without a key were served on every route, because calls of backend servers carry none. Tests that expected the former semantics follow the new ones; the ranks have a table of their own.

--- a/src/mesh/entry/caller-listener.ts
+++ b/src/mesh/entry/caller-listener.ts
@@ -161,8 +161,8 @@
     }
 
     const identity = table.workspaces.identify(apiKey, route);
-    if (identity.kind === 'unknown-key') {
-      return {status: 401, reason: 'unknown-key'};
+    if (identity.kind === 'missing-key' || identity.kind === 'unknown-key') {
+      return {status: 401, reason: identity.kind};
     }
 
     return requestId === undefined
@@ -226,14 +226,13 @@
     }
 
     const service = table!.selectService(route);
-    const priority = workspace?.priority ?? route.priority;
     const requestHandle = forwardRequest(options, {
       requestId: requestId!,
       route,
       service,
       workspace,
-      priority,
-      rank: table!.rankOf(service, {priority, workspace}),
+      priority: table!.priorities.of(workspace, route.priority),
+      rank: table!.rankOf(service, route.priority),
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       rawHeaders: dialect.forwardedRequestHeaders(request.rawHeaders, {callerService: options.callerService, workspace: workspaceHeader}),
--- a/src/mesh/entry/request-forwarder.ts
+++ b/src/mesh/entry/request-forwarder.ts
@@ -44,7 +44,7 @@
   service: string;
   /** Undefined for calls of backend servers, and without workspaces in the configuration. */
   workspace: Workspace | undefined;
-  /** Priority of the workspace, or else of the route. */
+  /** Rank by the workspace and the route; lower numbers are more urgent. */
   priority: number;
   /** Whether other calls to the service are more urgent. */
   rank: CallRank;
--- a/src/mesh/entry/route-table.ts
+++ b/src/mesh/entry/route-table.ts
@@ -1,7 +1,8 @@
 /** Route lookup for requests, and weighted selection of a service among the targets of a route. */
+import {createRequestPriorities, type RequestPriorities} from '../workspaces/request-priorities.js';
 import {createWorkspaceDirectory, type WorkspaceDirectory} from '../workspaces/workspace-directory.js';
 import type {CallRank} from './retry-budget.js';
-import type {Route, RoutingConfiguration, Workspace} from './routing-configuration.js';
+import type {Route, RoutingConfiguration} from './routing-configuration.js';
 
 /** Route table of one configuration. */
 export type RouteTable = {
@@ -10,8 +11,9 @@
   /** Finds the route of the host with the longest matching path prefix. */
   findRoute: (host: string, path: string) => Route | undefined;
   workspaces: WorkspaceDirectory;
-  /** `ordinary` when another route to the service has a more urgent priority, otherwise `urgent`. A request of a workspace is `ordinary` also when another workspace has a more urgent priority. */
-  rankOf: (service: string, request: {priority: number; workspace: Workspace | undefined}) => CallRank;
+  priorities: RequestPriorities;
+  /** `ordinary` when another route to the service has a more urgent priority, otherwise `urgent`. */
+  rankOf: (service: string, routePriority: number) => CallRank;
   /** Selects the service of the next request of a route; the shares follow the weights over any sequence of requests. */
   selectService: (route: Route) => string;
 };
@@ -64,21 +66,18 @@
   }
 
   const workspaces = createWorkspaceDirectory(configuration.workspaces);
-  const highestWorkspacePriority = Math.min(...workspaces.priorities);
 
   const weightedTargets = new Map<string, WeightedTarget[]>();
   return {
     version: configuration.version,
     configuration,
     workspaces,
+    priorities: createRequestPriorities(configuration.routes, configuration.workspaces),
     findRoute(host, url) {
       const path = stripQuery(url);
       return byHost.get(normalizeHost(host))?.find(route => path.startsWith(route.prefix));
     },
-    rankOf(service, {priority, workspace}) {
-      const highest = Math.min(highestPriorities.get(service) ?? priority, workspace === undefined ? Number.POSITIVE_INFINITY : highestWorkspacePriority);
-      return priority <= highest ? 'urgent' : 'ordinary';
-    },
+    rankOf: (service, routePriority) => routePriority <= (highestPriorities.get(service) ?? routePriority) ? 'urgent' : 'ordinary',
     selectService(route) {
       if (route.targets.length === 1) {
         return route.targets[0]!.service;
--- a/src/mesh/entry/routing-configuration.ts
+++ b/src/mesh/entry/routing-configuration.ts
@@ -30,7 +30,7 @@
   name: string;
   /** SHA-256 digests of its API keys, in base64url; the keys themselves leave the decoder of the configuration nowhere. */
   keyDigests: string[];
-  /** Takes the place of the priority of the route; 0 is the most urgent. */
+  /** Ranks its requests before the priority of the route does; 0 is the most urgent. */
   priority: number | undefined;
   /** Requests per second over the whole fleet; undefined for no limit. */
   ratePerS: number | undefined;
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -208,7 +208,7 @@
       servicesOf: dependencies.servicesOf,
       dependentPriorities(service) {
         const priorities = dependencies.dependentPriorities(service);
-        return routeTable?.workspaces.withPriorities(priorities) ?? priorities;
+        return routeTable?.priorities.all(priorities) ?? priorities;
       },
     },
     serviceLoad: service => fleet.serviceLoad(service),
--- a/src/mesh/workspaces/workspace-directory.ts
+++ b/src/mesh/workspaces/workspace-directory.ts
@@ -3,11 +3,11 @@
 import type {Route, Workspace} from '../entry/routing-configuration.js';
 import {digestHeaderValue} from './key-digest.js';
 
-/** Who sends a request. A request without a key is `anonymous`: it may be a call of a backend server. */
+/** Who sends a request. `anonymous` requests use a public route, as calls of backend servers do. */
 export type Identity =
   | {kind: 'workspace'; workspace: Workspace}
   | {kind: 'anonymous'}
-  | {kind: 'unknown-key'};
+  | {kind: 'missing-key' | 'unknown-key'};
 
 /** Workspaces of one configuration. */
 export type WorkspaceDirectory = {
@@ -15,13 +15,10 @@
   identify: (apiKey: string | undefined, route: Pick<Route, 'isPublic'>) => Identity;
   /** Workspace that a forwarded request states. */
   headerOf: (workspace: Workspace | undefined) => WorkspaceHeader;
-  /** Distinct priorities of the workspaces that have one. */
-  priorities: readonly number[];
-  /** Adds those priorities to the ones of routes, because requests of workspaces have them in place of the latter. */
-  withPriorities: (routePriorities: number[]) => number[];
 };
 
 const ANONYMOUS: Identity = {kind: 'anonymous'};
+const MISSING_KEY: Identity = {kind: 'missing-key'};
 const UNKNOWN_KEY: Identity = {kind: 'unknown-key'};
 
 const UNUSED: WorkspaceHeader = {kind: 'unused'};
@@ -30,8 +27,6 @@
 const withoutWorkspaces: WorkspaceDirectory = {
   identify: () => ANONYMOUS,
   headerOf: () => UNUSED,
-  priorities: [],
-  withPriorities: routePriorities => routePriorities,
 };
 
 /** Creates the directory of a configuration; undefined when the configuration has no workspaces, so that requests need no key. */
@@ -40,24 +35,21 @@
     return withoutWorkspaces;
   }
 
-  const priorities = [...new Set(workspaces.map(({priority}) => priority))].filter(priority => priority !== undefined);
   // The digest decides which entry is compared, so the time of a look-up does not show how much of a key is right.
   const byDigest = new Map(workspaces.flatMap(workspace => workspace.keyDigests.map(digest => [digest, workspace] as const)));
   return {
     identify(apiKey, route) {
-      if (apiKey === undefined) {
-        return ANONYMOUS;
-      }
-
-      const workspace = byDigest.get(digestHeaderValue(apiKey));
+      const workspace = apiKey === undefined ? undefined : byDigest.get(digestHeaderValue(apiKey));
       if (workspace !== undefined) {
         return {kind: 'workspace', workspace};
       }
 
-      return route.isPublic === true ? ANONYMOUS : UNKNOWN_KEY;
+      if (route.isPublic === true) {
+        return ANONYMOUS;
+      }
+
+      return apiKey === undefined ? MISSING_KEY : UNKNOWN_KEY;
     },
     headerOf: workspace => workspace === undefined ? NONE : {kind: 'named', name: workspace.name},
-    priorities,
-    withPriorities: routePriorities => [...new Set([...routePriorities, ...priorities])],
   };
 };
