fix(mesh): leave out malformed reports of the demand by workspace

A load report with a demand that lacks fields made the estimate throw within the periodic work, which ends the process, and a figure that is not a number made all shares of a service not a number, so that every request of a workspace was refused. Such a report now counts as missing. All nine cases of the new table fail without it.

--- a/src/mesh/fair-shares/__tests__/service-demand.spec.ts
+++ b/src/mesh/fair-shares/__tests__/service-demand.spec.ts
@@ -35,6 +35,30 @@
   });
 }
 
+const valid = report({x: 100}, 20, 2);
+const malformedReports: Array<{title: string; demand: unknown}> = [
+
+  {title: 'null', demand: null},
+  {title: 'no list of workspaces', demand: {others: valid.others}},
+  {title: 'no others', demand: {heaviest: valid.heaviest}},
+  {title: 'a workspace without a name', demand: {...valid, heaviest: [{total: 1, fresh: 1}]}},
+
+  {title: 'a workspace that is null', demand: {...valid, heaviest: [null]}},
+  {title: 'a demand that is not a number', demand: {...valid, heaviest: [{workspace: 'x', total: Number.NaN, fresh: 1}]}},
+  {title: 'a negative demand', demand: {...valid, heaviest: [{workspace: 'x', total: -1, fresh: 1}]}},
+  {title: 'an infinite demand of the others', demand: {...valid, others: {total: Number.POSITIVE_INFINITY, fresh: 1, count: 1}}},
+  {title: 'a count that is not a number', demand: {...valid, others: {total: 1, fresh: 1, count: Number.NaN}}},
+];
+
+for (const {title, demand} of malformedReports) {
+  test(`a malformed report is left out and ends neither the process nor the division: ${title}`, t => {
+    const malformed = {zone: 'a', demand: demand as ReportedDemand, ageMs: 0};
+    const estimate = estimateServiceDemand([malformed, {zone: 'b', demand: valid, ageMs: 0}], new Map());
+    t.deepEqual(estimate, estimateServiceDemand([{zone: 'b', demand: valid, ageMs: 0}], new Map()));
+    t.is(estimateServiceDemand([malformed], new Map()), undefined);
+  });
+}
+
 test('the number of workspaces that are known by name is bounded, and nothing is lost', t => {
   const samples = Array.from({length: 50}, (_, index) => ({
     zone: 'a', ageMs: 0, demand: report(Object.fromEntries(Array.from({length: 8}, (_, place) => [`w${index}-${place}`, 10 + index])), 100, 20),
--- a/src/mesh/fair-shares/service-demand.ts
+++ b/src/mesh/fair-shares/service-demand.ts
@@ -1,4 +1,5 @@
 /** Estimates the demand for a whole service by workspace from the reports of the backend servers that this process is linked with. */
+import {isAmount} from '../amount.js';
 import type {ReportedDemand} from './demand-tracker.js';
 import type {Demand, WorkspaceDemands} from './workspace-shares.js';
 
@@ -38,6 +39,13 @@
   return sums;
 };
 
+const isDemand = (demand: Partial<Demand> | undefined | null): boolean => isAmount(demand?.total) && isAmount(demand.fresh);
+
+/** Whether a report is complete and its figures can be added up; it comes from another process, which may be of another version. */
+const isWellFormed = (demand: Partial<ReportedDemand> | undefined | null): demand is ReportedDemand =>
+  isDemand(demand?.others) && isAmount(demand?.others?.count)
+  && Array.isArray(demand.heaviest) && demand.heaviest.every(heavy => isDemand(heavy) && typeof heavy.workspace === 'string');
+
 /** How many backend servers of its zone each report stands for. */
 const withWeights = (samples: ReadonlyArray<DemandSample & {demand: ReportedDemand}>, counts: ReadonlyMap<string, number>): WeightedReport[] => {
   const reports = new Map<string, number>();
@@ -62,9 +70,9 @@
   };
 };
 
-/** Estimates the demand for a service; undefined without a recent report. */
+/** Estimates the demand for a service; undefined without a recent report. A malformed report counts as missing. */
 export const estimateServiceDemand = (samples: readonly DemandSample[], counts: ReadonlyMap<string, number>): ServiceDemand | undefined => {
-  const recent = samples.filter((sample): sample is DemandSample & {demand: ReportedDemand} => sample.demand !== undefined && sample.ageMs <= REPORT_AGE_MAX_MS);
+  const recent = samples.filter((sample): sample is DemandSample & {demand: ReportedDemand} => sample.ageMs <= REPORT_AGE_MAX_MS && isWellFormed(sample.demand));
   if (recent.length === 0) {
     return undefined;
   }
