fix(mesh): do not divide by shares in calls that are no shares

The admitted share and the part of new requests come from another process. One that is not a number stayed in the average of its workspace, and null counted a call ten thousand times. Figures outside of 0 to 1 now count as 1, and a workspace that is not a name is left out. All seven new cases fail without it.

--- a/src/mesh/fair-shares/__tests__/demand-tracker.spec.ts
+++ b/src/mesh/fair-shares/__tests__/demand-tracker.spec.ts
@@ -34,6 +34,25 @@
   },
 ];
 
+const malformedCalls: Array<{title: string; call: Record<string, unknown>}> = [
+  {title: 'a share that is not a number', call: {workspace: 'w', admittedShare: Number.NaN}},
+  {title: 'a share of null', call: {workspace: 'w', admittedShare: null}},
+  {title: 'a negative share', call: {workspace: 'w', admittedShare: -1}},
+  {title: 'a share above 1', call: {workspace: 'w', admittedShare: 1e9}},
+  {title: 'a part of new requests that is not a number', call: {workspace: 'w', freshShare: Number.NaN}},
+  {title: 'a part of new requests above 1', call: {workspace: 'w', freshShare: 1e9}},
+];
+
+for (const {title, call} of malformedCalls) {
+  test(`a call of another process does not spoil the demand: ${title}`, t => {
+    t.deepEqual(trackedDemand([{...call, perSecond: 20}]), trackedDemand([{workspace: 'w', perSecond: 20}]));
+  });
+}
+
+test('a call whose workspace is not a name is left out', t => {
+  t.is(trackedDemand([{workspace: {} as unknown as string, perSecond: 20}]), undefined);
+});
+
 for (const {title, call, perSecond, expected} of demandCases) {
   test(`demand: ${title}`, t => {
     const [demand] = trackedDemand([{...call, perSecond}])!.heaviest;
--- a/src/mesh/fair-shares/demand-tracker.ts
+++ b/src/mesh/fair-shares/demand-tracker.ts
@@ -3,6 +3,7 @@
 
 Each call counts with its service time, divided by the share that was admitted of requests like it: so it stands for the refused ones as well, whichever process refused them.
 */
+import {isShare} from '../amount.js';
 import type {Demand} from './workspace-shares.js';
 
 /** Demand for a backend server by workspace, in milliseconds of service time per second. */
@@ -114,17 +115,19 @@
   };
 
   return {
-    record({workspace, admittedShare = 1, freshShare = 1}, serviceMs) {
-      if (workspace === undefined) {
+    record({workspace, admittedShare, freshShare}, serviceMs) {
+      if (typeof workspace !== 'string') {
         return;
       }
 
       const known = tracked.get(workspace);
       const current = known === undefined ? {total: 0, fresh: 0, used: 0} : currentOf(known);
       const used = serviceMs * SECOND_MS / AVERAGE_MS;
-      const added = used / Math.max(ADMITTED_SHARE_MIN, admittedShare);
+      // The shares come from another process, and one that is not a number would stay in the averages.
+      const added = used / (isShare(admittedShare) ? Math.max(ADMITTED_SHARE_MIN, admittedShare) : 1);
+      const fresh = isShare(freshShare) ? added * freshShare : added;
       tracked.set(workspace, {
-        total: current.total + added, fresh: current.fresh + (added * freshShare), used: current.used + used, count: 1, updatedAt: now(),
+        total: current.total + added, fresh: current.fresh + fresh, used: current.used + used, count: 1, updatedAt: now(),
       });
       if (tracked.size > 2 * TRACKED_MAX) {
         foldLightest();
