fix(mesh): drop malformed messages about permits

A poll or an answer that lacks a list threw in the reader and ended the link with all its calls. A number of permits or a fraction that was not a number stayed in the bucket and the averages of a coordinator, which then granted the workspace nothing more; half a permit, or one without a lifetime, granted a request. Such messages are now dropped and counted as permits-invalid.

--- a/src/mesh/links/state-exchange.ts
+++ b/src/mesh/links/state-exchange.ts
@@ -10,6 +10,7 @@
 } from '../message.js';
 import type {RoutingConfiguration} from '../entry/routing-configuration.js';
 import type {StoreReaders} from '../members/store-readers.js';
+import {isWellFormedAnswer, isWellFormedPoll} from '../rate-limits/permit-messages.js';
 import type {WorkspaceRateLimiter} from '../rate-limits/workspace-rate-limiter.js';
 import {createBackendRecords, type BackendRecords} from './backend-records.js';
 
@@ -125,6 +126,26 @@
     }
   };
 
+  const answerPoll = (sender: MessageSender, message: Extract<Message, {type: 'permits-wanted'}>, from: string): void => {
+    if (!isWellFormedPoll(message)) {
+      log.count('link_protocol', 'permits-invalid');
+      return;
+    }
+
+    const answer = options.rateLimits.answer(from, message);
+    if (answer !== undefined) {
+      sender.send(answer);
+    }
+  };
+
+  const takePermits = (message: Extract<Message, {type: 'permits'}>, from: string): void => {
+    if (isWellFormedAnswer(message)) {
+      options.rateLimits.receive(from, message);
+    } else {
+      log.count('link_protocol', 'permits-invalid');
+    }
+  };
+
   const onMessage = (sender: MessageSender, message: Message, body: Buffer, from: string): void => {
     switch (message.type) {
       case 'ping':
@@ -197,16 +218,12 @@
       }
 
       case 'permits-wanted': {
-        const answer = options.rateLimits.answer(from, message);
-        if (answer !== undefined) {
-          sender.send(answer);
-        }
-
+        answerPoll(sender, message, from);
         return;
       }
 
       case 'permits': {
-        options.rateLimits.receive(from, message);
+        takePermits(message, from);
         return;
       }
 
