fix(mesh): wait for permits no longer than a window after an answer

A coordinator that named a far time made this process refuse a workspace of fewer requests than polls until its requests stopped for 5 s, because nothing was asked for meanwhile. The time now counts up to the window of 5 s. The new test fails without it.

--- a/src/mesh/links/__tests__/permit-messages.spec.ts
+++ b/src/mesh/links/__tests__/permit-messages.spec.ts
@@ -142,3 +142,31 @@
     t.is(received, kind);
   });
 }
+
+test('an answer with a far time refuses the requests of a workspace for the length of a window at most', async t => {
+  const {receive, advance, limiter, sent} = createProcess(LAST, true);
+  /** Answers the polls of the next steps of 50 ms, so that the peer stays the coordinator. */
+  const answerPolls = (steps: number, grants: unknown[]): void => {
+    for (let step = 0; step < steps; step++) {
+      advance(50);
+      for (const message of sent.splice(0)) {
+        if (message.type === 'permits-wanted') {
+          receive({
+            type: 'permits', exchange: message.exchange, clock: 1, grants: message.asks.length === 0 ? [] : grants,
+          });
+        }
+      }
+    }
+  };
+
+  advance(100);
+  const refused = limiter.acquire(WORKSPACE);
+  answerPolls(4, [{...grant, permits: 0, retryAfterMs: 1e12}]);
+  t.like(await refused, {kind: 'limited'});
+  answerPolls(60, []);
+  t.like(await limiter.acquire(WORKSPACE), {kind: 'limited'});
+  answerPolls(60, []);
+  const permit = limiter.acquire(WORKSPACE);
+  answerPolls(4, [grant]);
+  t.like(await permit, {kind: 'granted'});
+});
--- a/src/mesh/rate-limits/workspace-rate-limiter.ts
+++ b/src/mesh/rate-limits/workspace-rate-limiter.ts
@@ -358,7 +358,7 @@
       const holding = holdings.get(workspace);
       if (holding !== undefined) {
         holding.asked = undefined;
-        holding.limitedUntil = retryAfterMs > 0 ? time + retryAfterMs : time;
+        holding.limitedUntil = time + Math.min(retryAfterMs, RETRY_AFTER_MAX_MS);
         serveWaiting(holding);
       }
     }
