fix(mesh): answer a request at its deadline while it waits for a permit

A request with less time left than the wait for a permit was answered up to 150 ms late, was forwarded after its deadline and got 504 for it, and its permit was used up. It now gets 503 at its deadline, and a permit that arrives later is given back. The new test fails without it (504 after 300 ms).

--- a/src/mesh/entry/__tests__/workspace-permits.spec.ts
+++ b/src/mesh/entry/__tests__/workspace-permits.spec.ts
@@ -18,7 +18,7 @@
 const ports = createPortAllocator();
 
 const dialect: HttpDialect = {
-  readRequest: headers => ({requestId: headers['x-id'] as string, deadlineMs: 1000, apiKey: headers['x-key'] as string | undefined}),
+  readRequest: headers => ({requestId: headers['x-id'] as string, deadlineMs: Number(headers['x-deadline'] ?? 1000), apiKey: headers['x-key'] as string | undefined}),
   forwardedRequestHeaders: () => [],
   readCaller: () => undefined,
   addedRequestHeaders: () => [],
@@ -204,3 +204,23 @@
   t.is(held.returned(), 1);
   t.deepEqual(forwarded, []);
 });
+
+test('a request that waits for a permit beyond its deadline is answered at the deadline, does not run, and gives the permit back', async t => {
+  const {permit, returned} = createPermit();
+  const {address, forwarded} = await startListener(t, {
+    result: answered, acquire: async () => new Promise(resolve => {
+      setTimeout(resolve, 300, permit);
+    }),
+  });
+  const startedAt = performance.now();
+  const {status, retryAfter} = await send(address, {'x-key': KEY, 'x-deadline': '70'});
+  const milliseconds = performance.now() - startedAt;
+  t.is(status, 503);
+  t.truthy(retryAfter);
+  t.true(milliseconds < 200, `${milliseconds} ms`);
+  await new Promise(resolve => {
+    setTimeout(resolve, 400);
+  });
+  t.deepEqual(forwarded, []);
+  t.is(returned(), 1);
+});
--- a/src/mesh/entry/caller-listener.ts
+++ b/src/mesh/entry/caller-listener.ts
@@ -7,7 +7,7 @@
 import {createErrorBoundary} from '../error-boundary.js';
 import {createHeldBytes, type Reservation} from '../held-bytes.js';
 import {createTurnQueue} from '../turn-queue.js';
-import type {WorkspaceRateLimiter} from '../rate-limits/workspace-rate-limiter.js';
+import type {Permit, WorkspaceRateLimiter} from '../rate-limits/workspace-rate-limiter.js';
 import {forwardRequest, type ForwardingOptions, type RequestOutcome} from './request-forwarder.js';
 import type {HttpDialect, RequestMetadata, WorkspaceHeader} from './http-dialect.js';
 import {hasBody, readBody} from './request-body.js';
@@ -65,6 +65,8 @@
 /** `Retry-After` while the process is stopping, in milliseconds; by then the client is routed to another host. */
 const RETRY_AFTER_STOPPING_MS = 100;
 const RETRY_AFTER_MEMORY_MS = 500;
+/** `Retry-After` when no permit arrived by the deadline, in milliseconds. */
+const RETRY_AFTER_PERMIT_MS = 50;
 
 const FIRST_SERVER_ERROR_STATUS = 500;
 /** Gap to the longest deadline of the route above which a request counts as a client retry, in milliseconds. */
@@ -109,6 +111,31 @@
 /** Whether the end of a response is the end of its connection, because it states no length. */
 const isUnframed = (response: ServerResponse): boolean => response.headersSent && !response.useChunkedEncodingByDefault;
 
+const giveBackWhenGranted = async (acquired: Promise<Permit>): Promise<void> => {
+  const permit = await acquired;
+  if (permit.kind === 'granted') {
+    permit.giveBack();
+  }
+};
+
+/** Waits for a permit until the deadline of its request; a permit that arrives later is given back. */
+const permitByDeadline = async (acquired: Promise<Permit>, remainingMs: number): Promise<Permit | 'late'> => {
+  let timer: NodeJS.Timeout | undefined;
+  const deadline = new Promise<'late'>(resolve => {
+    timer = setTimeout(resolve, remainingMs, 'late');
+  });
+  try {
+    const permit = await Promise.race([acquired, deadline]);
+    if (permit === 'late') {
+      void giveBackWhenGranted(acquired);
+    }
+
+    return permit;
+  } finally {
+    clearTimeout(timer);
+  }
+};
+
 /** Creates a listener; it accepts connections after `start`. */
 export const createCallerListener = (options: CallerListenerOptions): CallerListener => {
   const {dialect, log, now} = options;
@@ -213,7 +240,14 @@
       return;
     }
 
-    const permit = workspace === undefined ? undefined : await options.rateLimits.acquire(workspace);
+    const acquired = workspace === undefined ? undefined : options.rateLimits.acquire(workspace);
+    const permit = acquired instanceof Promise ? await permitByDeadline(acquired, deadlineAt - now()) : acquired;
+    if (permit === 'late') {
+      options.onRefused(workspaceHeader);
+      writeError(request, response, requestId, {status: 503, reason: 'deadline', retryAfterMs: RETRY_AFTER_PERMIT_MS});
+      return;
+    }
+
     if (permit?.kind === 'limited') {
       options.onRefused(workspaceHeader);
       writeError(request, response, requestId, {status: 429, reason: 'workspace-rate-limit', retryAfterMs: permit.retryAfterMs});
