fix(mesh): refuse enough where most requests are of urgent ranks

The refusal level ends at 2 and is scaled by the mean urgency factor. Since requests rank by workspace and then by route, a service can have many ranks: with twelve, and all requests of the most urgent one, 95 % were admitted after 20 s of a queue of one and a half calls for each slot. The factor now counts with 0.5 at least.

--- a/src/mesh/entry/__tests__/admission-shares.spec.ts
+++ b/src/mesh/entry/__tests__/admission-shares.spec.ts
@@ -52,7 +52,7 @@
   });
 
   return {
-    admission, advance, request, state, counted, lines,
+    admission, advance, request, state, counted, lines, dependencies,
   };
 };
 
@@ -202,3 +202,21 @@
   t.is(admission.retryAfterMs(undefined, 1000), undefined);
   t.true(admission.retryAfterMs({name: 'w'}, 900)! <= 300);
 });
+
+test('an overload by the most urgent of many ranks is refused as well', t => {
+  const {admission, advance, request, state, dependencies} = createScenario(() => demand(9000, 100, 10));
+  dependencies.merge(Array.from({length: 12}, (_, rank) => ({route: `rank ${rank}`, priority: rank, service: 'below'})));
+  const mix = (): void => {
+    for (let count = 0; count < 500; count++) {
+      admission.admit(request('heavy', false, 0), random);
+    }
+  };
+
+  mix();
+  state.load = OVERLOADED;
+  advance(500);
+  mix();
+  advance(20_000);
+  const share = admission.admittedShare(request('heavy', false, 0));
+  t.true(share < 0.5, `${share} is admitted after 20 s of overload`);
+});
--- a/src/mesh/entry/admission.ts
+++ b/src/mesh/entry/admission.ts
@@ -83,6 +83,8 @@
 const ADMITTED_SHARE_MIN = 0.1;
 /** Highest refusal level; it also rejects part of the requests of routes three priorities above the least urgent one. */
 const REFUSAL_LEVEL_MAX = 2;
+/** Lowest mean urgency factor that scales the refusal level for division: with many ranks, the level would otherwise reach its end before it refuses enough of urgent requests. */
+const MEAN_URGENCY_MIN = 0.5;
 /** Longest interval that one update accounts for, in milliseconds: the load during a suspension of the process is not known. */
 const UPDATE_INTERVAL_MAX_MS = 500;
 /** Time for which the shares of the workspaces are kept after the refusal level has fallen to zero, in milliseconds: the reported demand still follows from them. */
@@ -182,7 +184,7 @@
 
     const {shares} = known ?? {shares: createServiceShares()};
     dividedServices.set(service, {shares, overloadedAt});
-    shares.update(demand, dividedShare(level * shares.meanUrgencyFactor()));
+    shares.update(demand, dividedShare(level * Math.max(MEAN_URGENCY_MIN, shares.meanUrgencyFactor())));
     logShares(service, demand, shares.shares()!);
   };
 
