fix(mesh): give the permit back when a caller disconnects before a call was sent

A request that waits for links to its service has not run, but its permit was used up when its caller went away. Cancelling now tells whether a call was sent. The new test fails without it; another one pins that a request whose call was sent keeps its permit.

--- a/src/mesh/entry/__tests__/workspace-permits.spec.ts
+++ b/src/mesh/entry/__tests__/workspace-permits.spec.ts
@@ -37,8 +37,8 @@
 };
 const lost: CallResult = {kind: 'lost', cause: 'test'};
 
-/** Starts a listener in front of one backend server that ends each call with a result. */
-const startListener = async (t: ExecutionContext, {result, acquire}: {result: CallResult; acquire: (workspace: Workspace) => Permit | Promise<Permit>}) => {
+/** Starts a listener in front of one backend server that ends each call with a result, or does not end it. */
+const startListener = async (t: ExecutionContext, {result, acquire, isConnecting = false}: {result: CallResult | 'none'; isConnecting?: boolean; acquire: (workspace: Workspace) => Permit | Promise<Permit>}) => {
   const address = await ports.next();
   const forwarded: string[] = [];
   const destination: Destination = {
@@ -46,7 +46,10 @@
     zone: 'z',
     send(call, _body, onResult) {
       forwarded.push(call.requestId);
-      setTimeout(onResult, 1, result, Buffer.alloc(0));
+      if (result !== 'none') {
+        setTimeout(onResult, 1, result, Buffer.alloc(0));
+      }
+
       return {cancel: () => undefined};
     },
     recordOutcome: () => undefined,
@@ -92,7 +95,7 @@
     log,
     now: () => performance.now(),
     random: Math.random,
-    fleet: {candidates: () => [candidate], isConnecting: () => false},
+    fleet: {candidates: () => isConnecting ? [] : [candidate], isConnecting: () => isConnecting},
     budget: {recordRequest: () => undefined, tryAcquire: () => false},
     crashGuard: {assess: () => undefined, beginTrial: () => undefined, recordFor: () => undefined},
     admission: {
@@ -224,3 +227,33 @@
   t.deepEqual(forwarded, []);
   t.is(returned(), 1);
 });
+
+test('a caller that disconnects before a call was sent costs no permit', async t => {
+  const {permit, returned} = createPermit();
+  const {address, forwarded} = await startListener(t, {result: answered, isConnecting: true, acquire: () => permit});
+  const controller = new AbortController();
+  setTimeout(() => {
+    controller.abort();
+  }, 50);
+  await t.throwsAsync(send(address, {'x-key': KEY}, controller.signal));
+  await new Promise(resolve => {
+    setTimeout(resolve, 100);
+  });
+  t.deepEqual(forwarded, []);
+  t.is(returned(), 1);
+});
+
+test('a caller that disconnects after a call was sent costs a permit', async t => {
+  const {permit, returned} = createPermit();
+  const {address, forwarded} = await startListener(t, {result: 'none', acquire: () => permit});
+  const controller = new AbortController();
+  setTimeout(() => {
+    controller.abort();
+  }, 50);
+  await t.throwsAsync(send(address, {'x-key': KEY}, controller.signal));
+  await new Promise(resolve => {
+    setTimeout(resolve, 100);
+  });
+  t.is(forwarded.length, 1);
+  t.is(returned(), 0);
+});
--- a/src/mesh/entry/caller-listener.ts
+++ b/src/mesh/entry/caller-listener.ts
@@ -298,7 +298,9 @@
         log.write('debug', 'caller-gone', {request: requestId});
       }
 
-      requestHandle.cancel();
+      if (requestHandle.cancel()) {
+        permit?.giveBack();
+      }
     };
   };
 
--- a/src/mesh/entry/request-forwarder.ts
+++ b/src/mesh/entry/request-forwarder.ts
@@ -62,8 +62,8 @@
   deadlineAt: number;
 };
 
-/** Handle of a request in progress; `cancel` ends it without an outcome. */
-export type RequestHandle = {cancel: () => void};
+/** Handle of a request in progress; `cancel` ends it without an outcome, and returns whether it ended it before any call was sent, so that it has not run. */
+export type RequestHandle = {cancel: () => boolean};
 
 /** Options of request forwarding. */
 export type ForwardingOptions = {
@@ -396,9 +396,12 @@
 
   return {
     cancel() {
+      const isUnsent = !ended && attempts === 0 && pendingSend === undefined;
       if (!ended) {
         end();
       }
+
+      return isUnsent;
     },
   };
 };
