--- a/src/mesh/entry/__tests__/workspace-permits.spec.ts
+++ b/src/mesh/entry/__tests__/workspace-permits.spec.ts
@@ -18,7 +18,7 @@
 const ports = createPortAllocator();
 
 const dialect: HttpDialect = {
-  readRequest: headers => ({requestId: headers['x-id'] as string, deadlineMs: 1000, apiKey: headers['x-key'] as string | undefined}),
+  readRequest: headers => ({requestId: headers['x-id'] as string, deadlineMs: Number(headers['x-deadline'] ?? 1000), apiKey: headers['x-key'] as string | undefined}),
   forwardedRequestHeaders: () => [],
   readCaller: () => undefined,
   addedRequestHeaders: () => [],
@@ -37,8 +37,8 @@
 };
 const lost: CallResult = {kind: 'lost', cause: 'test'};
 
-/** Starts a listener in front of one backend server that ends each call with a result. */
-const startListener = async (t: ExecutionContext, {result, acquire}: {result: CallResult; acquire: (workspace: Workspace) => Permit | Promise<Permit>}) => {
+/** Starts a listener in front of one backend server that ends each call with a result, or does not end it. */
+const startListener = async (t: ExecutionContext, {result, acquire, isConnecting = false}: {result: CallResult | 'none'; isConnecting?: boolean; acquire: (workspace: Workspace) => Permit | Promise<Permit>}) => {
   const address = await ports.next();
   const forwarded: string[] = [];
   const destination: Destination = {
@@ -46,7 +46,10 @@
     zone: 'z',
     send(call, _body, onResult) {
       forwarded.push(call.requestId);
-      setTimeout(onResult, 1, result, Buffer.alloc(0));
+      if (result !== 'none') {
+        setTimeout(onResult, 1, result, Buffer.alloc(0));
+      }
+
       return {cancel: () => undefined};
     },
     recordOutcome: () => undefined,
@@ -92,7 +95,7 @@
     log,
     now: () => performance.now(),
     random: Math.random,
-    fleet: {candidates: () => [candidate], isConnecting: () => false},
+    fleet: {candidates: () => isConnecting ? [] : [candidate], isConnecting: () => isConnecting},
     budget: {recordRequest: () => undefined, tryAcquire: () => false},
     crashGuard: {assess: () => undefined, beginTrial: () => undefined, recordFor: () => undefined},
     admission: {
@@ -204,3 +207,53 @@
   t.is(held.returned(), 1);
   t.deepEqual(forwarded, []);
 });
+
+test('a request that waits for a permit beyond its deadline is answered at the deadline, does not run, and gives the permit back', async t => {
+  const {permit, returned} = createPermit();
+  const {address, forwarded} = await startListener(t, {
+    result: answered, acquire: async () => new Promise(resolve => {
+      setTimeout(resolve, 300, permit);
+    }),
+  });
+  const startedAt = performance.now();
+  const {status, retryAfter} = await send(address, {'x-key': KEY, 'x-deadline': '70'});
+  const milliseconds = performance.now() - startedAt;
+  t.is(status, 503);
+  t.truthy(retryAfter);
+  t.true(milliseconds < 200, `${milliseconds} ms`);
+  await new Promise(resolve => {
+    setTimeout(resolve, 400);
+  });
+  t.deepEqual(forwarded, []);
+  t.is(returned(), 1);
+});
+
+test('a caller that disconnects before a call was sent costs no permit', async t => {
+  const {permit, returned} = createPermit();
+  const {address, forwarded} = await startListener(t, {result: answered, isConnecting: true, acquire: () => permit});
+  const controller = new AbortController();
+  setTimeout(() => {
+    controller.abort();
+  }, 50);
+  await t.throwsAsync(send(address, {'x-key': KEY}, controller.signal));
+  await new Promise(resolve => {
+    setTimeout(resolve, 100);
+  });
+  t.deepEqual(forwarded, []);
+  t.is(returned(), 1);
+});
+
+test('a caller that disconnects after a call was sent costs a permit', async t => {
+  const {permit, returned} = createPermit();
+  const {address, forwarded} = await startListener(t, {result: 'none', acquire: () => permit});
+  const controller = new AbortController();
+  setTimeout(() => {
+    controller.abort();
+  }, 50);
+  await t.throwsAsync(send(address, {'x-key': KEY}, controller.signal));
+  await new Promise(resolve => {
+    setTimeout(resolve, 100);
+  });
+  t.is(forwarded.length, 1);
+  t.is(returned(), 0);
+});
