feat(mesh): account for the connections of callers and limit what they cost

Callers could end a process: heads, pipelined requests and bodies in chunks of one byte cost memory that heldBytesMax did not count, and a body could stay open without a time limit.

One account now counts heads by lines, bodies by blocks and responses, by connection. When it is full it closes the connection that holds most, those without a forwarded request first. Long reads reach the HTTP parser in slices, pipelined requests wait in the socket, and bodies have to make progress and to be complete by the deadline of their request (408). Limits have settings, counters and a log line.

--- a/src/mesh/entry/caller-listener.ts
+++ b/src/mesh/entry/caller-listener.ts
@@ -5,7 +5,12 @@
 import {listenOn} from '../../shared/address.js';
 import type {DecisionLog} from '../decision-log.js';
 import {createErrorBoundary} from '../error-boundary.js';
-import {createHeldBytes, type Reservation} from '../held-bytes.js';
+import {createBodyMonitor} from '../client-limits/body-monitor.js';
+import {createConnectionAccount, type ConnectionPart} from '../client-limits/connection-account.js';
+import {createConnectionReader, type ConnectionReader} from '../client-limits/connection-reader.js';
+import type {ConnectionLimits} from '../client-limits/limits.js';
+import {headBytes, headCost} from '../client-limits/request-head.js';
+import type {Reservation} from '../held-bytes.js';
 import {createTurnQueue} from '../turn-queue.js';
 import {forwardRequest, type ForwardingOptions, type RequestOutcome} from './request-forwarder.js';
 import type {HttpDialect, RequestMetadata, WorkspaceHeader} from './http-dialect.js';
@@ -38,8 +43,10 @@
   /** Current route table; undefined until a configuration is known. */
   routeTable: () => RouteTable | undefined;
   log: DecisionLog;
-  /** Memory that the bodies of requests hold at most, in bytes. */
+  /** Memory that the connections of callers hold at most, in bytes. */
   heldBytesMax: number;
+  /** Limits for the connections of callers. */
+  clientLimits: ConnectionLimits;
   /** Called when a request for a route arrives. */
   onArrived: (route: string) => void;
   /** Called with the outcome of each request and its duration in milliseconds. */
@@ -63,6 +70,8 @@
 /** `Retry-After` while the process is stopping, in milliseconds; by then the client is routed to another host. */
 const RETRY_AFTER_STOPPING_MS = 100;
 const RETRY_AFTER_MEMORY_MS = 500;
+/** Interval at which bodies and unread responses are checked, in milliseconds. */
+const CHECK_INTERVAL_MS = 250;
 
 const FIRST_SERVER_ERROR_STATUS = 500;
 /** Gap to the longest deadline of the route above which a request counts as a client retry, in milliseconds. */
@@ -86,24 +95,25 @@
 type MatchedRequest = {route: Route; workspace: Workspace | undefined};
 
 /** Requests of a connection whose response has not ended, in their order. */
-type SocketState = {pending: Set<RequestState>};
+type SocketState = {
+  pending: Set<RequestState>;
+  part: ConnectionPart;
+  reader: ConnectionReader | undefined;
+  /** Requests that were read whole and have no response yet. */
+  awaitingResponse: number;
+  isAnswered: boolean;
+};
 type RequestState = {
   response: ServerResponse;
   reservation: Reservation;
   /** Cancels the request; undefined before it is forwarded. */
   cancel: (() => void) | undefined;
+  /** Refuses the request while its body has not arrived whole, so that it has not run. */
+  refuseBody: (() => void) | undefined;
+  isForwarding: boolean;
   settled: boolean;
 };
 
-const headerBytes = (rawHeaders: readonly string[]): number => {
-  let bytes = 0;
-  for (const text of rawHeaders) {
-    bytes += text.length + 2;
-  }
-
-  return bytes;
-};
-
 /** Whether the end of a response is the end of its connection, because it states no length. */
 const isUnframed = (response: ServerResponse): boolean => response.headersSent && !response.useChunkedEncodingByDefault;
 
@@ -113,7 +123,9 @@
   const boundary = createErrorBoundary(log, 'request');
   const sockets = new Map<Socket, SocketState>();
   const longestDeadlineByRoute = new Map<string, number>();
-  const heldBytes = createHeldBytes({totalMax: options.heldBytesMax});
+  const account = createConnectionAccount({heldBytesMax: options.heldBytesMax, limits: options.clientLimits, log});
+  let idleTimeoutMs = IDLE_TIMEOUT_DEFAULT_MS;
+  const bodyMonitor = createBodyMonitor({now, progressMs: () => options.clientLimits.bodyProgressMs ?? idleTimeoutMs});
   const readQueue = createTurnQueue();
   let inFlight = 0;
   let drainingConnections = false;
@@ -149,7 +161,11 @@
       return {status: 503, reason: 'stopping', retryAfterMs: RETRY_AFTER_STOPPING_MS};
     }
 
-    if (headerBytes(request.rawHeaders) > table.configuration.limits.headerBytes) {
+    if (request.rawHeaders.length > 2 * options.clientLimits.headerLines) {
+      return {status: 431, reason: 'too-many-header-lines'};
+    }
+
+    if (headBytes(request) > table.configuration.limits.headerBytes) {
       return {status: 431, reason: 'headers-too-large'};
     }
 
@@ -168,7 +184,7 @@
       : {route, workspace: identity.kind === 'workspace' ? identity.workspace : undefined};
   };
 
-  const handleRequest = async (request: IncomingMessage, response: ServerResponse, state: RequestState): Promise<void> => {
+  const handleRequest = async (request: IncomingMessage, response: ServerResponse, state: RequestState, socketState: SocketState): Promise<void> => {
     const arrivedAt = now();
     const table = options.routeTable();
     const metadata = dialect.readRequest(request.headers);
@@ -188,13 +204,28 @@
     const deadlineAt = arrivedAt + Math.max(0, Math.min(statedDeadlineMs - DEADLINE_MARGIN_MS, route.timeoutMs));
     const body = hasBody(request)
       ? await readBody({
-        request, reservation: state.reservation, lengthMax: table!.configuration.limits.bodyBytes, readQueue,
+        request,
+        reservation: state.reservation,
+        lengthMax: table!.configuration.limits.bodyBytes,
+        monitor: bodyMonitor,
+        deadlineAt,
+        onBegun(refuse) {
+          state.refuseBody = refuse;
+        },
       })
       : Buffer.alloc(0);
+    state.refuseBody = undefined;
     if (body === 'aborted') {
       return;
     }
 
+    if (body === 'stalled' || body === 'late') {
+      options.onRefused(workspaceHeader);
+      log.write('info', 'request-refused', {request: requestId, status: 408, reason: `body-${body}`});
+      writeError(request, response, requestId, {status: 408, reason: `body-${body}`});
+      return;
+    }
+
     if (body === 'too-large') {
       options.onRefused(workspaceHeader);
       writeError(request, response, requestId, {status: 413, reason: 'body-too-large'});
@@ -211,6 +242,8 @@
       return;
     }
 
+    state.isForwarding = true;
+    socketState.awaitingResponse++;
     const service = table!.selectService(route);
     const priority = workspace?.priority ?? route.priority;
     const requestHandle = forwardRequest(options, {
@@ -237,6 +270,10 @@
           options.onCallFailed(overloadedServices(outcome, service));
         }
 
+        if (outcome.kind === 'answered' && !state.reservation.add(outcome.body.length)) {
+          return;
+        }
+
         writeOutcome(request, response, requestId!, outcome);
       }, () => {
         abandon(request, response, requestId);
@@ -251,9 +288,9 @@
     };
   };
 
-  const serve = async (request: IncomingMessage, response: ServerResponse, state: RequestState): Promise<void> => {
+  const serve = async (request: IncomingMessage, response: ServerResponse, state: RequestState, socketState: SocketState): Promise<void> => {
     try {
-      await handleRequest(request, response, state);
+      await handleRequest(request, response, state, socketState);
     } catch (error) {
       const {requestId} = dialect.readRequest(request.headers);
       boundary.report(requestId, error);
@@ -273,6 +310,10 @@
     if (!state.settled) {
       state.settled = true;
       socketState.pending.delete(state);
+      if (state.isForwarding) {
+        socketState.awaitingResponse--;
+      }
+
       inFlight--;
       state.reservation.release();
       state.cancel?.();
@@ -280,27 +321,85 @@
   };
 
   const onRequest = (request: IncomingMessage, response: ServerResponse): void => {
-    const socketState = sockets.get(request.socket) ?? {pending: new Set()};
+    const socketState = sockets.get(request.socket);
+    if (socketState === undefined) {
+      // The connection has been closed while its requests were being parsed.
+      return;
+    }
+
     const state: RequestState = {
-      response, reservation: heldBytes.reserve(), cancel: undefined, settled: false,
+      response, reservation: socketState.part.reserve(), cancel: undefined, refuseBody: undefined, isForwarding: false, settled: false,
     };
-    sockets.set(request.socket, socketState);
+    if (!state.reservation.add(headCost(request))) {
+      return;
+    }
+
     socketState.pending.add(state);
     inFlight++;
     response.on('close', () => {
       settle(socketState, state);
+      socketState.isAnswered = true;
+      socketState.reader?.wake();
     });
-    void serve(request, response, state);
+    void serve(request, response, state, socketState);
   };
 
   const server = createServer({
     maxHeaderSize: HEADER_MAX_BYTES, keepAliveTimeout: IDLE_TIMEOUT_DEFAULT_MS, noDelay: true, requestTimeout: 0, connectionsCheckingInterval: 1000,
   }, onRequest);
+  // Node drops further lines without an error; one more than the limit is kept, so that such a request is refused.
+  server.maxHeadersCount = options.clientLimits.headerLines + 1;
+  server.on('timeout', (socket: Socket) => {
+    // A pending response whose client reads is waited for.
+    const isUnread = socket.writableLength > 0;
+    if (isUnread) {
+      log.count('connections_closed', 'response-unread');
+    }
+
+    if (isUnread || (sockets.get(socket)?.pending.size ?? 0) === 0) {
+      socket.destroy();
+    }
+  });
+
+  /** Closes a connection, with a response to its only request if that has not run. */
+  const evict = (socket: Socket, {pending, reader}: SocketState): void => {
+    reader?.stop();
+    const [only] = pending;
+    if (pending.size === 1 && only!.refuseBody !== undefined) {
+      only!.refuseBody();
+    } else {
+      socket.destroy();
+    }
+  };
+
   server.on('connection', (socket: Socket) => {
-    const socketState: SocketState = {pending: new Set()};
+    const socketState: SocketState = {
+      pending: new Set(),
+      part: account.open({
+        isForwarding: () => socketState.awaitingResponse > 0,
+        isAnswered: () => socketState.isAnswered,
+        evict() {
+          evict(socket, socketState);
+        },
+      }),
+      reader: undefined,
+      awaitingResponse: 0,
+      isAnswered: false,
+    };
     sockets.set(socket, socketState);
+    const {pipelinedRequests, connectionBytes} = options.clientLimits;
+    socketState.reader = createConnectionReader({
+      socket,
+      readQueue,
+      isBlocked: () => socketState.awaitingResponse > 0 && (socketState.pending.size >= pipelinedRequests || socketState.part.heldBytes() >= connectionBytes),
+      onError(error) {
+        boundary.report(undefined, error);
+        socket.destroy();
+      },
+    });
     socket.on('close', () => {
       sockets.delete(socket);
+      socketState.part.close();
       // Responses that wait behind another one on their connection emit no event when it closes.
       for (const state of socketState.pending) {
         settle(socketState, state);
@@ -308,6 +407,15 @@
     });
   });
 
+  const checkTimer = setInterval(() => {
+    bodyMonitor.tick();
+    for (const socket of sockets.keys()) {
+      if (socket.writableLength > 0 && socket.timeout !== idleTimeoutMs) {
+        socket.setTimeout(idleTimeoutMs);
+      }
+    }
+  }, CHECK_INTERVAL_MS);
+
   return {
     start: async () => listenOn(server, options.address, ACCEPT_BACKLOG),
     drainConnections() {
@@ -316,12 +424,14 @@
     refuseRequests() {
       refusingRequests = true;
     },
-    setLimits({headerTimeoutMs, idleTimeoutMs}) {
-      server.headersTimeout = headerTimeoutMs;
-      server.keepAliveTimeout = idleTimeoutMs;
+    setLimits(limits) {
+      idleTimeoutMs = limits.idleTimeoutMs;
+      server.headersTimeout = limits.headerTimeoutMs;
+      server.keepAliveTimeout = limits.idleTimeoutMs;
     },
     inFlight: () => inFlight,
     close() {
+      clearInterval(checkTimer);
       // `server.close` closes connections whose response has been ended but not sent, so the reset comes first.
       for (const [socket, {pending}] of sockets) {
         if ([...pending].some(({response}) => isUnframed(response))) {
--- a/src/mesh/entry/request-body.ts
+++ b/src/mesh/entry/request-body.ts
@@ -3,10 +3,10 @@
 import type {IncomingMessage} from 'node:http';
 import {createBodyBuffer} from '../body-buffer.js';
 import type {Reservation} from '../held-bytes.js';
-import type {TurnQueue} from '../turn-queue.js';
+import type {BodyMonitor} from '../client-limits/body-monitor.js';
 
-/** A whole body, or why there is none; `aborted` when the caller has gone. */
-export type RequestBody = Buffer | 'too-large' | 'memory-full' | 'aborted';
+/** A whole body, or why there is none; `aborted` when the caller has gone, `stalled` when it makes no progress, `late` when it is not complete by the deadline. */
+export type RequestBody = Buffer | 'too-large' | 'memory-full' | 'aborted' | 'stalled' | 'late';
 
 /** Options of reading a body. */
 export type RequestBodyOptions = {
@@ -15,55 +15,55 @@
   reservation: Reservation;
   /** Longest body, in bytes. */
   lengthMax: number;
-  /** Bodies in many pieces wait here, over all requests. */
-  readQueue: TurnQueue;
+  /** Ends bodies that make no progress or are late. */
+  monitor: BodyMonitor;
+  /** Deadline of the request, in milliseconds of the clock. */
+  deadlineAt: number;
+  /** Called with a function that ends the body as `memory-full`. */
+  onBegun: (refuse: () => void) => void;
 };
 
-/** Pieces that are read as they arrive; further ones wait for a turn of the event loop, because reading many chunks of few bytes takes several milliseconds. */
-const PIECES_AT_ONCE = 1000;
-/** Memory of the pieces that Node queues while the request waits, in bytes: 16 KiB and the content of one read, in chunks of one byte. */
-const QUEUED_PIECES_BYTES = 4 * 1024 * 1024;
-
 /** Whether a request has a body. Node's `complete` is still false for one without a body when the request arrives. */
 export const hasBody = (request: IncomingMessage): boolean =>
   request.headers['transfer-encoding'] !== undefined || (request.headers['content-length'] ?? '0') !== '0';
 
-/** Reads a body to its end, or until it exceeds a bound. */
-export const readBody = async ({request, reservation, lengthMax, readQueue}: RequestBodyOptions): Promise<RequestBody> =>
+/** Reads a body to its end, or until it exceeds a bound or `monitor` ends it. */
+export const readBody = async ({request, reservation, lengthMax, monitor, deadlineAt, onBegun}: RequestBodyOptions): Promise<RequestBody> =>
   new Promise(resolve => {
     const body = createBodyBuffer({reservation, lengthMax});
-    let piecesInTurn = 0;
-    let mayQueue = false;
-    /** Lets other work run before the rest of a body in many pieces; Node queues what it has read meanwhile. */
-    const waitForTurn = (): void => {
-      request.pause();
-      readQueue.add(() => {
-        piecesInTurn = 0;
-        request.resume();
-      });
-    };
-
-    request.on('data', (piece: Buffer) => {
-      piecesInTurn++;
+    const onData = (piece: Buffer): void => {
+      monitored.recordProgress();
       const outcome = body.append(piece);
       if (outcome !== 'appended') {
-        resolve(outcome === 'too-long' ? 'too-large' : 'memory-full');
-      } else if (piecesInTurn >= PIECES_AT_ONCE) {
-        mayQueue ||= reservation.add(QUEUED_PIECES_BYTES);
-        if (!mayQueue) {
-          resolve('memory-full');
-        }
-
-        waitForTurn();
+        finish(outcome === 'too-long' ? 'too-large' : 'memory-full');
       }
+    };
+
+    /** What arrives after the body has been given up is discarded. */
+    const finish = (outcome: RequestBody): void => {
+      monitored.end();
+      request.off('data', onData);
+      request.resume();
+      resolve(outcome);
+    };
+
+    const monitored = monitor.begin({
+      deadlineAt,
+      onEnded(reason) {
+        finish(reason);
+      },
+    });
+    onBegun(() => {
+      finish('memory-full');
     });
+    request.on('data', onData);
     request.on('end', () => {
-      resolve(body.toBuffer());
+      finish(body.toBuffer());
     });
     request.on('close', () => {
-      resolve('aborted');
+      finish('aborted');
     });
     request.on('error', () => {
-      resolve('aborted');
+      finish('aborted');
     });
   });
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -12,6 +12,7 @@
 import {createDependencies} from './entry/dependencies.js';
 import type {DownstreamFailures} from './inbound/inbound-call.js';
 import {createInboundProxy, type InboundProxy} from './inbound/inbound-proxy.js';
+import {CONNECTION_LIMIT_DEFAULTS} from './client-limits/limits.js';
 import {createCallerListener} from './entry/caller-listener.js';
 import {createFleet} from './links/fleet.js';
 import {changedObjects, startObjectWatcher, type ObjectWatcher} from './store/object-watcher.js';
@@ -221,6 +222,7 @@
       callGraph.observe(inboundProxy.runningRoutes(), route);
     },
     heldBytesMax: settings.heldBytesMax,
+    clientLimits: {...CONNECTION_LIMIT_DEFAULTS, ...settings.clientLimits},
     onFinished: metrics.record,
     onRefused: metrics.recordRefused,
     onCallFailed(overloadedServices) {
--- a/src/mesh/settings.ts
+++ b/src/mesh/settings.ts
@@ -6,6 +6,7 @@
 
 const address = z.string().check(z.refine(isAddress, 'use `ip:port`'));
 const positive = z.number().check(z.positive());
+const count = z.int('use a whole number').check(z.positive('use a number above 0'));
 
 /** Schema of the settings. Durations are in milliseconds. */
 const settingsSchema = z.object({
@@ -47,6 +48,19 @@
   }),
   /** Maximum number of bytes of request bodies that the process buffers. @default 67108864 */
   heldBytesMax: z._default(positive, 64 * 1024 * 1024),
+  /** Limits for the connections of callers; see src/mesh/client-limits/limits.ts for the defaults. */
+  clientLimits: z.optional(z.strictObject({
+    /** Open connections. @default 1024 */
+    connections: z.optional(count),
+    /** Header lines of one request. @default 4096 */
+    headerLines: z.optional(count),
+    /** Unanswered requests of one connection above which no more are read from it. @default 64 */
+    pipelinedRequests: z.optional(count),
+    /** Memory of one connection above which no further request is read from it, in bytes. @default 4194304 */
+    connectionBytes: z.optional(count),
+    /** Longest time without a byte of a body that is being received. @default the idle timeout of the configuration */
+    bodyProgressMs: z.optional(z.number().check(z.positive('use a number of milliseconds above 0'))),
+  })),
   /** Lowest severity of the log. @default "info" */
   logLevel: z._default(z.enum(['debug', 'info', 'warn', 'error']), 'info'),
 });
