perf(mesh): write short bodies as text together with their head

Reading connections through slices takes Node's native read path away from them, which makes a request dearer. Node writes a buffer and a head as two pieces, and a text as one; so short bodies are written as latin1 text.

--- a/src/mesh/entry/response-writer.ts
+++ b/src/mesh/entry/response-writer.ts
@@ -23,6 +23,18 @@
   shouldCloseConnection: (request: IncomingMessage) => boolean;
 };
 
+/** Longest body that is written as text, in bytes. Node writes it together with the head, which costs less than two pieces. */
+const TEXT_BODY_MAX_BYTES = 4096;
+
+/** Ends a response; latin1 maps each byte to one character and back. */
+const endResponse = (response: ServerResponse, body: Buffer | undefined): void => {
+  if (body === undefined || body.length > TEXT_BODY_MAX_BYTES) {
+    response.end(body);
+  } else {
+    response.end(body.toString('latin1'), 'latin1');
+  }
+};
+
 /** Creates a writer. */
 export const createResponseWriter = ({dialect, log, shouldCloseConnection}: ResponseWriterOptions): ResponseWriter => {
   const writeError = (request: IncomingMessage, response: ServerResponse, requestId: string | undefined, {status, reason, retryAfterMs}: ErrorResponse): void => {
@@ -69,7 +81,7 @@
         }
 
         response.writeHead(outcome.status, headers);
-        response.end(isBodiless ? undefined : outcome.body);
+        endResponse(response, isBodiless ? undefined : outcome.body);
         return;
       }
 
--- a/src/mesh/inbound/backend-connection.ts
+++ b/src/mesh/inbound/backend-connection.ts
@@ -58,6 +58,8 @@
 const IDLE_TIMEOUT_DEFAULT_MS = 4000;
 /** How long before the backend server's idle timeout a connection is given up, in milliseconds: a request sent while the server closes it may be lost. */
 const IDLE_MARGIN_MS = 1500;
+/** Longest body that is written as text together with its head, in bytes; it costs less than a copy into a buffer. */
+const TEXT_BODY_MAX_BYTES = 4096;
 /** Bytes that are parsed at once. */
 const PARSE_SLICE_BYTES = 8 * 1024;
 /** Pieces of a response body that are parsed as they arrive; further ones wait for a turn of the event loop, because parsing a read of one-byte chunks takes several milliseconds. */
@@ -261,7 +263,13 @@
   });
 
   const write = (exchange: Exchange): void => {
-    socket.write(exchange.body.length === 0 ? serializeHead(exchange) : Buffer.concat([Buffer.from(serializeHead(exchange), 'latin1'), exchange.body]), 'latin1');
+    const head = serializeHead(exchange);
+    if (exchange.body.length > TEXT_BODY_MAX_BYTES) {
+      socket.write(Buffer.concat([Buffer.from(head, 'latin1'), exchange.body]));
+    } else {
+      // Latin1 maps each byte to one character and back.
+      socket.write(head + exchange.body.toString('latin1'), 'latin1');
+    }
   };
 
   const connection: BackendConnection = {
