feat(mesh): let long responses of a backend server wait while others are held

The process on the host of a backend server held all responses that arrived at once, and those that a slow link had not taken yet: clients that read nothing brought it to 388 MB. Long responses are now received one after the other once a quarter of heldBytesMax is held, none while the links hold as much, and take one block of the stated length, which is sent without a copy.

--- a/src/mesh/__tests__/body-buffer.spec.ts
+++ b/src/mesh/__tests__/body-buffer.spec.ts
@@ -32,6 +32,26 @@
   });
 }
 
+const statedLengths: Array<{title: string; stated: number}> = [
+  {title: 'its length', stated: 300_000},
+  {title: 'less than its length', stated: 100_000},
+  {title: 'more than its length', stated: 400_000},
+  {title: 'more than may be held', stated: 2_000_000},
+];
+
+for (const {title, stated} of statedLengths) {
+  test(`a body whose sender states ${title} is returned unchanged`, t => {
+    const heldBytes = createHeldBytes({totalMax: 1_000_000});
+    const reservation = heldBytes.reserve();
+    const body = createBodyBuffer({reservation, lengthMax: 3_000_000, statedLength: stated});
+    const sent = pattern(300_000);
+    t.true(split(sent, 8192).every(bytes => body.append(bytes) === 'appended'));
+    t.true(body.toBuffer().equals(sent));
+    reservation.release();
+    t.is(heldBytes.total(), 0);
+  });
+}
+
 const bounds: Array<{title: string; lengthMax: number; totalMax: number; length: number; expected: AppendOutcome}> = [
   {
     title: 'a body of the longest length, where no more is left', lengthMax: 100_000, totalMax: 100_000, length: 100_000, expected: 'appended',
--- a/src/mesh/body-buffer.ts
+++ b/src/mesh/body-buffer.ts
@@ -14,7 +14,15 @@
 };
 
 /** Options of a body, in bytes; the memory of its blocks is added to the reservation, which the owner releases. */
-export type BodyBufferOptions = {reservation: Reservation; lengthMax: number};
+export type BodyBufferOptions = {
+  reservation: Reservation;
+  lengthMax: number;
+  /** Length that the sender states; a long body then takes one block and is not copied again. @default undefined */
+  statedLength?: number;
+};
+
+/** Length from which a body of a stated length takes one block, in bytes. */
+export const LONG_BODY_BYTES = 64 * 1024;
 
 /** Shortest block after the first, in bytes. */
 const BLOCK_MIN_BYTES = 1024;
@@ -24,19 +32,40 @@
 const BLOCK_MAX_BYTES = 1024 * 1024;
 
 /** Creates an empty body. */
-export const createBodyBuffer = ({reservation, lengthMax}: BodyBufferOptions): BodyBuffer => {
+export const createBodyBuffer = ({reservation, lengthMax, statedLength = 0}: BodyBufferOptions): BodyBuffer => {
   const fullBlocks: Buffer[] = [];
   let block = Buffer.alloc(0);
   let usedBytes = 0;
   let length = 0;
 
+  const toBuffer = (): Buffer => fullBlocks.length === 0 ? block.subarray(0, usedBytes) : Buffer.concat([...fullBlocks, block.subarray(0, usedBytes)]);
+
   /** Size of the next block. The first one has the size of the first piece, which is often the whole body; each later one adds a share of what is held, within the bound of the body. */
   const nextBlockBytes = (needed: number): number => {
     const growth = Math.max(BLOCK_MIN_BYTES, Math.min(Math.ceil(length * BLOCK_GROWTH), BLOCK_MAX_BYTES));
     return length === 0 ? needed : Math.max(needed, Math.min(growth, lengthMax - length));
   };
 
+  /** Moves the body so far into one block of the stated length. */
+  const startWholeBlock = (needed: number): boolean => {
+    const isUseful = length > LONG_BODY_BYTES && block.length < statedLength && length + needed <= statedLength && statedLength <= lengthMax;
+    if (!isUseful || !reservation.add(statedLength)) {
+      return false;
+    }
+
+    const whole = Buffer.allocUnsafe(statedLength);
+    toBuffer().copy(whole);
+    fullBlocks.length = 0;
+    block = whole;
+    usedBytes = length;
+    return true;
+  };
+
   const startBlock = (needed: number): boolean => {
+    if (startWholeBlock(needed)) {
+      return true;
+    }
+
     const bytes = nextBlockBytes(needed);
     if (!reservation.add(bytes)) {
       return false;
@@ -76,6 +105,6 @@
 
       return 'appended';
     },
-    toBuffer: () => fullBlocks.length === 0 ? block.subarray(0, usedBytes) : Buffer.concat([...fullBlocks, block.subarray(0, usedBytes)]),
+    toBuffer,
   };
 };
--- a/src/mesh/inbound/backend-connection-pool.ts
+++ b/src/mesh/inbound/backend-connection-pool.ts
@@ -2,6 +2,7 @@
 import {createHeldBytes} from '../held-bytes.js';
 import type {HttpDialect} from '../entry/http-dialect.js';
 import {createTurnQueue} from '../turn-queue.js';
+import {createResponseGate} from './response-gate.js';
 import {
   createBackendConnection, type BackendConnection, type Exchange, type ExchangeResult,
 } from './backend-connection.js';
@@ -13,7 +14,7 @@
 export type BackendConnectionPool = {
   /** Sends a request on an idle connection, or on a new one. */
   run: (exchange: Exchange) => RunningExchange;
-  /** Closes connections whose idle timeout has passed. */
+  /** Closes connections whose idle timeout has passed, and lets responses go on for which there is room by now; called periodically. */
   closeExpired: () => void;
   /** Switches to a new instance or address: idle connections are closed, busy ones are not reused. */
   reset: (address: string) => void;
@@ -31,15 +32,21 @@
   now: () => number;
   /** Called when the backend server violates the protocol. */
   onProtocolEvent: (event: string, requestId: string | undefined) => void;
+  /** Memory above which long responses wait for each other, in bytes. @default 16777216 */
+  responseWaitBytes?: number;
+  /** Memory of complete responses that wait to be sent to other processes, in bytes. @default 0 */
+  unsentBytes?: () => number;
 };
 
 /** Memory that incomplete responses of a process hold at most, in bytes: a fifth of the memory of the smallest hosts. */
 const HELD_MAX_BYTES = 48 * 1024 * 1024;
+const RESPONSE_WAIT_DEFAULT_BYTES = 16 * 1024 * 1024;
 
 /** Creates an empty pool without an address; `reset` sets it. */
 export const createBackendConnectionPool = (options: BackendConnectionPoolOptions): BackendConnectionPool => {
   const heldBytes = createHeldBytes({totalMax: HELD_MAX_BYTES});
   const parseQueue = createTurnQueue();
+  const gate = createResponseGate({waitAboveBytes: options.responseWaitBytes ?? RESPONSE_WAIT_DEFAULT_BYTES, incompleteBytes: heldBytes.total, unsentBytes: options.unsentBytes ?? (() => 0)});
   let address = '';
   let idle: BackendConnection[] = [];
   const open = new Set<BackendConnection>();
@@ -55,6 +62,7 @@
       address,
       heldBytes,
       parseQueue,
+      gate,
       onIdle(reusable) {
         if (outdated.has(reusable)) {
           reusable.destroy('the backend server was replaced');
@@ -106,6 +114,7 @@
       };
     },
     closeExpired() {
+      gate.update();
       const now = options.now();
       for (const connection of idle.filter(candidate => candidate.usableUntil() <= now)) {
         connection.destroy('the idle timeout has passed');
--- a/src/mesh/inbound/backend-connection.ts
+++ b/src/mesh/inbound/backend-connection.ts
@@ -2,9 +2,11 @@
 import {Buffer} from 'node:buffer';
 import {connect, type Socket} from 'node:net';
 import {splitAddress} from '../../shared/address.js';
+import {LONG_BODY_BYTES} from '../body-buffer.js';
 import type {HeldBytes} from '../held-bytes.js';
 import type {HttpDialect} from '../entry/http-dialect.js';
 import type {TurnQueue} from '../turn-queue.js';
+import type {GatedResponse, ResponseGate} from './response-gate.js';
 import {createResponseParser, type ParsedResponse, type ResponseFault} from './response-parser.js';
 
 /** How an exchange ended. */
@@ -45,6 +47,8 @@
   heldBytes: HeldBytes;
   /** Parses long responses in small pieces, over all connections. */
   parseQueue: TurnQueue;
+  /** Long responses wait here for others. */
+  gate: ResponseGate;
   /** Called when the connection can be reused. */
   onIdle: (connection: BackendConnection) => void;
   onClosed: (connection: BackendConnection) => void;
@@ -94,12 +98,28 @@
   let closed = false;
   let closesAfterResponse = false;
   let cause: string | undefined;
+  let gated: GatedResponse | undefined;
   const socket: Socket = connect({host, port, noDelay: true});
 
+  const leaveGate = (): void => {
+    gated?.end();
+    gated = undefined;
+  };
+
+  /** Whether the current response is long and has to wait for others. */
+  const mustWait = (): boolean => {
+    if (gated === undefined && parser.bodyBytes() > LONG_BODY_BYTES) {
+      gated = options.gate.enter(parseReceived);
+    }
+
+    return gated?.mayRead() === false;
+  };
+
   const finish = (result: ExchangeResult): void => {
     const exchange = current;
     current = undefined;
     parser.release();
+    leaveGate();
     exchange?.onEnd(result);
   };
 
@@ -120,6 +140,7 @@
     completed = undefined;
     const bytes = body.toBuffer();
     parser.release();
+    leaveGate();
     if (mayReuse) {
       options.onIdle(connection);
     } else {
@@ -187,6 +208,11 @@
   /** Parses received bytes until a response is complete or has to wait for its next turn. */
   const parseReceived = (): void => {
     while (unparsed.length > 0 && !socket.destroyed) {
+      if (mustWait()) {
+        socket.pause();
+        return;
+      }
+
       const slice = unparsed.subarray(0, PARSE_SLICE_BYTES);
       unparsed = unparsed.subarray(slice.length);
       const fault = parser.parse(slice);
@@ -207,7 +233,11 @@
       }
     }
 
-    socket.resume();
+    if (mustWait()) {
+      socket.pause();
+    } else {
+      socket.resume();
+    }
   };
 
   const onData = (chunk: Buffer): void => {
--- a/src/mesh/inbound/inbound-proxy.ts
+++ b/src/mesh/inbound/inbound-proxy.ts
@@ -72,6 +72,10 @@
   downstreamFailures: () => DownstreamFailures;
   /** Number of connections that a backend server of a service accepts. */
   connectionLimit: (service: string) => number;
+  /** Memory above which long responses of the backend server wait for each other, in bytes. @default 16777216 */
+  responseWaitBytes?: number;
+  /** Memory of complete responses that wait to be sent to other processes, in bytes. @default 0 */
+  unsentBytes?: () => number;
   /** Called when the state that is published to other processes has changed. */
   onStateChange: (state: BackendState) => void;
   /** Called with all departures of the backend server when there is a new one, which has to outlast this process. */
@@ -96,6 +100,8 @@
   const pool = createBackendConnectionPool({
     dialect,
     now,
+    responseWaitBytes: options.responseWaitBytes,
+    unsentBytes: options.unsentBytes,
     onProtocolEvent(event, requestId) {
       log.count('backend_protocol', event);
       log.write('warn', event, {request: requestId});
--- a/src/mesh/inbound/response-parser.ts
+++ b/src/mesh/inbound/response-parser.ts
@@ -23,6 +23,8 @@
   parse: (bytes: Buffer) => ResponseFault | undefined;
   /** Pieces in which the body of the current response has arrived; each takes about the same time to parse, whatever its length. */
   pieces: () => number;
+  /** Bytes of the body of the current response so far. */
+  bodyBytes: () => number;
   /** Hands over a response that the end of the connection completes; returns whether there was one. */
   endOfConnection: () => boolean;
   /** Whether bytes of a further response have arrived. */
@@ -62,6 +64,12 @@
 const isFramed = (rawHeaders: readonly string[]): boolean =>
   rawHeaders.some((name, index) => index % 2 === 0 && /^(?:content-length|transfer-encoding)$/iu.test(name));
 
+/** Length of the body that a response states; undefined without one. */
+const statedLengthOf = (rawHeaders: readonly string[]): number | undefined => {
+  const nameIndex = rawHeaders.findIndex((name, index) => index % 2 === 0 && /^content-length$/iu.test(name));
+  return nameIndex === -1 ? undefined : Number(rawHeaders[nameIndex + 1]);
+};
+
 const headBytes = (rawHeaders: readonly string[]): number => {
   let bytes = 0;
   for (const text of rawHeaders) {
@@ -145,7 +153,7 @@
     }
 
     response = {
-      status: info.statusCode, rawHeaders: info.headers, body: createBodyBuffer({reservation, lengthMax: BODY_MAX_BYTES}), framed: isFramed(info.headers), keepsConnection: info.shouldKeepAlive,
+      status: info.statusCode, rawHeaders: info.headers, body: createBodyBuffer({reservation, lengthMax: BODY_MAX_BYTES, statedLength: statedLengthOf(info.headers)}), framed: isFramed(info.headers), keepsConnection: info.shouldKeepAlive,
     };
 
     // Returning 1 tells the parser that there is no body, whatever the headers say.
@@ -189,6 +197,7 @@
       return fault;
     },
     pieces: () => pieces,
+    bodyBytes: () => bodyBytes,
     endOfConnection() {
       if (response === undefined || response.framed) {
         return false;
--- a/src/mesh/links/fleet.ts
+++ b/src/mesh/links/fleet.ts
@@ -45,6 +45,8 @@
   publishBackendState: (state: BackendState) => void;
   /** Tells the peers which versions this process knows, so that those with older ones request them. */
   announceVersions: () => void;
+  /** Bytes that wait to be sent to the processes that have opened a link. */
+  unsentBytes: () => number;
   /** Estimated capacity and load of a service. */
   serviceLoad: (service: string) => ServiceLoad;
   /** Estimated calls that the hosts of a service have received within the retry budget window; undefined when no host is reachable. */
@@ -372,6 +374,7 @@
       links.close();
       server.close();
     },
+    unsentBytes: server.unsentBytes,
     status: () => ({links: links.open().length, incoming: server.linkCount()}),
   };
 };
--- a/src/mesh/links/frame.ts
+++ b/src/mesh/links/frame.ts
@@ -7,7 +7,11 @@
 export type Frame = {message: Message; body: Buffer};
 
 /** Encoder of one connection. Frames must be sent in the order in which they are encoded, because field names are sent with their first use only. */
-export type FrameWriter = {encode: (message: Message, body?: Buffer) => Buffer};
+export type FrameWriter = {
+  encode: (message: Message, body?: Buffer) => Buffer;
+  /** Encodes a frame up to its body, which has to be sent next. */
+  encodeHead: (message: Message, bodyBytes: number) => Buffer;
+};
 
 /** Two 32-bit lengths before the header: of the rest of the frame, and of the header. */
 const LENGTH_PREFIX_BYTES = 8;
@@ -19,6 +23,13 @@
 export const createFrameWriter = (): FrameWriter => {
   const packr = new Packr({sequential: true});
   return {
+    encodeHead(message, bodyBytes) {
+      const header = packr.pack(message);
+      const prefix = Buffer.allocUnsafe(LENGTH_PREFIX_BYTES);
+      prefix.writeUInt32BE(4 + header.length + bodyBytes, 0);
+      prefix.writeUInt32BE(header.length, 4);
+      return Buffer.concat([prefix, header]);
+    },
     encode(message, body = NO_BODY) {
       const header = packr.pack(message);
       const frame = Buffer.allocUnsafe(LENGTH_PREFIX_BYTES + header.length + body.length);
--- a/src/mesh/links/peer-server.ts
+++ b/src/mesh/links/peer-server.ts
@@ -1,6 +1,7 @@
 /** Accepts links from other processes and passes their calls on to the local backend server. */
 import {createServer, type Server, type Socket} from 'node:net';
 import {listenOn} from '../../shared/address.js';
+import {LONG_BODY_BYTES} from '../body-buffer.js';
 import type {DecisionLog} from '../decision-log.js';
 import {createErrorBoundary} from '../error-boundary.js';
 import type {InboundProxy} from '../inbound/inbound-proxy.js';
@@ -18,6 +19,8 @@
   close: () => void;
   /** Number of accepted links. */
   linkCount: () => number;
+  /** Bytes that wait to be sent over the accepted links. */
+  unsentBytes: () => number;
 };
 
 /** Link that another process has opened; `member` is undefined before its `hello` message. */
@@ -75,8 +78,18 @@
     let member: Member | undefined;
     const writer = createFrameWriter();
     const send = (message: Message, body?: Frame['body']): void => {
-      if (!socket.destroyed) {
+      if (socket.destroyed) {
+        return;
+      }
+
+      if (body === undefined || body.length <= LONG_BODY_BYTES) {
         socket.write(writer.encode(message, body));
+      } else {
+        // A long body is sent without a copy of it.
+        socket.cork();
+        socket.write(writer.encodeHead(message, body.length));
+        socket.write(body);
+        socket.uncork();
       }
     };
 
@@ -238,5 +251,13 @@
       }
     },
     linkCount: () => links.size,
+    unsentBytes() {
+      let bytes = 0;
+      for (const {socket} of links) {
+        bytes += socket.writableLength;
+      }
+
+      return bytes;
+    },
   };
 };
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -69,6 +69,8 @@
 
 /** Interval of the periodic work, such as timeouts, pings and reconnects, in milliseconds. */
 const TICK_MS = 50;
+/** Share of the memory for connections of callers above which long responses of the backend server wait for each other. */
+const RESPONSE_WAIT_SHARE = 0.25;
 /** Interval at which the admitted shares are updated, in milliseconds. */
 const ADMISSION_INTERVAL_MS = 100;
 /** Interval at which the dependencies of routes are derived from the observed call graph, in milliseconds. */
@@ -148,6 +150,8 @@
     retryWindowMs: settings.bounds.retryWindowMs,
     announcementMs: settings.announcementMs,
     downstreamFailures: () => downstreamFailures,
+    responseWaitBytes: settings.heldBytesMax * RESPONSE_WAIT_SHARE,
+    unsentBytes: () => fleet.unsentBytes(),
     connectionLimit: service => routeTable?.configuration.services.find(limits => limits.service === service)?.connections ?? Number.POSITIVE_INFINITY,
     onStateChange(state: BackendState) {
       fleet.publishBackendState(state);
