feat(mesh): wait for released buffers before the next long response

Each long response left several megabytes of released buffers, faster than the collector takes them back.

--- a/src/mesh/inbound/backend-connection-pool.ts
+++ b/src/mesh/inbound/backend-connection-pool.ts
@@ -1,4 +1,5 @@
 /** Pool of connections to the backend server of this host. The most recently used idle connection is reused first. */
+import {getHeapStatistics} from 'node:v8';
 import {createHeldBytes} from '../held-bytes.js';
 import type {HttpDialect} from '../entry/http-dialect.js';
 import {createTurnQueue} from '../turn-queue.js';
@@ -41,12 +42,21 @@
 /** Memory that incomplete responses of a process hold at most, in bytes: a fifth of the memory of the smallest hosts. */
 const HELD_MAX_BYTES = 48 * 1024 * 1024;
 const RESPONSE_WAIT_DEFAULT_BYTES = 16 * 1024 * 1024;
+/** Memory of all buffers, as a multiple of the memory above which responses wait, above which the next one waits for the garbage collector: twice what the connections of callers may hold. */
+const BUFFER_FACTOR = 8;
 
 /** Creates an empty pool without an address; `reset` sets it. */
 export const createBackendConnectionPool = (options: BackendConnectionPoolOptions): BackendConnectionPool => {
   const heldBytes = createHeldBytes({totalMax: HELD_MAX_BYTES});
   const parseQueue = createTurnQueue();
-  const gate = createResponseGate({waitAboveBytes: options.responseWaitBytes ?? RESPONSE_WAIT_DEFAULT_BYTES, incompleteBytes: heldBytes.total, unsentBytes: options.unsentBytes ?? (() => 0)});
+  const waitAboveBytes = options.responseWaitBytes ?? RESPONSE_WAIT_DEFAULT_BYTES;
+  const gate = createResponseGate({
+    waitAboveBytes,
+    incompleteBytes: heldBytes.total,
+    unsentBytes: options.unsentBytes ?? (() => 0),
+    bufferBytes: () => getHeapStatistics().external_memory,
+    bufferBytesMax: BUFFER_FACTOR * waitAboveBytes,
+  });
   let address = '';
   let idle: BackendConnection[] = [];
   const open = new Set<BackendConnection>();
--- a/src/mesh/inbound/backend-connection.ts
+++ b/src/mesh/inbound/backend-connection.ts
@@ -64,6 +64,8 @@
 const IDLE_MARGIN_MS = 1500;
 /** Longest body that is written as text together with its head, in bytes; it costs less than a copy into a buffer. */
 const TEXT_BODY_MAX_BYTES = 4096;
+/** Longest read, in bytes. */
+const READ_BYTES = 16 * 1024;
 /** Bytes that are parsed at once. */
 const PARSE_SLICE_BYTES = 8 * 1024;
 /** Pieces of a response body that are parsed as they arrive; further ones wait for a turn of the event loop, because parsing a read of one-byte chunks takes several milliseconds. */
@@ -99,7 +101,20 @@
   let closesAfterResponse = false;
   let cause: string | undefined;
   let gated: GatedResponse | undefined;
-  const socket: Socket = connect({host, port, noDelay: true});
+  const readBuffer = Buffer.allocUnsafeSlow(READ_BYTES);
+  const socket: Socket = connect({
+    host,
+    port,
+    noDelay: true,
+    // One buffer for all reads leaves no garbage. Its content is parsed before the next read, which waits while the socket is paused.
+    onread: {
+      buffer: readBuffer,
+      callback(bytes) {
+        onData(readBuffer.subarray(0, bytes));
+        return true;
+      },
+    },
+  });
 
   const leaveGate = (): void => {
     gated?.end();
@@ -277,7 +292,6 @@
       write(current);
     }
   });
-  socket.on('data', onData);
   socket.on('end', onEnd);
   socket.on('error', error => {
     cause ??= error.message;
--- a/src/mesh/inbound/response-gate.ts
+++ b/src/mesh/inbound/response-gate.ts
@@ -23,22 +23,37 @@
   incompleteBytes: () => number;
   /** Memory of complete responses that wait to be sent to other processes. */
   unsentBytes: () => number;
+  /** Memory of all buffers of the process. It includes released ones that have not been collected yet, of which many long responses leave much. */
+  bufferBytes: () => number;
+  /** Memory of buffers above which only one long response begins between two updates. */
+  bufferBytesMax: number;
 };
 
-type Entry = {isWaiting: boolean; onReadable: () => void};
+type Entry = {isWaiting: boolean; hasBegun: boolean; onReadable: () => void};
 
 /** Creates a gate without responses. */
-export const createResponseGate = ({waitAboveBytes, incompleteBytes, unsentBytes}: ResponseGateOptions): ResponseGate => {
+export const createResponseGate = ({waitAboveBytes, incompleteBytes, unsentBytes, bufferBytes, bufferBytesMax}: ResponseGateOptions): ResponseGate => {
   /** In the order in which they became long. The first one is read whatever the others hold, so that one completes. */
   const entries = new Set<Entry>();
+  let mayBeginOne = true;
 
   const mayRead = (entry: Entry): boolean => {
     const unsent = unsentBytes();
     const [first] = entries;
-    return unsent <= waitAboveBytes && (entry === first || unsent + incompleteBytes() <= waitAboveBytes);
+    if (unsent > waitAboveBytes || (entry !== first && unsent + incompleteBytes() > waitAboveBytes)) {
+      return false;
+    }
+
+    if (!entry.hasBegun && bufferBytes() > bufferBytesMax && !mayBeginOne) {
+      return false;
+    }
+
+    mayBeginOne &&= entry.hasBegun;
+    entry.hasBegun = true;
+    return true;
   };
 
-  const update = (): void => {
+  const resumeWaiting = (): void => {
     for (const entry of entries) {
       if (entry.isWaiting && mayRead(entry)) {
         entry.isWaiting = false;
@@ -49,7 +64,7 @@
 
   return {
     enter(onReadable) {
-      const entry: Entry = {isWaiting: false, onReadable};
+      const entry: Entry = {isWaiting: false, hasBegun: false, onReadable};
       entries.add(entry);
       return {
         mayRead() {
@@ -59,11 +74,14 @@
         end() {
           entries.delete(entry);
           if (entries.size > 0) {
-            setImmediate(update);
+            setImmediate(resumeWaiting);
           }
         },
       };
     },
-    update,
+    update() {
+      mayBeginOne = true;
+      resumeWaiting();
+    },
   };
 };
--- a/src/mesh/links/frame.ts
+++ b/src/mesh/links/frame.ts
@@ -1,6 +1,7 @@
 /** Framing of a connection between two processes: a MessagePack header and an optional body. Field names are sent once per connection. */
 import {Buffer} from 'node:buffer';
 import {Packr, Unpackr} from 'msgpackr';
+import {LONG_BODY_BYTES} from '../body-buffer.js';
 import type {Message} from '../message.js';
 
 /** A decoded frame. */
@@ -47,12 +48,35 @@
   const unpackr = new Unpackr({sequential: true});
   let chunks: Buffer[] = [];
   let bufferedBytes = 0;
+  let longFrame: Buffer | undefined;
+  /** Bytes of the long frame so far; negative while its length is skipped. */
+  let longFrameBytes = 0;
 
   const decode = (bytes: Buffer): Frame => {
     const headerBytes = bytes.readUInt32BE(0);
     return {message: unpackr.unpack(bytes.subarray(4, 4 + headerBytes)) as Message, body: bytes.subarray(4 + headerBytes)};
   };
 
+  /** Collects a long frame in a buffer of its length, so that the chunks are released as they arrive. */
+  const beginLongFrame = (length: number): void => {
+    longFrame = Buffer.allocUnsafe(length);
+    longFrameBytes = -4;
+    const received = chunks;
+    chunks = [];
+    bufferedBytes = 0;
+    for (const chunk of received) {
+      continueLongFrame(longFrame, chunk);
+    }
+  };
+
+  /** Copies what belongs to a long frame, which is preceded by its length, and returns the rest. */
+  const continueLongFrame = (frame: Buffer, chunk: Buffer): Buffer => {
+    const skipped = Math.min(chunk.length, Math.max(0, -longFrameBytes));
+    const copied = chunk.copy(frame, Math.max(0, longFrameBytes), skipped);
+    longFrameBytes += skipped + copied;
+    return chunk.subarray(skipped + copied);
+  };
+
   const takeFrame = (): Buffer | undefined => {
     if (bufferedBytes < LENGTH_PREFIX_BYTES) {
       return undefined;
@@ -68,6 +92,10 @@
     }
 
     if (bufferedBytes < 4 + length) {
+      if (length > LONG_BODY_BYTES) {
+        beginLongFrame(length);
+      }
+
       return undefined;
     }
 
@@ -79,8 +107,24 @@
 
   return {
     push(chunk) {
-      chunks.push(chunk);
-      bufferedBytes += chunk.length;
+      let rest = chunk;
+      if (longFrame !== undefined) {
+        rest = continueLongFrame(longFrame, chunk);
+        if (longFrameBytes < longFrame.length) {
+          return;
+        }
+
+        const frame = longFrame;
+        longFrame = undefined;
+        onFrame(decode(frame));
+      }
+
+      if (rest.length === 0) {
+        return;
+      }
+
+      chunks.push(rest);
+      bufferedBytes += rest.length;
       for (let bytes = takeFrame(); bytes !== undefined; bytes = takeFrame()) {
         onFrame(decode(bytes));
       }
