fix(mesh): admit long responses one by one while buffers wait for the collector

Responses that had begun went on side by side, so the gate did not bound the rate of released buffers.

--- a/src/mesh/body-buffer.ts
+++ b/src/mesh/body-buffer.ts
@@ -22,7 +22,7 @@
 };
 
 /** Length from which a body of a stated length takes one block, in bytes. */
-export const LONG_BODY_BYTES = 64 * 1024;
+export const LONG_BODY_BYTES = 32 * 1024;
 
 /** Shortest block after the first, in bytes. */
 const BLOCK_MIN_BYTES = 1024;
--- a/src/mesh/inbound/backend-connection-pool.ts
+++ b/src/mesh/inbound/backend-connection-pool.ts
@@ -42,8 +42,8 @@
 /** Memory that incomplete responses of a process hold at most, in bytes: a fifth of the memory of the smallest hosts. */
 const HELD_MAX_BYTES = 48 * 1024 * 1024;
 const RESPONSE_WAIT_DEFAULT_BYTES = 16 * 1024 * 1024;
-/** Memory of all buffers, as a multiple of the memory above which responses wait, above which the next one waits for the garbage collector: twice what the connections of callers may hold. */
-const BUFFER_FACTOR = 8;
+/** Memory of all buffers, as a multiple of the memory above which responses wait, above which the next one waits for the garbage collector: one and a half times what the connections of callers may hold. */
+const BUFFER_FACTOR = 6;
 
 /** Creates an empty pool without an address; `reset` sets it. */
 export const createBackendConnectionPool = (options: BackendConnectionPoolOptions): BackendConnectionPool => {
--- a/src/mesh/inbound/response-gate.ts
+++ b/src/mesh/inbound/response-gate.ts
@@ -25,31 +25,35 @@
   unsentBytes: () => number;
   /** Memory of all buffers of the process. It includes released ones that have not been collected yet, of which many long responses leave much. */
   bufferBytes: () => number;
-  /** Memory of buffers above which only one long response begins between two updates. */
+  /** Memory of buffers above which only one long response is received between two updates. */
   bufferBytesMax: number;
 };
 
-type Entry = {isWaiting: boolean; hasBegun: boolean; onReadable: () => void};
+type Entry = {isWaiting: boolean; isAdmitted: boolean; onReadable: () => void};
 
 /** Creates a gate without responses. */
 export const createResponseGate = ({waitAboveBytes, incompleteBytes, unsentBytes, bufferBytes, bufferBytesMax}: ResponseGateOptions): ResponseGate => {
   /** In the order in which they became long. The first one is read whatever the others hold, so that one completes. */
   const entries = new Set<Entry>();
-  let mayBeginOne = true;
+  let mayAdmitOne = true;
 
   const mayRead = (entry: Entry): boolean => {
     const unsent = unsentBytes();
     const [first] = entries;
-    if (unsent > waitAboveBytes || (entry !== first && unsent + incompleteBytes() > waitAboveBytes)) {
+    if (unsent > waitAboveBytes) {
       return false;
     }
 
-    if (!entry.hasBegun && bufferBytes() > bufferBytesMax && !mayBeginOne) {
+    if (entry !== first) {
+      return unsent + incompleteBytes() <= waitAboveBytes && bufferBytes() <= bufferBytesMax;
+    }
+
+    if (!entry.isAdmitted && !mayAdmitOne && bufferBytes() > bufferBytesMax) {
       return false;
     }
 
-    mayBeginOne &&= entry.hasBegun;
-    entry.hasBegun = true;
+    mayAdmitOne &&= entry.isAdmitted;
+    entry.isAdmitted = true;
     return true;
   };
 
@@ -64,7 +68,7 @@
 
   return {
     enter(onReadable) {
-      const entry: Entry = {isWaiting: false, hasBegun: false, onReadable};
+      const entry: Entry = {isWaiting: false, isAdmitted: false, onReadable};
       entries.add(entry);
       return {
         mayRead() {
@@ -80,7 +84,7 @@
       };
     },
     update() {
-      mayBeginOne = true;
+      mayAdmitOne = true;
       resumeWaiting();
     },
   };
