--- a/src/mesh/entry/caller-listener.ts
+++ b/src/mesh/entry/caller-listener.ts
@@ -12,6 +12,7 @@
 import {headBytes, headCost} from '../client-limits/request-head.js';
 import type {Reservation} from '../held-bytes.js';
 import {createTurnQueue} from '../turn-queue.js';
+import type {WorkspaceRateLimiter} from '../rate-limits/workspace-rate-limiter.js';
 import {forwardRequest, type ForwardingOptions, type RequestOutcome} from './request-forwarder.js';
 import type {HttpDialect, RequestMetadata, WorkspaceHeader} from './http-dialect.js';
 import {hasBody, readBody} from './request-body.js';
@@ -47,6 +48,7 @@
   heldBytesMax: number;
   /** Limits for the connections of callers. */
   clientLimits: ConnectionLimits;
+  rateLimits: Pick<WorkspaceRateLimiter, 'acquire'>;
   /** Called when a request for a route arrives. */
   onArrived: (route: string) => void;
   /** Called with the outcome of each request and its duration in milliseconds. */
@@ -244,6 +246,18 @@
 
     state.isForwarding = true;
     socketState.awaitingResponse++;
+    const permit = workspace === undefined ? undefined : await options.rateLimits.acquire(workspace);
+    if (permit?.kind === 'limited') {
+      options.onRefused(workspaceHeader);
+      writeError(request, response, requestId, {status: 429, reason: 'workspace-rate-limit', retryAfterMs: permit.retryAfterMs});
+      return;
+    }
+
+    if (state.settled) {
+      permit?.giveBack();
+      return;
+    }
+
     const service = table!.selectService(route);
     const priority = workspace?.priority ?? route.priority;
     const requestHandle = forwardRequest(options, {
@@ -264,6 +278,10 @@
     }, outcome => {
       boundary.run(requestId, () => {
         const milliseconds = now() - arrivedAt;
+        if (outcome.kind === 'not-run') {
+          permit?.giveBack();
+        }
+
         const failed = outcome.kind !== 'answered' || outcome.status >= FIRST_SERVER_ERROR_STATUS;
         options.onFinished(route, outcome.kind, milliseconds, workspaceHeader);
         if (failed) {
--- a/src/mesh/links/fleet.ts
+++ b/src/mesh/links/fleet.ts
@@ -3,6 +3,7 @@
 import {randomUUID} from 'node:crypto';
 import type {Random} from '../../shared/random.js';
 import type {ServiceLoad} from '../entry/admission.js';
+import type {ServiceDemand} from '../fair-shares/service-demand.js';
 import type {CrashGuard} from '../inbound/crash-guard.js';
 import type {CrashRecord} from '../inbound/crash-records.js';
 import type {DecisionLog} from '../decision-log.js';
@@ -15,10 +16,11 @@
 import type {CountedCalls} from '../entry/retry-budget.js';
 import type {RoutingConfiguration} from '../entry/routing-configuration.js';
 import type {Candidate} from '../entry/selection.js';
+import type {WorkspaceRateLimiter} from '../rate-limits/workspace-rate-limiter.js';
 import {createStoreReaders, readingTimes, type StoreReaders} from '../members/store-readers.js';
 import {createStateExchange} from './state-exchange.js';
 import {
-  estimateCallCounts, estimateServiceLoad, type BackendCounts, type LoadSample,
+  estimateCallCounts, estimateServiceLoad, estimateWorkspaceDemand, type BackendCounts, type LoadSample,
 } from './service-estimate.js';
 import {createPeerServer, type IncomingLink} from './peer-server.js';
 import {createPeerLink, type PeerLink} from './peer-link.js';
@@ -49,6 +51,8 @@
   unsentBytes: () => number;
   /** Estimated capacity and load of a service. */
   serviceLoad: (service: string) => ServiceLoad;
+  /** Estimated demand for a service by workspace; undefined without a recent report. */
+  workspaceDemand: (service: string) => ServiceDemand | undefined;
   /** Estimated calls that the hosts of a service have received within the retry budget window; undefined when no host is reachable. */
   callCounts: (service: string) => CountedCalls | undefined;
   /** Services of the members, always including the service of this host. */
@@ -57,6 +61,10 @@
   storeReaders: Pick<StoreReaders, 'isReader' | 'isLastingReader' | 'retryMaxMs'>;
   /** Records that this process has read the configuration as the store held it at a time of the clock. */
   recordStoreRead: (readAt: number) => void;
+  /** Whether an outgoing link to a process is open. */
+  isOpen: (node: string) => boolean;
+  /** Sends a message over the outgoing link to a process, if it is open. */
+  send: (node: string, message: Message) => void;
   /** Sends records of crashes: to all linked processes those that this process has found out, to some of them those that it passes on. */
   publishCrashes: (records: CrashRecord[], isOwn: boolean) => void;
   /** Drives the links and publishes what is due; called periodically. */
@@ -77,6 +85,7 @@
   directory: MemberDirectory;
   learntRoutes: LearntRouteSpread;
   crashGuard: Pick<CrashGuard, 'all' | 'merge'>;
+  rateLimits: Pick<WorkspaceRateLimiter, 'answer' | 'receive' | 'contacts'>;
   random: Random;
   /** Time after its confirmation by the store from which a version of the configuration must be in force, in milliseconds. */
   configurationMs: number;
@@ -122,7 +131,7 @@
     },
   });
   const stateExchange = createStateExchange({
-    now, log, directory, learntRoutes, storeReaders, crashGuard: options.crashGuard, configuration: options.configuration, onConfiguration: options.onConfiguration,
+    now, log, directory, learntRoutes, storeReaders, crashGuard: options.crashGuard, rateLimits: options.rateLimits, configuration: options.configuration, onConfiguration: options.onConfiguration,
   });
   const {known} = stateExchange;
   const failureRates = new Map<string, FailureRate>();
@@ -241,7 +250,8 @@
     contacts = new Set(storeReaders.contacts(links.reachability));
     const contactMembers = zoneMembers.filter(({node}) => contacts.has(node));
     const subsets = wantedServices().flatMap(service => chooseSubset(rings, self, service, links.isUsable));
-    links.setWanted([...new Map([...contactMembers, ...subsets].map(member => [member.node, member])).values()]);
+    const coordinators = options.rateLimits.contacts(links.reachability).flatMap(node => directory.entryOf(node)?.member ?? []);
+    links.setWanted([...new Map([...contactMembers, ...coordinators, ...subsets].map(member => [member.node, member])).values()]);
   };
 
   const linksTo = (service: string) => links.open().filter(({member}) => member.service === service);
@@ -278,9 +288,9 @@
 
   /** Loads of the linked backend servers of a service and of the local one. */
   const loadSamples = (service: string, isCounted: (state: BackendState) => boolean): LoadSample[] => {
-    const linked = linksTo(service).map(({link, member}) => ({zone: member.zone, state: link.state()}));
-    const all = self.service === service ? [{zone: self.zone, state: inboundProxy.state()}, ...linked] : linked;
-    return all.map(({zone, state}) => ({zone, load: state.kind !== 'absent' && state.service === service && isCounted(state) ? state.load : undefined}));
+    const linked = linksTo(service).map(({link, member}) => ({zone: member.zone, state: link.state(), demandAgeMs: link.demandAgeMs()}));
+    const all = self.service === service ? [{zone: self.zone, state: inboundProxy.state(), demandAgeMs: 0}, ...linked] : linked;
+    return all.map(({zone, state, demandAgeMs}) => ({zone, demandAgeMs, load: state.kind !== 'absent' && state.service === service && isCounted(state) ? state.load : undefined}));
   };
 
   /** Publishes the load while calls are queued, and once after the queue has emptied: peers that send no calls here get no load with a result. */
@@ -336,6 +346,13 @@
       server.broadcast({type: 'state', state, record: inboundProxy.record()});
     },
     announceVersions,
+    isOpen: node => links.linkTo(node)?.isOpen() ?? false,
+    send(node, message) {
+      const link = links.linkTo(node);
+      if (link?.isOpen()) {
+        link.send(message);
+      }
+    },
     publishCrashes(records, isOwn) {
       const open = links.open().map(({link}) => link);
       if (isOwn) {
@@ -347,6 +364,7 @@
       }
     },
     serviceLoad: service => estimateServiceLoad(loadSamples(service, ({kind}) => kind === 'ready'), backendCounts(service)),
+    workspaceDemand: service => estimateWorkspaceDemand(loadSamples(service, () => true), backendCounts(service)),
     callCounts: service => estimateCallCounts(loadSamples(service, () => true), backendCounts(service)),
     services: () => rings.services().has(self.service) ? rings.services() : new Set([...rings.services(), self.service]),
     storeReaders,
