--- a/src/mesh/links/__tests__/frame.spec.ts
+++ b/src/mesh/links/__tests__/frame.spec.ts
@@ -42,6 +42,25 @@
   });
 }
 
+for (const size of [1000, 4099, 65_536, 300_000]) {
+  test(`long frames between short ones are decoded from chunks of ${size} bytes, with their head sent apart or not`, t => {
+    const bodies = [Buffer.alloc(100_000, 'first '), Buffer.alloc(5), Buffer.alloc(70_000, 'second ')];
+    const writer = createFrameWriter();
+    const message: Message = {type: 'cancel', id: 7};
+    const bytes = Buffer.concat(bodies.flatMap((body, index) => index === 0 ? [writer.encodeHead(message, body.length), body] : [writer.encode(message, body)]));
+    const frames: Frame[] = [];
+    const reader = createFrameReader(frame => {
+      frames.push({message: frame.message, body: Buffer.from(frame.body)});
+    });
+    for (let start = 0; start < bytes.length; start += size) {
+      reader.push(bytes.subarray(start, start + size));
+    }
+
+    t.deepEqual(frames.map(frame => frame.message), bodies.map(() => message));
+    t.true(frames.every(({body}, index) => body.equals(bodies[index]!)));
+  });
+}
+
 test('field names are sent once per connection', t => {
   const writer = createFrameWriter();
   const [first, second] = [writer.encode({type: 'cancel', id: 1}), writer.encode({type: 'cancel', id: 2})];
