fix(mesh): tolerate single requests in proportion to the account

A process with a small account admitted bodies above it, because the tolerance for a single request was a fixed 2 MiB, and closed the connection of a response longer than the account. The tolerance is a share of the account now (2 MiB at the default), and one response counts for at most half of it.

--- a/src/mesh/client-limits/connection-account.ts
+++ b/src/mesh/client-limits/connection-account.ts
@@ -41,10 +41,10 @@
   log: Pick<DecisionLog, 'count' | 'write'>;
 };
 
-/** Memory above the bound that one connection may hold while the others hold next to nothing, in bytes: the longest body takes its last block and its head beside its length. */
-const SINGLE_REQUEST_EXTRA_BYTES = 2 * 1024 * 1024;
-/** What the others may hold meanwhile, in bytes. */
-const NEXT_TO_NOTHING_BYTES = 512 * 1024;
+/** Share of the bound by which one connection may exceed it while the others hold next to nothing: the longest body takes its last block and its head beside its length. */
+const SINGLE_REQUEST_EXTRA_SHARE = 1 / 32;
+/** Share of the bound that the others may hold meanwhile. */
+const NEXT_TO_NOTHING_SHARE = 1 / 128;
 
 type Entry = {state: ConnectionState; heldBytes: number; isOpen: boolean};
 
@@ -97,7 +97,7 @@
     entry.state.evict(reason);
   };
 
-  const mayExceed = (entry: Entry): boolean => totalBytes <= heldBytesMax + SINGLE_REQUEST_EXTRA_BYTES && totalBytes - entry.heldBytes <= NEXT_TO_NOTHING_BYTES;
+  const mayExceed = (entry: Entry): boolean => totalBytes <= heldBytesMax * (1 + SINGLE_REQUEST_EXTRA_SHARE) && totalBytes - entry.heldBytes <= heldBytesMax * NEXT_TO_NOTHING_SHARE;
 
   const makeRoom = (): void => {
     for (;;) {
--- a/src/mesh/entry/caller-listener.ts
+++ b/src/mesh/entry/caller-listener.ts
@@ -72,6 +72,8 @@
 /** `Retry-After` while the process is stopping, in milliseconds; by then the client is routed to another host. */
 const RETRY_AFTER_STOPPING_MS = 100;
 const RETRY_AFTER_MEMORY_MS = 500;
+/** Largest share of the memory for connections that one response counts for, so that it is sent however long it is. */
+const RESPONSE_SHARE_MAX = 0.5;
 /** Interval at which bodies and unread responses are checked, in milliseconds. */
 const CHECK_INTERVAL_MS = 250;
 
@@ -288,7 +290,7 @@
           options.onCallFailed(overloadedServices(outcome, service));
         }
 
-        if (outcome.kind === 'answered' && !state.reservation.add(outcome.body.length)) {
+        if (outcome.kind === 'answered' && !state.reservation.add(Math.min(outcome.body.length, options.heldBytesMax * RESPONSE_SHARE_MAX))) {
           return;
         }
 
