--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -213,7 +213,7 @@
       servicesOf: dependencies.servicesOf,
       dependentPriorities(service) {
         const priorities = dependencies.dependentPriorities(service);
-        return routeTable?.workspaces.withPriorities(priorities) ?? priorities;
+        return routeTable?.priorities.all(priorities) ?? priorities;
       },
     },
     serviceLoad: service => fleet.serviceLoad(service),
