--- a/src/mesh/entry/__tests__/workspace-permits.spec.ts
+++ b/src/mesh/entry/__tests__/workspace-permits.spec.ts
@@ -8,6 +8,7 @@
 import type {CallResult} from '../../message.js';
 import type {Permit} from '../../rate-limits/workspace-rate-limiter.js';
 import {digestKey} from '../../workspaces/key-digest.js';
+import {CONNECTION_LIMIT_DEFAULTS} from '../../client-limits/limits.js';
 import {createCallerListener} from '../caller-listener.js';
 import type {HttpDialect} from '../http-dialect.js';
 import {createRouteTable} from '../route-table.js';
@@ -104,6 +105,7 @@
     dependencies: {recordOutcome: () => undefined},
     isClientRoute: () => true,
     heldBytesMax: 10_000,
+    clientLimits: CONNECTION_LIMIT_DEFAULTS,
     rateLimits: {acquire},
     onArrived: () => undefined,
     onFinished: () => undefined,
--- a/src/mesh/inbound/backend-connection.ts
+++ b/src/mesh/inbound/backend-connection.ts
@@ -2,9 +2,11 @@
 import {Buffer} from 'node:buffer';
 import {connect, type Socket} from 'node:net';
 import {splitAddress} from '../../shared/address.js';
+import {LONG_BODY_BYTES} from '../body-buffer.js';
 import type {HeldBytes} from '../held-bytes.js';
 import type {HttpDialect} from '../entry/http-dialect.js';
 import type {TurnQueue} from '../turn-queue.js';
+import type {GatedResponse, ResponseGate} from './response-gate.js';
 import {createResponseParser, type ParsedResponse, type ResponseFault} from './response-parser.js';
 
 /** How an exchange ended. */
@@ -45,6 +47,8 @@
   heldBytes: HeldBytes;
   /** Parses long responses in small pieces, over all connections. */
   parseQueue: TurnQueue;
+  /** Long responses wait here for others. */
+  gate: ResponseGate;
   /** Called when the connection can be reused. */
   onIdle: (connection: BackendConnection) => void;
   onClosed: (connection: BackendConnection) => void;
@@ -58,6 +62,10 @@
 const IDLE_TIMEOUT_DEFAULT_MS = 4000;
 /** How long before the backend server's idle timeout a connection is given up, in milliseconds: a request sent while the server closes it may be lost. */
 const IDLE_MARGIN_MS = 1500;
+/** Longest body that is written as text together with its head, in bytes; it costs less than a copy into a buffer. */
+const TEXT_BODY_MAX_BYTES = 4096;
+/** Longest read, in bytes. */
+const READ_BYTES = 16 * 1024;
 /** Bytes that are parsed at once. */
 const PARSE_SLICE_BYTES = 8 * 1024;
 /** Pieces of a response body that are parsed as they arrive; further ones wait for a turn of the event loop, because parsing a read of one-byte chunks takes several milliseconds. */
@@ -92,12 +100,41 @@
   let closed = false;
   let closesAfterResponse = false;
   let cause: string | undefined;
-  const socket: Socket = connect({host, port, noDelay: true});
+  let gated: GatedResponse | undefined;
+  const readBuffer = Buffer.allocUnsafeSlow(READ_BYTES);
+  const socket: Socket = connect({
+    host,
+    port,
+    noDelay: true,
+    // One buffer for all reads leaves no garbage. Its content is parsed before the next read, which waits while the socket is paused.
+    onread: {
+      buffer: readBuffer,
+      callback(bytes) {
+        onData(readBuffer.subarray(0, bytes));
+        return true;
+      },
+    },
+  });
+
+  const leaveGate = (): void => {
+    gated?.end();
+    gated = undefined;
+  };
+
+  /** Whether the current response is long and has to wait for others. */
+  const mustWait = (): boolean => {
+    if (gated === undefined && parser.bodyBytes() > LONG_BODY_BYTES) {
+      gated = options.gate.enter(parseReceived);
+    }
+
+    return gated?.mayRead() === false;
+  };
 
   const finish = (result: ExchangeResult): void => {
     const exchange = current;
     current = undefined;
     parser.release();
+    leaveGate();
     exchange?.onEnd(result);
   };
 
@@ -118,6 +155,7 @@
     completed = undefined;
     const bytes = body.toBuffer();
     parser.release();
+    leaveGate();
     if (mayReuse) {
       options.onIdle(connection);
     } else {
@@ -185,6 +223,11 @@
   /** Parses received bytes until a response is complete or has to wait for its next turn. */
   const parseReceived = (): void => {
     while (unparsed.length > 0 && !socket.destroyed) {
+      if (mustWait()) {
+        socket.pause();
+        return;
+      }
+
       const slice = unparsed.subarray(0, PARSE_SLICE_BYTES);
       unparsed = unparsed.subarray(slice.length);
       const fault = parser.parse(slice);
@@ -205,7 +248,11 @@
       }
     }
 
-    socket.resume();
+    if (mustWait()) {
+      socket.pause();
+    } else {
+      socket.resume();
+    }
   };
 
   const onData = (chunk: Buffer): void => {
@@ -245,7 +292,6 @@
       write(current);
     }
   });
-  socket.on('data', onData);
   socket.on('end', onEnd);
   socket.on('error', error => {
     cause ??= error.message;
@@ -261,7 +307,13 @@
   });
 
   const write = (exchange: Exchange): void => {
-    socket.write(exchange.body.length === 0 ? serializeHead(exchange) : Buffer.concat([Buffer.from(serializeHead(exchange), 'latin1'), exchange.body]), 'latin1');
+    const head = serializeHead(exchange);
+    if (exchange.body.length > TEXT_BODY_MAX_BYTES) {
+      socket.write(Buffer.concat([Buffer.from(head, 'latin1'), exchange.body]));
+    } else {
+      // Latin1 maps each byte to one character and back.
+      socket.write(head + exchange.body.toString('latin1'), 'latin1');
+    }
   };
 
   const connection: BackendConnection = {
--- a/src/mesh/links/fleet.ts
+++ b/src/mesh/links/fleet.ts
@@ -47,6 +47,8 @@
   publishBackendState: (state: BackendState) => void;
   /** Tells the peers which versions this process knows, so that those with older ones request them. */
   announceVersions: () => void;
+  /** Bytes that wait to be sent to the processes that have opened a link. */
+  unsentBytes: () => number;
   /** Estimated capacity and load of a service. */
   serviceLoad: (service: string) => ServiceLoad;
   /** Estimated demand for a service by workspace; undefined without a recent report. */
@@ -390,6 +392,7 @@
       links.close();
       server.close();
     },
+    unsentBytes: server.unsentBytes,
     status: () => ({links: links.open().length, incoming: server.linkCount()}),
   };
 };
