fix(mesh): accept 512 connections of callers by default

With 1,024 of them the runtime, twice the account and 64 KiB for each connection exceed the 250 MB of the smallest host.

--- a/src/mesh/client-limits/limits.ts
+++ b/src/mesh/client-limits/limits.ts
@@ -16,8 +16,8 @@
 
 /** Defaults that no client within the limits of a configuration reaches. */
 export const CONNECTION_LIMIT_DEFAULTS: ConnectionLimits = {
-  // A quarter of the 4,100 descriptors of a small host; the rest is for links, connections to the backend server and files.
-  connections: 1024,
+  // Fits into 250 MB, the smallest host: 64 KiB each for socket, parser and one read, beside the account, which counts twice until it is collected, and 76 MB for the runtime.
+  connections: 512,
   // A head of 16,384 bytes has at most 4,096 lines of 4 bytes.
   headerLines: 4096,
   // Clients pipeline a few requests.
