refactor(rate-limits): split the coordinator by role

Lent fractions with their history are now in lent-limits.ts, borrowing from other zones in borrowing.ts, the state of a workspace in coordinated-workspace.ts, and the message types in permit-messages.ts. The sum over grants, the time of an answer and the factor of permits asked for ahead stood in both the coordinator and the limiter; each is defined once now. Behaviour is unchanged.

--- a/src/mesh/rate-limits/__tests__/decisions.spec.ts
+++ b/src/mesh/rate-limits/__tests__/decisions.spec.ts
@@ -1,6 +1,6 @@
 /** Tables of the decisions of rate limits: guards against permits from nothing, and against fractions that count more than once. */
 import test from 'ava';
-import {divide} from '../coordinator.js';
+import {divide} from '../borrowing.js';
 import {chooseCoordinator, coordinatorOrder, linkedCandidates} from '../coordinator-choice.js';
 import {createDemandEstimate} from '../demand-estimate.js';
 import {createExchanges} from '../exchanges.js';
--- a/src/mesh/rate-limits/demand-estimate.ts
+++ b/src/mesh/rate-limits/demand-estimate.ts
@@ -10,6 +10,8 @@
   ratePerS: () => number;
 };
 
+/** Permits that are asked for ahead, as a multiple of the estimated demand. */
+export const AHEAD_FACTOR = 1.25;
 /** Time constant of the average, in milliseconds: a few polls, so that it follows requests that move to another process. */
 const AVERAGING_MS = 300;
 /** Shortest interval that is averaged, in milliseconds. */
--- a/src/mesh/rate-limits/exchanges.ts
+++ b/src/mesh/rate-limits/exchanges.ts
@@ -12,6 +12,8 @@
   reset: () => void;
 };
 
+/** Time after which permits that a poll asked for are no longer expected, in milliseconds. */
+export const ANSWER_MS = 100;
 /** Unanswered polls that are remembered. */
 const OPEN_MAX = 256;
 
--- a/src/mesh/rate-limits/permit-lots.ts
+++ b/src/mesh/rate-limits/permit-lots.ts
@@ -14,6 +14,9 @@
   takeFrom: (now: number, source: string, wanted: number) => number;
 };
 
+/** Number of permits in lots or grants. */
+export const sumPermits = (parts: ReadonlyArray<Pick<PermitLot, 'permits'>>): number => parts.reduce((sum, {permits}) => sum + permits, 0);
+
 /** Creates an empty store of permits. */
 export const createPermitLots = (): PermitLots => {
   let lots: PermitLot[] = [];
@@ -54,9 +57,9 @@
     },
     count(now) {
       dropExpired(now);
-      return lots.reduce((sum, {permits}) => sum + permits, 0);
+      return sumPermits(lots);
     },
     take: (now, wanted) => take(now, wanted, () => true),
-    takeFrom: (now, source, wanted) => take(now, wanted, lot => lot.source === source).reduce((sum, {permits}) => sum + permits, 0),
+    takeFrom: (now, source, wanted) => sumPermits(take(now, wanted, lot => lot.source === source)),
   };
 };
--- a/src/mesh/rate-limits/workspace-rate-limiter.ts
+++ b/src/mesh/rate-limits/workspace-rate-limiter.ts
@@ -8,16 +8,16 @@
 import type {Workspace} from '../entry/routing-configuration.js';
 import type {Reachability} from '../members/store-readers.js';
 import type {Member, Message} from '../message.js';
-import {
-  createCoordinator, type OtherCoordinator, type Permits, type PermitsWanted,
-} from './coordinator.js';
+import type {OtherCoordinator} from './borrowing.js';
+import {createCoordinator} from './coordinator.js';
 import {chooseCoordinator, coordinatorOrder, linkedCandidates} from './coordinator-choice.js';
-import {createDemandEstimate, type DemandEstimate} from './demand-estimate.js';
-import {createExchanges} from './exchanges.js';
+import {AHEAD_FACTOR, createDemandEstimate, type DemandEstimate} from './demand-estimate.js';
+import {ANSWER_MS, createExchanges} from './exchanges.js';
 import {createFleetShare} from './fleet-share.js';
 import {createLender} from './loans.js';
 import type {WorkspaceLimit} from './permit-bucket.js';
-import {createPermitLots, type PermitLots} from './permit-lots.js';
+import {createPermitLots, sumPermits, type PermitLots} from './permit-lots.js';
+import {grantsByWorkspace, type Permits, type PermitsWanted} from './permit-messages.js';
 import {
   IDLE_POLL_MS, LISTING_MS, LOAN_MS, PERMIT_LIFETIME_MS, POLL_BATCH_MS, POLL_MS, RETRY_AFTER_MAX_MS, SECOND_MS, WAIT_MAX_MS,
 } from './times.js';
@@ -74,10 +74,6 @@
 const IDLE_MS = 5000;
 /** Time after a request for which polls are frequent, in milliseconds. */
 const RECENT_MS = 1000;
-/** Factor of the expected requests that permits are asked for. */
-const AHEAD = 1.25;
-/** Time after which the answer to an ask is no longer expected, in milliseconds. */
-const ANSWER_MS = 100;
 /** Time without an answer after which another coordinator is chosen, in milliseconds: a few polls. */
 const SILENT_MS = 500;
 /** Time for which a silent coordinator is passed over, in milliseconds. */
@@ -259,7 +255,7 @@
 
   /** Permits for the requests that are expected until the next poll. */
   const expectedRequests = ({demand, limit}: Holding): number =>
-    Math.min(Math.floor(demand.ratePerS() * AHEAD * POLL_MS / SECOND_MS), Math.ceil(limit.burst + limit.ratePerS));
+    Math.min(Math.floor(demand.ratePerS() * AHEAD_FACTOR * POLL_MS / SECOND_MS), Math.ceil(limit.burst + limit.ratePerS));
 
   const createAsk = (holding: Holding, time: number, isRegular: boolean) => {
     holding.demand.update(time);
@@ -268,7 +264,7 @@
     const held = holding.lots.count(time);
     // Half of the interval passes before the next answer is sure to have arrived.
     const kept = isRegular ? Math.min(held, Math.ceil(expected / 2)) : held;
-    const returned = holding.lots.take(time, held - kept).reduce((sum, {permits}) => sum + permits, 0);
+    const returned = sumPermits(holding.lots.take(time, held - kept));
     const pending = holding.asked !== undefined && time - holding.asked.at < ANSWER_MS ? holding.asked.permits : 0;
     const wanted = Math.max(0, holding.waiting.length + expected - kept - pending);
     if (wanted > 0) {
@@ -348,13 +344,11 @@
 
     const time = now();
     const isFirst = lender.recordClock(from, message.clock);
-    const answered = new Map<string, {permits: number; retryAfterMs: number}>();
-    for (const {workspace, permits, lifetimeMs, retryAfterMs} of message.grants) {
+    for (const {workspace, permits, lifetimeMs} of message.grants) {
       holdings.get(workspace)?.lots.add({permits, expiresAt: sentAt + Math.min(lifetimeMs, PERMIT_LIFETIME_MS), source: from});
-      answered.set(workspace, {permits: permits + (answered.get(workspace)?.permits ?? 0), retryAfterMs});
     }
 
-    for (const [workspace, {retryAfterMs}] of answered) {
+    for (const [workspace, {retryAfterMs}] of grantsByWorkspace(message.grants)) {
       const holding = holdings.get(workspace);
       if (holding !== undefined) {
         holding.asked = undefined;
