refactor(mesh): use ordinary names in borrowing and fair shares

A coordinator without permits was called dry; it is called exhausted now. Three doc comments of fair shares said "takes note of" for what others call "records". Names on the wire and behaviour are unchanged.

--- a/src/mesh/fair-shares/entry-services.ts
+++ b/src/mesh/fair-shares/entry-services.ts
@@ -5,7 +5,7 @@
 
 /** First services of the routes that requests of workspaces use. */
 export type EntryServices = {
-  /** Takes note of a request of a workspace. */
+  /** Records a request of a workspace. */
   record: (route: TargetedRoute) => void;
   /** First services by route. */
   byRoute: () => ReadonlyMap<string, readonly string[]>;
--- a/src/mesh/fair-shares/request-mix.ts
+++ b/src/mesh/fair-shares/request-mix.ts
@@ -2,7 +2,7 @@
 
 /** Mix of the requests that arrived at this process. */
 export type RequestMix = {
-  /** Takes note of a request, whether or not it is admitted. */
+  /** Records a request, whether or not it is admitted. */
   record: (workspace: string, isClientRetry: boolean) => void;
   /** Part of the recent requests of a workspace that are no retries of clients; 1 when nothing is known. */
   freshShare: (workspace: string) => number;
--- a/src/mesh/fair-shares/service-shares.ts
+++ b/src/mesh/fair-shares/service-shares.ts
@@ -11,7 +11,7 @@
   Within a workspace, the factor moves refusals to the less urgent requests without changing their total.
   */
   admittedShare: (workspace: string, urgencyFactor: number) => number;
-  /** Takes note of the urgency of a request, whether or not it is admitted. */
+  /** Records the urgency of a request, whether or not it is admitted. */
   recordRequest: (workspace: string, urgencyFactor: number) => void;
   /** Mean urgency factor of all requests. */
   meanUrgencyFactor: () => number;
--- a/src/mesh/rate-limits/borrowing.ts
+++ b/src/mesh/rate-limits/borrowing.ts
@@ -43,8 +43,8 @@
 /** Time in which a coordinator of another zone answers, in milliseconds; processes that are short ask again after it. */
 const BORROW_MS = 25;
 /** Shortest and longest time for which a coordinator that had too few permits is not asked again, in milliseconds. */
-const DRY_MIN_MS = 20;
-const DRY_MAX_MS = 2000;
+const EXHAUSTED_MIN_MS = 20;
+const EXHAUSTED_MAX_MS = 2000;
 const RETRY_MIN_MS = 20;
 /** Growth of the part that is asked of a coordinator that granted all, and smallest part. */
 const WEIGHT_GROWTH = 1.3;
@@ -54,13 +54,13 @@
 export const divide = (permits: number, weights: readonly number[]): number[] => {
   const total = weights.reduce((sum, weight) => sum + weight, 0);
   let given = 0;
-  let cumulated = 0;
+  let cumulative = 0;
   // The heaviest comes first, so that a single permit is asked of it.
   const order = weights.map((weight, index) => ({weight, index})).sort((a, b) => b.weight - a.weight);
   const parts = weights.map(() => 0);
   for (const {weight, index} of order) {
-    cumulated += weight;
-    const upTo = Math.ceil((permits * cumulated / total) - 1e-9);
+    cumulative += weight;
+    const upTo = Math.ceil((permits * cumulative / total) - 1e-9);
     parts[index] = upTo - given;
     given = upTo;
   }
@@ -90,15 +90,15 @@
     }
   };
 
-  const isDry = (entry: CoordinatedWorkspace, node: string, time: number): boolean => (entry.dryUntil.get(node) ?? time) > time;
+  const isExhausted = (entry: CoordinatedWorkspace, node: string, time: number): boolean => (entry.exhaustedUntil.get(node) ?? time) > time;
 
   const asksFor = (workspace: string, entry: CoordinatedWorkspace, others: readonly OtherCoordinator[], time: number): Array<{to: string; ask: PermitAsk}> => {
     dropUnanswered(entry, time);
     const lacking = lackingPermits(entry, time);
     if (lacking > 0) {
-      const able = others.filter(({node}) => !isDry(entry, node, time));
-      const parts = divide(lacking, able.map(({node, members}) => members * (entry.weights.get(node) ?? 1)));
-      return able.flatMap(({node}, index) => parts[index] === 0 ? [] : [{to: node, ask: {workspace, wanted: parts[index]!, returned: 0}}]);
+      const available = others.filter(({node}) => !isExhausted(entry, node, time));
+      const parts = divide(lacking, available.map(({node, members}) => members * (entry.weights.get(node) ?? 1)));
+      return available.flatMap(({node}, index) => parts[index] === 0 ? [] : [{to: node, ask: {workspace, wanted: parts[index]!, returned: 0}}]);
     }
 
     return others.flatMap(({node}) => {
@@ -161,9 +161,9 @@
     const weight = entry.weights.get(from) ?? 1;
     entry.weights.set(from, granted < asked ? Math.max(WEIGHT_MIN, weight * granted / asked) : Math.min(1, weight * WEIGHT_GROWTH));
     if (granted < asked) {
-      entry.dryUntil.set(from, time + Math.min(DRY_MAX_MS, Math.max(DRY_MIN_MS, retryMs)));
+      entry.exhaustedUntil.set(from, time + Math.min(EXHAUSTED_MAX_MS, Math.max(EXHAUSTED_MIN_MS, retryMs)));
     } else {
-      entry.dryUntil.delete(from);
+      entry.exhaustedUntil.delete(from);
     }
 
     if (granted < asked && unmetPermits(entry, time) > 0) {
@@ -175,11 +175,11 @@
     requestRound,
     retryAfterMs(entry, ownMs, time) {
       const others = options.others();
-      if (others.some(({node}) => !isDry(entry, node, time))) {
+      if (others.some(({node}) => !isExhausted(entry, node, time))) {
         return BORROW_MS;
       }
 
-      const othersMs = others.map(({node}) => entry.dryUntil.get(node)! - time + BORROW_MS);
+      const othersMs = others.map(({node}) => entry.exhaustedUntil.get(node)! - time + BORROW_MS);
       return Math.min(RETRY_AFTER_MAX_MS, Math.max(RETRY_MIN_MS, Math.ceil(Math.min(ownMs, ...othersMs))));
     },
     receive(from, message) {
--- a/src/mesh/rate-limits/coordinated-workspace.ts
+++ b/src/mesh/rate-limits/coordinated-workspace.ts
@@ -21,7 +21,7 @@
   /** Part that is asked of each other coordinator; it falls when that one has little to give. */
   weights: Map<string, number>;
   /** Times until which other coordinators have no permits. */
-  dryUntil: Map<string, number>;
+  exhaustedUntil: Map<string, number>;
   usedAt: number;
 };
 
@@ -33,7 +33,7 @@
   unmet: new Map(),
   asked: new Map(),
   weights: new Map(),
-  dryUntil: new Map(),
+  exhaustedUntil: new Map(),
   usedAt: now,
 });
 
