refactor(admission): keep refusal levels in a module of their own

admission.ts held both the controller of the refusal level of each service and the division among routes and workspaces. The level with its constants and log line is now in refusal-levels.ts. A comment referred to "today's share", which is the share without workspaces. Behaviour is unchanged.

The specs of admission, fair-shares and service-estimate passed.

--- a/src/mesh/entry/__tests__/admission-shares.spec.ts
+++ b/src/mesh/entry/__tests__/admission-shares.spec.ts
@@ -4,7 +4,8 @@
 import {createRandom} from '../../../shared/random.js';
 import type {LogFields} from '../../decision-log.js';
 import type {ServiceDemand} from '../../fair-shares/service-demand.js';
-import {createAdmissionController, type ServiceLoad} from '../admission.js';
+import {createAdmissionController} from '../admission.js';
+import type {ServiceLoad} from '../refusal-levels.js';
 import {createDependencies} from '../dependencies.js';
 
 const OVERLOADED: ServiceLoad = {
--- a/src/mesh/entry/__tests__/admission.spec.ts
+++ b/src/mesh/entry/__tests__/admission.spec.ts
@@ -5,7 +5,8 @@
 import test from 'ava';
 import {createManualClock} from '../../../shared/clock.js';
 import {createRandom} from '../../../shared/random.js';
-import {createAdmissionController, type AdmissionController, type ServiceLoad} from '../admission.js';
+import {createAdmissionController, type AdmissionController} from '../admission.js';
+import type {ServiceLoad} from '../refusal-levels.js';
 import {createDependencies} from '../dependencies.js';
 
 /** Sequential calls that each request makes to the overloaded service. */
--- a/src/mesh/entry/admission.ts
+++ b/src/mesh/entry/admission.ts
@@ -16,18 +16,9 @@
 import {addServiceDemands, type ServiceDemand} from '../fair-shares/service-demand.js';
 import {createShareLog} from '../fair-shares/share-log.js';
 import type {Dependencies} from './dependencies.js';
+import {createRefusalLevels, REFUSAL_LEVEL_MAX, type ServiceLoad} from './refusal-levels.js';
 import type {Route, Workspace} from './routing-configuration.js';
 
-/** Total load of the backend servers of a service that this process can reach. */
-export type ServiceLoad = {
-  /** Backend servers that accept calls; without one, the service has no capacity. */
-  backends: number;
-  running: number;
-  queued: number;
-  /** Sum of their concurrency limits. */
-  limit: number;
-};
-
 /** Decides which client requests this process forwards. */
 export type AdmissionController = {
   /**
@@ -65,54 +56,18 @@
   workspaceDemand: (service: string) => ServiceDemand | undefined;
 };
 
-/** Queued calls per slot above which fewer requests are admitted. At 0.5 a call waits for half of its service time, and a chain of calls still meets its deadline. */
-const QUEUE_RATIO_HIGH = 0.5;
-/** Queued calls per slot below which more requests are admitted. */
-const QUEUE_RATIO_LOW = 0.2;
-/** Increase of the refusal level per second, per unit of the queue ratio above `QUEUE_RATIO_HIGH`: a queue of two service times rejects most requests within a second. */
-const REFUSAL_INCREASE_PER_S = 0.6;
-const REFUSAL_INCREASE_MAX_PER_S = 1;
-/** Decrease of the refusal level per second while the queue is short. */
-const REFUSAL_DECREASE_PER_S = 0.15;
-/** Idle share of the limit above which the refusal level decreases faster, in proportion to that share. */
-const IDLE_SHARE_MIN = 0.1;
-const IDLE_DECREASE_FACTOR = 10;
 /** Factor on the refused share for each dependent priority that is less urgent than the route's own. */
 const PRIORITY_FACTOR = 0.7;
 /** Lowest admitted share: no route may starve, and some requests have to probe whether capacity is back. */
 const ADMITTED_SHARE_MIN = 0.1;
-/** Highest refusal level; it also rejects part of the requests of routes three priorities above the least urgent one. */
-const REFUSAL_LEVEL_MAX = 2;
-/** Longest interval that one update accounts for, in milliseconds: the load during a suspension of the process is not known. */
-const UPDATE_INTERVAL_MAX_MS = 500;
 /** Time for which the shares of the workspaces are kept after the refusal level has fallen to zero, in milliseconds: the reported demand still follows from them. */
 const SHARES_KEPT_MS = 3000;
 /** Workspaces whose refused requests are counted by name. */
 const COUNTED_WORKSPACES_MAX = 100;
-/** Smallest change of the refusal level that is logged. */
-const LOGGED_CHANGE_MIN = 0.2;
-const SECOND_MS = 1000;
-
-/** Change of the refusal level per second under the given load. */
-const refusalLevelSlope = ({backends, running, queued, limit}: ServiceLoad): number => {
-  if (backends === 0 || limit === 0) {
-    return REFUSAL_INCREASE_MAX_PER_S;
-  }
-
-  const queueRatio = queued / limit;
-  const idleShare = 1 - (running / limit);
-  if (queueRatio > QUEUE_RATIO_HIGH) {
-    // Calls that queue at one backend server while others are idle call for better routing, not for rejections.
-    return idleShare > IDLE_SHARE_MIN ? 0 : Math.min(REFUSAL_INCREASE_MAX_PER_S, REFUSAL_INCREASE_PER_S * (queueRatio - QUEUE_RATIO_HIGH));
-  }
-
-  const factor = idleShare > IDLE_SHARE_MIN ? 1 + (IDLE_DECREASE_FACTOR * idleShare) : 1;
-  return queueRatio < QUEUE_RATIO_LOW ? -REFUSAL_DECREASE_PER_S * factor : 0;
-};
 
 /**
 Share of all work that is admitted for division among the workspaces at a mean refusal level.
-It falls from 1 like today's share, and more slowly the less is left: with a heavy overload, a straight line would make a small step of the level halve the admitted work.
+It falls from 1 like the share without workspaces, and more slowly the less is left: with a heavy overload, a straight line would make a small step of the level halve the admitted work.
 */
 const dividedShare = (level: number): number => ADMITTED_SHARE_MIN ** (level / REFUSAL_LEVEL_MAX);
 
@@ -121,9 +76,7 @@
 
 /** Creates an admission controller; it admits everything until `update` observes an overload. */
 export const createAdmissionController = ({now, log, dependencies, serviceLoad, workspaceDemand}: AdmissionControllerOptions): AdmissionController => {
-  /** By service, the refused share of the least urgent routes that depend on it; it may exceed 1. */
-  const refusalLevels = new Map<string, number>();
-  const loggedLevels = new Map<string, number>();
+  const refusalLevels = createRefusalLevels(log);
   const entryServices = createEntryServices(now);
   const dividedServices = new Map<string, DividedService>();
   const requestMix = createRequestMix();
@@ -143,7 +96,7 @@
 
   /** Admitted share of a request as far as one service is concerned. */
   const admittedShareAt = (service: string, {priority, workspace}: RequestKind): number => {
-    const level = refusalLevels.get(service) ?? 0;
+    const level = refusalLevels.of(service);
     const divided = workspace === undefined ? undefined : dividedServices.get(service);
     if (level === 0 && divided === undefined) {
       return 1;
@@ -170,8 +123,8 @@
   };
 
   /** Divides what is admitted for a service among the workspaces. Without recent reports of their use, all are refused alike. */
-  const divide = (service: string): void => {
-    const level = refusalLevels.get(service)!;
+  const updateShares = (service: string): void => {
+    const level = refusalLevels.of(service);
     const known = dividedServices.get(service);
     const overloadedAt = level > 0 ? now() : (known?.overloadedAt ?? Number.NEGATIVE_INFINITY);
     const demand = now() - overloadedAt <= SHARES_KEPT_MS ? findDemand(service) : undefined;
@@ -186,29 +139,21 @@
     logShares(service, demand, shares.shares()!);
   };
 
-  /** Logs a noticeable change of the refusal level of a service. */
-  const logChange = (service: string, load: ServiceLoad): void => {
-    const level = refusalLevels.get(service) ?? 0;
-    const logged = loggedLevels.get(service) ?? 0;
-    if (Math.abs(level - logged) >= LOGGED_CHANGE_MIN || (level === 0 && logged > 0)) {
-      loggedLevels.set(service, level);
-      log.write('info', 'admission-changed', {service, refusedShare: Math.round(level * 100) / 100, ...load});
-    }
-  };
-
   return {
     update() {
-      const seconds = Math.min(UPDATE_INTERVAL_MAX_MS, now() - updatedAt) / SECOND_MS;
+      const elapsedMs = now() - updatedAt;
       updatedAt = now();
       const dependedOn = new Set(dependencies.servicesOf());
       for (const service of new Set([...dependedOn, ...[...entryServices.byRoute().values()].flat()])) {
         const load = serviceLoad(service);
-        const level = (refusalLevels.get(service) ?? 0) + (refusalLevelSlope(load) * seconds);
         // Requests wait for links to the service that they go to; its backend servers may be about to be known.
-        const isUnknown = load.backends === 0 && !dependedOn.has(service);
-        refusalLevels.set(service, isUnknown ? 0 : Math.max(0, Math.min(REFUSAL_LEVEL_MAX, level)));
-        logChange(service, load);
-        divide(service);
+        if (load.backends === 0 && !dependedOn.has(service)) {
+          refusalLevels.reset(service, load);
+        } else {
+          refusalLevels.update(service, load, elapsedMs);
+        }
+
+        updateShares(service);
       }
     },
     admit(request, random) {
--- a/src/mesh/fair-shares/__tests__/overload-simulation.ts
+++ b/src/mesh/fair-shares/__tests__/overload-simulation.ts
@@ -6,7 +6,8 @@
 */
 import {createManualClock} from '../../../shared/clock.js';
 import {createRandom} from '../../../shared/random.js';
-import {createAdmissionController, type AdmissionController, type ServiceLoad} from '../../entry/admission.js';
+import {createAdmissionController, type AdmissionController} from '../../entry/admission.js';
+import type {ServiceLoad} from '../../entry/refusal-levels.js';
 import {createDependencies} from '../../entry/dependencies.js';
 import {estimateServiceDemand, type DemandSample} from '../service-demand.js';
 import {
--- a/src/mesh/links/fleet.ts
+++ b/src/mesh/links/fleet.ts
@@ -2,7 +2,7 @@
 import type {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import type {Random} from '../../shared/random.js';
-import type {ServiceLoad} from '../entry/admission.js';
+import type {ServiceLoad} from '../entry/refusal-levels.js';
 import type {ServiceDemand} from '../fair-shares/service-demand.js';
 import type {CrashGuard} from '../inbound/crash-guard.js';
 import type {CrashRecord} from '../inbound/crash-records.js';
--- a/src/mesh/links/service-estimate.ts
+++ b/src/mesh/links/service-estimate.ts
@@ -1,5 +1,5 @@
 /** Estimates the load of a whole service from the backend servers that this process is linked with. */
-import type {ServiceLoad} from '../entry/admission.js';
+import type {ServiceLoad} from '../entry/refusal-levels.js';
 import {estimateServiceDemand, type ServiceDemand} from '../fair-shares/service-demand.js';
 import type {BackendLoad} from '../message.js';
 import type {CountedCalls} from '../entry/retry-budget.js';
