docs(mesh): reword comments of permit lots and the call queue

"Those that end first at first" and "not worth to wait" were hard to parse. The bound of the fleet simulation names the overage and the slack that it had as plain numbers; their values are the same.

--- a/src/mesh/inbound/call-queue.ts
+++ b/src/mesh/inbound/call-queue.ts
@@ -8,12 +8,12 @@
 /** Queue in front of a backend server; calls are identified by their key. */
 export type CallQueue = {
   length: () => number;
-  /** Adds a call, or returns why it is not worth to wait. */
+  /** Adds a call, or returns why it is refused: it would wait too long. */
   add: (active: ActiveCall) => RefusalReason | undefined;
   remove: (active: ActiveCall) => void;
   /** Removes the next call to dispatch, and the calls before it that have waited too long. */
   takeNext: () => {taken: string | undefined; dropped: string[]};
-  /** Removes the calls that would have waited too long at a time of the clock. */
+  /** Removes the calls whose longest wait has ended at a time of the clock. */
   removeOverdue: (at: number) => string[];
   /** Time after which a call that is refused now may find a slot, in milliseconds. */
   retryAfterMs: () => number;
--- a/src/mesh/rate-limits/__tests__/fleet-simulation.ts
+++ b/src/mesh/rate-limits/__tests__/fleet-simulation.ts
@@ -61,7 +61,10 @@
 const CONNECT_MS = 20;
 const SILENT_MS = 1000;
 const UNREACHABLE_MS = 2000;
+/** Window of a limit, and what the platform tolerates beyond it: a share of the limit and a number of requests. */
 const WINDOW_MS = 5000;
+const QUOTA_OVERAGE = 0.1;
+const QUOTA_SLACK = 20;
 const MEMBERS_DELAY_MS = 2000;
 const OBSERVATION_MS = 25;
 
@@ -87,7 +90,7 @@
 }));
 
 /** Requests of one workspace that may run in one window. */
-export const windowBound = ({ratePerS, burst}: {ratePerS: number; burst: number}): number => (((ratePerS * WINDOW_MS / 1000) + burst) * 1.1) + 20;
+export const windowBound = ({ratePerS, burst}: {ratePerS: number; burst: number}): number => (((ratePerS * WINDOW_MS / 1000) + burst) * (1 + QUOTA_OVERAGE)) + QUOTA_SLACK;
 
 /** Starts a fleet whose members have been listed for long. */
 export const createSimulation = (options: SimulationOptions): Simulation => {
--- a/src/mesh/rate-limits/permit-lots.ts
+++ b/src/mesh/rate-limits/permit-lots.ts
@@ -1,6 +1,6 @@
 /** Permits that a process or a coordinator holds, each usable up to a time. */
 
-/** Permits with the same end, in milliseconds of the clock, and the process that granted them. */
+/** Permits that expire together, in milliseconds of the clock, and the process that granted them. */
 export type PermitLot = {permits: number; expiresAt: number; source: string};
 
 /** Held permits. */
@@ -8,9 +8,9 @@
   add: (lot: PermitLot) => void;
   /** Permits that may be used at a time. */
   count: (now: number) => number;
-  /** Takes permits, those that end first at first. */
+  /** Takes permits, the first to expire first. */
   take: (now: number, wanted: number) => PermitLot[];
-  /** Takes permits of one source, those that end first at first, and returns their number. */
+  /** Takes permits of one source, the first to expire first, and returns their number. */
   takeFrom: (now: number, source: string, wanted: number) => number;
 };
 
