refactor(mesh): use the sleep of node:timers/promises

planned-stop.ts had its own sleep and exported it for node.ts; a reader had to look there for it. Both use the one of Node, as src/daemon/fleet does.

--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -1,4 +1,5 @@
 /** Composition root of the process on a backend server host. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {Random} from '../shared/random.js';
 import {createAdmissionController} from './entry/admission.js';
 import {createCallGraph} from './entry/call-graph.js';
@@ -21,7 +22,7 @@
 import {createLearntRouteSpread} from './entry/learnt-routes.js';
 import {createListedMembers} from './members/listed-members.js';
 import {createMemberDirectory} from './members/member-directory.js';
-import {createPlannedStop, sleep} from './planned-stop.js';
+import {createPlannedStop} from './planned-stop.js';
 import {createRegistration, MEMBER_KIND} from './store/registration.js';
 import {createRequestContent} from './inbound/request-content.js';
 import {createRetryBudget} from './entry/retry-budget.js';
--- a/src/mesh/planned-stop.ts
+++ b/src/mesh/planned-stop.ts
@@ -1,4 +1,5 @@
 /** Planned stop of a process: it is drained within the grace period, so that no request in flight is cut off. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {DecisionLog} from './decision-log.js';
 import type {CallerListener} from './entry/caller-listener.js';
 import type {InboundProxy} from './inbound/inbound-proxy.js';
@@ -25,11 +26,6 @@
 const STOP_RESERVE_MS = 400;
 const IDLE_POLL_MS = 50;
 
-/** Resolves after a time. */
-export const sleep = async (milliseconds: number): Promise<void> => new Promise(resolve => {
-  setTimeout(resolve, milliseconds);
-});
-
 /** Creates the function that stops the process; it resolves when the process may exit. */
 export const createPlannedStop = (options: PlannedStopOptions) => {
   const {now, log, callerListener, inboundProxy, registration, requestMaxMs} = options;
