--- a/src/mesh/rate-limits/permit-messages.ts
+++ b/src/mesh/rate-limits/permit-messages.ts
@@ -1,9 +1,15 @@
-/** Checks messages about permits before they are used: they come from other processes, which may be of another version, and a figure that is not a number would stay in buckets and averages. */
+/**
+Messages by which permits are asked for and granted.
+
+They are checked before they are used: they come from other processes, which may be of another version, and a figure that is not a number would stay in buckets and averages.
+*/
 import {isAmount, isShare} from '../amount.js';
-import type {Message} from '../message.js';
+import type {Message, PermitGrant} from '../message.js';
 
-type PermitsWanted = Extract<Message, {type: 'permits-wanted'}>;
-type Permits = Extract<Message, {type: 'permits'}>;
+/** Poll of a coordinator. */
+export type PermitsWanted = Extract<Message, {type: 'permits-wanted'}>;
+/** Answer to a poll. */
+export type Permits = Extract<Message, {type: 'permits'}>;
 
 const isPermitCount = (value: unknown): boolean => isAmount(value) && Number.isSafeInteger(value);
 
@@ -21,3 +27,13 @@
 export const isWellFormedAnswer = ({exchange, clock, grants}: Permits): boolean =>
   isAmount(exchange) && Number.isFinite(clock)
   && isListOf(grants, ({permits, lifetimeMs, retryAfterMs}) => isPermitCount(permits) && isAmount(lifetimeMs) && isAmount(retryAfterMs));
+
+/** What an answer grants to each workspace; it may have several grants for one, with different lifetimes and the same `retryAfterMs`. */
+export const grantsByWorkspace = (grants: readonly PermitGrant[]): Map<string, Pick<PermitGrant, 'permits' | 'retryAfterMs'>> => {
+  const byWorkspace = new Map<string, Pick<PermitGrant, 'permits' | 'retryAfterMs'>>();
+  for (const {workspace, permits, retryAfterMs} of grants) {
+    byWorkspace.set(workspace, {permits: permits + (byWorkspace.get(workspace)?.permits ?? 0), retryAfterMs});
+  }
+
+  return byWorkspace;
+};
