refactor(mesh): match requests, and wait for permits, outside the listener for callers

Responses to bodies that were not taken are a table, and each of them writes a request-refused line.

--- a/src/mesh/entry/caller-listener.ts
+++ b/src/mesh/entry/caller-listener.ts
@@ -9,16 +9,18 @@
 import {createConnectionAccount, type ConnectionPart} from '../client-limits/connection-account.js';
 import {createConnectionReader, type ConnectionReader} from '../client-limits/connection-reader.js';
 import type {ConnectionLimits} from '../client-limits/limits.js';
-import {headBytes, headCost} from '../client-limits/request-head.js';
+import {headCost} from '../client-limits/request-head.js';
 import type {Reservation} from '../held-bytes.js';
 import {createTurnQueue} from '../turn-queue.js';
-import type {Permit, WorkspaceRateLimiter} from '../rate-limits/workspace-rate-limiter.js';
+import {permitByDeadline} from '../rate-limits/permit-by-deadline.js';
+import type {WorkspaceRateLimiter} from '../rate-limits/workspace-rate-limiter.js';
 import {forwardRequest, type ForwardingOptions, type RequestOutcome} from './request-forwarder.js';
-import type {HttpDialect, RequestMetadata, WorkspaceHeader} from './http-dialect.js';
-import {hasBody, readBody} from './request-body.js';
+import type {HttpDialect, WorkspaceHeader} from './http-dialect.js';
+import {hasBody, readBody, type RequestBody} from './request-body.js';
+import {matchRequest} from './request-matching.js';
 import {createResponseWriter, type ErrorResponse} from './response-writer.js';
 import type {RouteTable} from './route-table.js';
-import type {ClientLimits, Route, Workspace} from './routing-configuration.js';
+import type {ClientLimits, Route} from './routing-configuration.js';
 
 /** Accepts requests of the callers of this host and forwards them to backend servers. */
 export type CallerListener = {
@@ -67,11 +69,14 @@
 /** Length of the accept queue: all clients of a host may reconnect at the same moment. */
 const ACCEPT_BACKLOG = 1024;
 const IDLE_TIMEOUT_DEFAULT_MS = 15_000;
-/** `Retry-After` while no configuration is known, in milliseconds. */
-const RETRY_AFTER_STARTING_MS = 200;
-/** `Retry-After` while the process is stopping, in milliseconds; by then the client is routed to another host. */
-const RETRY_AFTER_STOPPING_MS = 100;
 const RETRY_AFTER_MEMORY_MS = 500;
+/** Responses to requests whose body could not be taken; none of them has run. */
+const BODY_REFUSALS: Record<Exclude<RequestBody, Buffer | 'aborted'>, ErrorResponse> = {
+  stalled: {status: 408, reason: 'body-stalled'},
+  late: {status: 408, reason: 'body-late'},
+  'too-large': {status: 413, reason: 'body-too-large'},
+  'memory-full': {status: 503, reason: 'memory-full', retryAfterMs: RETRY_AFTER_MEMORY_MS},
+};
 /** `Retry-After` when no permit arrived by the deadline, in milliseconds. */
 const RETRY_AFTER_PERMIT_MS = 50;
 /** Largest share of the memory for connections that one response counts for, so that it is sent however long it is. */
@@ -97,9 +102,6 @@
   }
 };
 
-/** Route and sender of a request; `workspace` is undefined for calls of backend servers, and without workspaces in the configuration. */
-type MatchedRequest = {route: Route; workspace: Workspace | undefined};
-
 /** Requests of a connection whose response has not ended, in their order. */
 type SocketState = {
   pending: Set<RequestState>;
@@ -123,31 +125,6 @@
 /** Whether the end of a response is the end of its connection, because it states no length. */
 const isUnframed = (response: ServerResponse): boolean => response.headersSent && !response.useChunkedEncodingByDefault;
 
-const giveBackWhenGranted = async (acquired: Promise<Permit>): Promise<void> => {
-  const permit = await acquired;
-  if (permit.kind === 'granted') {
-    permit.giveBack();
-  }
-};
-
-/** Waits for a permit until the deadline of its request; a permit that arrives later is given back. */
-const permitByDeadline = async (acquired: Promise<Permit>, remainingMs: number): Promise<Permit | 'late'> => {
-  let timer: NodeJS.Timeout | undefined;
-  const deadline = new Promise<'late'>(resolve => {
-    timer = setTimeout(resolve, remainingMs, 'late');
-  });
-  try {
-    const permit = await Promise.race([acquired, deadline]);
-    if (permit === 'late') {
-      void giveBackWhenGranted(acquired);
-    }
-
-    return permit;
-  } finally {
-    clearTimeout(timer);
-  }
-};
-
 /** Creates a listener; it accepts connections after `start`. */
 export const createCallerListener = (options: CallerListenerOptions): CallerListener => {
   const {dialect, log, now} = options;
@@ -182,45 +159,12 @@
     });
   };
 
-  /** Finds the route and the workspace of a request, or the error response for one that is not forwarded. */
-  const matchRequest = (request: IncomingMessage, table: RouteTable | undefined, {requestId, apiKey}: RequestMetadata): MatchedRequest | ErrorResponse => {
-    if (table === undefined) {
-      return {status: 503, reason: 'no-configuration', retryAfterMs: RETRY_AFTER_STARTING_MS};
-    }
-
-    if (refusingRequests) {
-      return {status: 503, reason: 'stopping', retryAfterMs: RETRY_AFTER_STOPPING_MS};
-    }
-
-    if (request.rawHeaders.length > 2 * options.clientLimits.headerLines) {
-      return {status: 431, reason: 'too-many-header-lines'};
-    }
-
-    if (headBytes(request) > table.configuration.limits.headerBytes) {
-      return {status: 431, reason: 'headers-too-large'};
-    }
-
-    const route = table.findRoute(request.headers.host ?? '', request.url ?? '/');
-    if (route === undefined) {
-      return {status: 404, reason: 'no-route'};
-    }
-
-    const identity = table.workspaces.identify(apiKey, route);
-    if (identity.kind === 'missing-key' || identity.kind === 'unknown-key') {
-      return {status: 401, reason: identity.kind};
-    }
-
-    return requestId === undefined
-      ? {status: 400, reason: 'request-id-missing'}
-      : {route, workspace: identity.kind === 'workspace' ? identity.workspace : undefined};
-  };
-
   const handleRequest = async (request: IncomingMessage, response: ServerResponse, state: RequestState, socketState: SocketState): Promise<void> => {
     const arrivedAt = now();
     const table = options.routeTable();
     const metadata = dialect.readRequest(request.headers);
     const {requestId, deadlineMs} = metadata;
-    const matched = matchRequest(request, table, metadata);
+    const matched = matchRequest(request, metadata, {table, isStopping: refusingRequests, headerLinesMax: options.clientLimits.headerLines});
     if ('status' in matched) {
       log.write('info', 'request-refused', {request: requestId, ...matched, version: table?.version});
       request.resume();
@@ -250,22 +194,11 @@
       return;
     }
 
-    if (body === 'stalled' || body === 'late') {
-      options.onRefused(workspaceHeader);
-      log.write('info', 'request-refused', {request: requestId, status: 408, reason: `body-${body}`});
-      writeError(request, response, requestId, {status: 408, reason: `body-${body}`});
-      return;
-    }
-
-    if (body === 'too-large') {
-      options.onRefused(workspaceHeader);
-      writeError(request, response, requestId, {status: 413, reason: 'body-too-large'});
-      return;
-    }
-
-    if (body === 'memory-full') {
+    if (typeof body === 'string') {
+      const refusal = BODY_REFUSALS[body];
       options.onRefused(workspaceHeader);
-      writeError(request, response, requestId, {status: 503, reason: 'memory-full', retryAfterMs: RETRY_AFTER_MEMORY_MS});
+      log.write('info', 'request-refused', {request: requestId, ...refusal});
+      writeError(request, response, requestId, refusal);
       return;
     }
 
