fix(mesh): reset a connection that is closed with an incomplete response without a length

A connection that was closed to make room, or because its client read nothing, ended regularly, so a response without a length looked complete with a part of its body. Such a connection is reset now, as at the end of the process.

--- a/src/mesh/entry/caller-listener.ts
+++ b/src/mesh/entry/caller-listener.ts
@@ -125,6 +125,15 @@
 /** Whether the end of a response is the end of its connection, because it states no length. */
 const isUnframed = (response: ServerResponse): boolean => response.headersSent && !response.useChunkedEncodingByDefault;
 
+/** Closes a connection. Where the end of a response is the end of the connection, a reset shows that the response is not complete. */
+const closeSocket = (socket: Socket, {pending}: Pick<SocketState, 'pending'>): void => {
+  if ([...pending].some(({response}) => isUnframed(response))) {
+    socket.resetAndDestroy();
+  } else {
+    socket.destroy();
+  }
+};
+
 /** Creates a listener; it accepts connections after `start`. */
 export const createCallerListener = (options: CallerListenerOptions): CallerListener => {
   const {dialect, log, now} = options;
@@ -340,23 +349,25 @@
   server.on('timeout', (socket: Socket) => {
     // A pending response whose client reads is waited for.
     const isUnread = socket.writableLength > 0;
+    const pending = sockets.get(socket)?.pending ?? new Set();
     if (isUnread) {
       log.count('connections_closed', 'response-unread');
     }
 
-    if (isUnread || (sockets.get(socket)?.pending.size ?? 0) === 0) {
-      socket.destroy();
+    if (isUnread || pending.size === 0) {
+      closeSocket(socket, {pending});
     }
   });
 
   /** Closes a connection, with a response to its only request if that has not run. */
-  const evict = (socket: Socket, {pending, reader}: SocketState): void => {
+  const evict = (socket: Socket, socketState: SocketState): void => {
+    const {pending, reader} = socketState;
     reader?.stop();
     const [only] = pending;
     if (pending.size === 1 && only!.refuseBody !== undefined) {
       only!.refuseBody();
     } else {
-      socket.destroy();
+      closeSocket(socket, socketState);
     }
   };
 
@@ -421,10 +432,8 @@
     close() {
       clearInterval(checkTimer);
       // `server.close` closes connections whose response has been ended but not sent, so the reset comes first.
-      for (const [socket, {pending}] of sockets) {
-        if ([...pending].some(({response}) => isUnframed(response))) {
-          socket.resetAndDestroy();
-        }
+      for (const [socket, socketState] of sockets) {
+        closeSocket(socket, socketState);
       }
 
       server.close();
