--- a/review/stand-ins-2/client.mjs
+++ b/review/stand-ins-2/client.mjs
@@ -24,8 +24,8 @@
   return {status: Number(statusLine.split(' ')[1]), headers};
 };
 
-/** Opens a connection. With `bytesPerMs`, the client reads no faster than that. */
-export const openConnection = (entry, {bytesPerMs} = {}) => {
+/** Opens a connection. With `bytesPerMs`, the client reads no faster than that; with `delayMs`, all that it sends and receives is as long on its way, in each direction. */
+export const openConnection = (entry, {bytesPerMs, delayMs = 0} = {}) => {
   const socket = connect({...entry, noDelay: true});
   const answers = [];
   let pieces = [];
@@ -33,6 +33,15 @@
   /** Head of the answer that is being received, and the bytes that it takes with its body. */
   let current;
   let wake = () => undefined;
+  /** Does something after the time that bytes are on their way; timers of one duration keep their order. */
+  const afterDelay = work => {
+    if (delayMs === 0) {
+      work();
+    } else {
+      setTimeout(work, delayMs);
+    }
+  };
+
   const connection = {
     socket,
     /** Set when the connection has ended: when, with which error, how many bytes of an incomplete answer had come, and whether it ended in order. */
@@ -43,10 +52,12 @@
     send({id, method = 'GET', path, deadlineMs = 5000, body}) {
       record(`client sends ${id}: ${method} ${path}, ${body?.length ?? 0} bytes`);
       const lines = [`${method} ${path} HTTP/1.1`, 'Host: site.example', `X-Request-Id: ${id}`, `X-Deadline-Ms: ${deadlineMs}`, ...(body === undefined ? [] : [`Content-Length: ${body.length}`])];
-      socket.write(`${lines.join('\r\n')}${HEAD_END}`, 'latin1');
-      if (body !== undefined) {
-        socket.write(body);
-      }
+      afterDelay(() => {
+        socket.write(`${lines.join('\r\n')}${HEAD_END}`, 'latin1');
+        if (body !== undefined) {
+          socket.write(body);
+        }
+      });
     },
     /** Resolves with the next answer, or with undefined when the connection has ended without one. */
     async next() {
@@ -100,9 +111,11 @@
   let hasEnded = false;
   let fault;
   socket.on('data', chunk => {
-    pieces.push(chunk);
-    receivedBytes += chunk.length;
-    takeAnswers();
+    afterDelay(() => {
+      pieces.push(chunk);
+      receivedBytes += chunk.length;
+      takeAnswers();
+    });
     if (bytesPerMs !== undefined) {
       socket.pause();
       setTimeout(() => socket.resume(), Math.max(READ_INTERVAL_MS, chunk.length / bytesPerMs));
@@ -115,10 +128,12 @@
     fault = error.code;
   });
   socket.on('close', () => {
-    connection.closed = {
-      at: elapsed(), error: fault, isInOrder: hasEnded && fault === undefined, partialBytes: receivedBytes, bodyBytes: current === undefined ? 0 : receivedBytes - current.headBytes,
-    };
-    wake();
+    afterDelay(() => {
+      connection.closed = {
+        at: elapsed(), error: fault, isInOrder: hasEnded && fault === undefined, partialBytes: receivedBytes, bodyBytes: current === undefined ? 0 : receivedBytes - current.headBytes,
+      };
+      wake();
+    });
   });
   return connection;
 };
