test(review): order the cases by their gravity

Uploads lost, bookings lost, processes that block, a cut answer that looks complete, answers cut by a planned stop. Folders renamed, nothing else.

--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,75 +1,100 @@
 /**
-A process is killed while it passes on answers that state no length.
+A new version of the configuration adds a route with a large rank.
 
-Four clients of one machine send a request each and read the answer at 2 MiB a second. The upstream answers whole, without a length, and ends its connection in order. The process of
-the machine gets SIGKILL. MIXED: an answer that ends early must not look complete.
+Two upstreams of one service are in use up to their slots, so that calls wait in front of them. A version of the configuration adds a route to that service with a rank far behind the
+others, as for work that anything may overtake. CONFIG: of the requests that are unanswered at the timeout of their route, more than half have no answer half a second later.
 */
-import {Buffer} from 'node:buffer';
 import {
-  eventually, isTrouble, record, route, runCase, sleep,
+  elapsed, isTrouble, record, route, runCase, sleep,
 } from '../stand-ins-2/deployment.mjs';
 import {newId, openConnection} from '../stand-ins-2/client.mjs';
 
-const MIB = 1024 * 1024;
-const CLIENTS = 4;
-const ANSWER_BYTES = 12 * MIB;
-const BYTES_PER_MS = 2 * MIB / 1000;
-const DEADLINE_MS = 10_000;
-const BEFORE_KILL_MS = 1500;
+/** Largest 32-bit integer: the last of all ranks. */
+const LAST_RANK = 2_147_483_647;
+const NEXT_RANK = 2;
+const SLOTS = 15;
+const WORK_MS = 160;
+const TIMEOUT_MS = 1000;
+/** Time after the timeout in which an answer still counts, by the rule. */
+const LATE_MS = 500;
+const DEADLINE_MS = 3000;
+const LOAD_MS = 12_000;
+const PAUSE_MS = 50;
+const STATUS_CLIENTS = 4;
+const REPORT_CLIENTS = 8;
+/** Requests below which the rule is not judged. */
+const UNANSWERED_MIN = 20;
 
-const answer = Buffer.alloc(ANSWER_BYTES, 'a');
-
-/** Upstream that answers without a length: the answer ends with its connection, which is closed in order after the last byte. */
-const serve = ({request, response, run, headers}) => {
+/** Sound upstream: works, answers with a stated length. */
+const serve = ({request, response, headers}) => {
   request.resume();
-  request.on('end', () => {
-    run.isAnswered = true;
-    response.useChunkedEncodingByDefault = false;
-    response.writeHead(200, {...headers, Connection: 'close'});
-    response.end(answer);
-  });
+  setTimeout(() => {
+    response.writeHead(200, {...headers, 'Content-Length': 4});
+    response.end('done');
+  }, WORK_MS);
+};
+
+const countBy = names => {
+  const counts = {};
+  for (const name of names) {
+    counts[name] = (counts[name] ?? 0) + 1;
+  }
+
+  return JSON.stringify(counts);
 };
 
 await runCase(import.meta.url, async deployment => {
-  const killed = await deployment.addHost({
-    name: 'host-0', zone: 'nord-a', service: 'statusrog', serve,
-  });
-  await Promise.all(['nord-a', 'nord-b', 'nord-c'].map(async (zone, index) => deployment.addHost({
-    name: `host-${index + 1}`, zone, service: 'chiuse', serve,
+  await Promise.all(['statusrog', 'statusrog', 'chiuse', 'chiuse'].map(async (service, index) => deployment.addHost({
+    name: `host-${index}`, zone: `nord-${'abc'[index % 3]}`, service, slots: SLOTS, serve,
   })));
-  deployment.store.configure(3, {
-    closures: route('chiuse', {
-      pathPrefix: '/closures/', kind: 'non_idempotent', maxAttempts: 1, timeoutMs: DEADLINE_MS,
-    }),
-  }, {statusrog: {maxConnections: 370}, chiuse: {maxConnections: 460}});
+  const services = {statusrog: {maxConnections: 370}, chiuse: {maxConnections: 460}};
+  const routes = {
+    status: route('statusrog', {pathPrefix: '/status/', timeoutMs: TIMEOUT_MS, priority: 0}),
+    closures: route('chiuse', {pathPrefix: '/closures/', timeoutMs: TIMEOUT_MS, priority: 1}),
+  };
+  deployment.store.configure(3, routes, services);
   await deployment.settle();
+  deployment.store.configure(7, {...routes, reports: route('statusrog', {pathPrefix: '/reports/', timeoutMs: TIMEOUT_MS, priority: isTrouble ? LAST_RANK : NEXT_RANK})}, services);
+  await sleep(3000);
+  const until = performance.now() + LOAD_MS;
+  const asked = [];
 
-  const ask = async () => {
-    const connection = openConnection(killed.entry, {bytesPerMs: BYTES_PER_MS});
-    const id = newId('closure');
-    connection.send({
-      id, method: 'POST', path: '/closures/new', deadlineMs: DEADLINE_MS, body: Buffer.from('gate 7'),
-    });
-    const whole = await connection.next();
-    const {error, isInOrder, bodyBytes} = connection.closed;
-    const head = connection.currentHead();
-    record(`client of ${id}: status ${head?.status}, ${bodyBytes} of ${ANSWER_BYTES} bytes, the connection ended ${isInOrder ? 'in order' : `with ${error}`}; headers ${JSON.stringify(head?.headers)}`);
-    const statesLength = head?.headers['content-length'] !== undefined || head?.headers['transfer-encoding'] !== undefined;
-    return {id, isWhole: whole !== undefined || bodyBytes === ANSWER_BYTES, looksComplete: whole !== undefined || (head?.status === 200 && isInOrder && !statesLength)};
-  };
+  /** Sends requests one after the other on a kept connection, and leaves one that has no answer at its deadline. */
+  const keepAsking = async (entry, path) => {
+    let connection;
+    /* eslint-disable no-await-in-loop */
+    while (performance.now() < until) {
+      connection = connection === undefined || connection.closed !== undefined ? openConnection(entry) : connection;
+      const id = newId(path.split('/')[1]);
+      const sentAt = elapsed();
+      connection.send({id, path, deadlineMs: DEADLINE_MS});
+      const answer = await Promise.race([connection.next(), sleep(DEADLINE_MS).then(() => 'left')]); // eslint-disable-line promise/prefer-await-to-then
+      const status = answer === 'left' ? 'none' : (answer?.status ?? 'closed');
+      const tookMs = Math.round((elapsed() - sentAt) * 1000);
+      asked.push({path, status, tookMs});
+      record(`client of ${id}: ${status} after ${tookMs} ms`);
+      if (answer === 'left' || answer?.closes) {
+        connection.socket.destroy();
+        connection = undefined;
+      }
 
-  const asked = Array.from({length: CLIENTS}, async () => ask());
-  await sleep(BEFORE_KILL_MS);
-  if (isTrouble) {
-    killed.kill('SIGKILL');
-    await eventually('the process has ended', () => killed.exited !== undefined);
-  }
+      await sleep(answer?.retryAfterMs ?? PAUSE_MS);
+    }
+
+    /* eslint-enable no-await-in-loop */
+    connection?.socket.destroy();
+  };
 
-  const results = await Promise.all(asked);
-  const runs = deployment.hosts.flatMap(host => host.runs);
-  const wrong = results.filter(({id, isWhole, looksComplete}) => looksComplete && !isWhole && runs.some(run => run.id === id && run.isAnswered && run.how === 'answered'));
+  await Promise.all(deployment.hosts.flatMap(({entry}) => [
+    ...Array.from({length: STATUS_CLIENTS}, async () => keepAsking(entry, '/status/all')),
+    ...Array.from({length: STATUS_CLIENTS}, async () => keepAsking(entry, '/closures/all')),
+    ...Array.from({length: REPORT_CLIENTS}, async () => keepAsking(entry, '/reports/all')),
+  ]));
+  const unanswered = asked.filter(({tookMs}) => tookMs > TIMEOUT_MS);
+  const late = unanswered.filter(({tookMs}) => tookMs > TIMEOUT_MS + LATE_MS);
+  const ready = await Promise.all(deployment.hosts.map(async host => host.isReady()));
   return {
-    isBroken: wrong.length > 0,
-    text: `${wrong.length} of ${results.length} clients took a part of the upstream's answer for the whole (${wrong.map(({id}) => id).join(', ')}); ${results.filter(({isWhole}) => isWhole).length} got it whole`,
+    isBroken: unanswered.length >= UNANSWERED_MIN && late.length > unanswered.length / 2,
+    text: `${late.length} of ${unanswered.length} requests that were unanswered at ${TIMEOUT_MS} ms had no answer ${LATE_MS} ms later; ${ready.filter(isReady => !isReady).length} of ${ready.length} processes answer no readiness check at the end; ${countBy(asked.map(({path, status}) => `${path} ${status}`))}`,
   };
 });
