fix(inbound): treat a response without a length as lost when its connection is reset

Seen by callers: a backend server answered a long upload at once with a 200 without a length, sent a part of the body, or none, and reset the connection; the caller got that part as a complete 200.

Cause: a response without a length is complete when its connection ends in order, and the end that Node reports is not always one. When libuv finds a hang-up (EPOLLHUP) together with data, and the read of the data was a short one, it reports the end without a further read, so the reset (ECONNRESET), which only that read would return, is never seen. The request does not matter, only that data and reset are found together. A second way to the same result: the connection ends in order while the request is still being sent, and is reset after that.

Change: while a response without a length is being received, reading stops after each read and goes on in the next turn of the event loop. libuv then does not infer the end, and the read that finds no data returns the reset. Where the request has not been sent when the end arrives, the response is handed over only once the rest has been sent; if that fails, it is lost. What is received decides, no delay or size.

--- a/src/mesh/inbound/backend-connection.ts
+++ b/src/mesh/inbound/backend-connection.ts
@@ -220,6 +220,18 @@
     destroy(message);
   };
 
+  /**
+  Reads on in the next turn of the event loop, so that the end of the connection is read by itself. libuv reports a hang-up that it finds together with data as a regular end, even if the connection was reset; a read that returns no data returns the reset.
+  */
+  const readInNextTurn = (): void => {
+    socket.pause();
+    setImmediate(() => {
+      if (!socket.destroyed && !mustWait()) {
+        socket.resume();
+      }
+    });
+  };
+
   /** Parses received bytes until a response is complete or has to wait for its next turn. */
   const parseReceived = (): void => {
     while (unparsed.length > 0 && !socket.destroyed) {
@@ -250,6 +262,8 @@
 
     if (mustWait()) {
       socket.pause();
+    } else if (parser.awaitsEndOfConnection()) {
+      readInNextTurn();
     } else {
       socket.resume();
     }
@@ -267,6 +281,12 @@
 
   /** A response without a declared length ends when the server closes the connection; a framed one is truncated by it. */
   const onEnd = (): void => {
+    if (socket.writableLength > 0 && parser.awaitsEndOfConnection()) {
+      // The server may still read the rest of the request. If it has closed the connection instead, sending the rest fails, and the response is not known to be whole.
+      socket.once('finish', onEnd);
+      return;
+    }
+
     const requestId = current?.requestId;
     if (requestId !== undefined && parser.endOfConnection()) {
       options.onProtocolEvent('unframed-answer', requestId);
--- a/src/mesh/inbound/response-parser.ts
+++ b/src/mesh/inbound/response-parser.ts
@@ -25,6 +25,8 @@
   pieces: () => number;
   /** Bytes of the body of the current response so far. */
   bodyBytes: () => number;
+  /** Whether the head of a response has arrived whose body ends with the connection. */
+  awaitsEndOfConnection: () => boolean;
   /** Hands over a response that the end of the connection completes; returns whether there was one. */
   endOfConnection: () => boolean;
   /** Whether bytes of a further response have arrived. */
@@ -177,6 +179,8 @@
 
   parser[HTTPParser.kOnMessageComplete] = finish;
 
+  const awaitsEndOfConnection = (): boolean => response !== undefined && !response.framed;
+
   return {
     begin(request) {
       isHead = request.isHead;
@@ -198,8 +202,9 @@
     },
     pieces: () => pieces,
     bodyBytes: () => bodyBytes,
+    awaitsEndOfConnection,
     endOfConnection() {
-      if (response === undefined || response.framed) {
+      if (!awaitsEndOfConnection()) {
         return false;
       }
 
