fix(inbound): read status lines as they were received

Seen by callers: a response with the status line `HTTP/1.1 2000 OK` came out as a 200 of the backend server, `5030` as a 503, which promises that the request has not run; the same for `200OK`, `200.`, a tab behind the status, and the versions 0.9 and 2.0.

Cause: the parser takes the first three digits of the status and any text behind them for the reason phrase, and only what is left, a status of 200, was checked. Change: `response-lines.ts` checks each line before the parser reads it: HTTP/1.x, three digits from 100 to 599, a blank before a reason phrase without control characters. It takes in the checks of lines that stood in `response-framing.ts` and the one of the reason phrase. A line that HTTP does not allow in a head now always counts as `answer-head-invalid`.

A status 000 was refused before as well (502, at once); its cases are kept.

--- a/src/mesh/inbound/response-framing.ts
+++ b/src/mesh/inbound/response-framing.ts
@@ -2,9 +2,6 @@
 
 /** At most 16 digits, which fit into a number. */
 const LENGTH = /^\d{1,16}$/u;
-const CHUNK_SIZE_LINE = /^[\da-f]{1,12}[\t ]*(?:;.*)?$/iu;
-/** A field, the continuation of one, or the empty line at the end. */
-const FIELD_LINE = /^(?:[^\s:]+:.*|[\t ].*|)$/u;
 
 const valuesOf = (rawHeaders: readonly string[], name: string): string[] =>
   rawHeaders.filter((_, index) => index % 2 === 1 && rawHeaders[index - 1]!.toLowerCase() === name);
@@ -21,21 +18,3 @@
     ? undefined
     : `its Transfer-Encoding is not chunked: ${JSON.stringify(codings.join(', ').slice(0, 80))}`;
 };
-
-/** Whether a line may stand where the parser is; `state` is what it expects. */
-export const isFramingLine = (state: string, line: string): boolean => {
-  switch (state) {
-    case 'BODY_CHUNKHEAD': {
-      return CHUNK_SIZE_LINE.test(line);
-    }
-
-    case 'HEADER':
-    case 'BODY_CHUNKTRAILERS': {
-      return FIELD_LINE.test(line);
-    }
-
-    default: {
-      return true;
-    }
-  }
-};
--- a/src/mesh/inbound/response-parser.ts
+++ b/src/mesh/inbound/response-parser.ts
@@ -3,8 +3,9 @@
 import {HTTPParser} from 'http-parser-js';
 import {createBodyBuffer, type BodyBuffer} from '../body-buffer.js';
 import type {HeldBytes, Reservation} from '../held-bytes.js';
-import {findHeadFault, isHeaderValue} from '../entry/response-head.js';
-import {findFramingFault, isFramingLine} from './response-framing.js';
+import {findHeadFault} from '../entry/response-head.js';
+import {findFramingFault} from './response-framing.js';
+import {isResponseLine} from './response-lines.js';
 
 // Reads heads with one character for each byte. The parser's default clears the highest bit, which turns bytes of other encodings into control characters.
 HTTPParser.encoding = 'latin1';
@@ -81,6 +82,8 @@
   return bytes;
 };
 
+const isHeadLine = (expected: string): boolean => expected === 'RESPONSE_LINE' || expected === 'HEADER';
+
 /** Creates a parser; `begin` is called before the first response. */
 export const createResponseParser = ({heldBytes, onResponse}: ResponseParserOptions): ResponseParser => {
   const parser = new HTTPParser(HTTPParser.RESPONSE);
@@ -126,14 +129,15 @@
   };
 
   const consumeLine = state.consumeLine.bind(state);
-  // The parser skips header lines that it cannot read, and takes a chunk size that is no number for the end of the body.
   state.consumeLine = () => {
-    const line = consumeLine();
-    if (line !== undefined && !isFramingLine(state.state, line)) {
-      throw new Error(`invalid line: ${JSON.stringify(line.slice(0, 80))}`);
+    const text = consumeLine();
+    if (text !== undefined && !isResponseLine({expected: state.state, text})) {
+      const message = `the backend server sent an invalid line: ${JSON.stringify(text.slice(0, 80))}`;
+      refuse(isHeadLine(state.state) ? 'head-invalid' : 'not-http', message);
+      throw new Error(message);
     }
 
-    return line;
+    return text;
   };
 
   parser[HTTPParser.kOnHeadersComplete] = info => {
@@ -142,7 +146,6 @@
     }
 
     const headFault = findHeadFault({status: info.statusCode, rawHeaders: info.headers})
-      ?? (isHeaderValue(info.statusMessage) ? undefined : 'its reason phrase contains a control character')
       ?? findFramingFault(info.headers);
     if (headFault !== undefined) {
       refuse('head-invalid', `the backend server sent an invalid response head: ${headFault}`);
