fix(inbound): read the fields of a response as they were received

Seen by callers: a response in whose head the name of a field began with a blank came out as a 200 of the backend server. The parser skipped the line (before the first field) or appended it to the value of the field before it, which was passed on. Where it was the length or the transfer coding, the body was read up to the end of the connection: with chunk sizes in it, or never complete (504 at the deadline, though the backend server had answered at once). Lines of blanks were skipped, and a line feed in front of a name ended the head.

Cause: the parser takes a line that begins with a blank for the continuation of the field before it, skips it if there is none, and accepts a single line feed as the end of a line. Names and values were checked afterwards, when such lines could not be seen any more. Change: each line of a head is checked as it was received, in one place: a field is a token, a colon and a value without control characters. A line continues a field only if there is one, and if it holds text without a colon, as it may be a field otherwise; RFC 9112 (5.2) allows a proxy to refuse any folded line. All lines of a response end alike, as its status line does.

--- a/src/mesh/entry/response-head.ts
+++ b/src/mesh/entry/response-head.ts
@@ -1,4 +1,4 @@
-/** Decides which heads of responses may be passed on to a caller. Both entrances of responses ask it, the connection to the backend server and the links to other processes, before they keep anything of the response. */
+/** Decides which heads of responses may be passed on to a caller. Both entrances of responses ask it before they keep anything of the response: the connection to the backend server line by line, the links to other processes for a whole head. */
 
 /** Head of a response; raw headers alternate names and values, one character for each byte. */
 export type ResponseHead = {status: number; rawHeaders: readonly string[]};
@@ -12,6 +12,9 @@
 
 const quote = (text: string): string => JSON.stringify(text.slice(0, 80));
 
+/** Whether HTTP allows a text as a header name. */
+export const isHeaderName = (text: string): boolean => HEADER_NAME.test(text);
+
 /** Whether HTTP allows a text as a header value. */
 export const isHeaderValue = (text: string): boolean => !FORBIDDEN_TEXT.test(text);
 
@@ -21,7 +24,7 @@
     return `status ${status} is not between ${FIRST_STATUS} and ${LAST_STATUS}`;
   }
 
-  const fault = rawHeaders.findIndex((text, index) => index % 2 === 0 ? !HEADER_NAME.test(text) : !isHeaderValue(text));
+  const fault = rawHeaders.findIndex((text, index) => index % 2 === 0 ? !isHeaderName(text) : !isHeaderValue(text));
   if (fault === -1) {
     return undefined;
   }
--- a/src/mesh/inbound/response-lines.ts
+++ b/src/mesh/inbound/response-lines.ts
@@ -1,5 +1,5 @@
 /** Checks each line of a response as it was received. The parser skips, joins or shortens lines that it cannot read, so nothing of them can be seen in what it returns. */
-import {isHeaderValue} from '../entry/response-head.js';
+import {isHeaderName, isHeaderValue} from '../entry/response-head.js';
 
 /** Line of a response before the parser reads it. */
 export type ReceivedLine = {
@@ -7,30 +7,45 @@
   expected: string;
   /** Line without its end; one character for each byte. */
   text: string;
+  /** Whether a field of the same head stands before it. */
+  followsField: boolean;
 };
 
 /** Status 100 to 599. Servers may leave out the blank before an empty reason phrase. */
 const STATUS_LINE = /^HTTP\/1\.\d [1-5]\d\d(?: (.*))?$/u;
 const CHUNK_SIZE_LINE = /^[\da-f]{1,12}[\t ]*(?:;.*)?$/iu;
-/** A field, the continuation of one, or the empty line at the end. */
-const FIELD_LINE = /^(?:[^\s:]+:.*|[\t ].*|)$/u;
+const TRAILER_LINE = /^(?:[^\s:]+:.*|[\t ].*|)$/u;
+/** A line with a colon may just as well be a field whose name begins with a blank, and one without text the end of the head, so neither continues a field. */
+const CONTINUATION = /^[\t ]+[^\t :][^:]*$/u;
 
 const isStatusLine = (text: string): boolean => {
   const match = STATUS_LINE.exec(text);
   return match !== null && isHeaderValue(match[1] ?? '');
 };
 
+const isField = (text: string): boolean => {
+  const colon = text.indexOf(':');
+  return isHeaderName(text.slice(0, Math.max(0, colon))) && isHeaderValue(text.slice(colon + 1));
+};
+
+const isFieldLine = ({text, followsField}: ReceivedLine): boolean =>
+  text === '' || isField(text) || (followsField && CONTINUATION.test(text) && isHeaderValue(text));
+
 /** Whether HTTP allows a line where it stands. */
-export const isResponseLine = ({expected, text}: ReceivedLine): boolean => {
+export const isResponseLine = (line: ReceivedLine): boolean => {
+  const {expected, text} = line;
   switch (expected) {
     case 'RESPONSE_LINE': {
       // The parser skips empty lines before a response.
       return text === '' || isStatusLine(text);
     }
 
-    case 'HEADER':
+    case 'HEADER': {
+      return isFieldLine(line);
+    }
+
     case 'BODY_CHUNKTRAILERS': {
-      return FIELD_LINE.test(text);
+      return TRAILER_LINE.test(text);
     }
 
     case 'BODY_CHUNKHEAD': {
--- a/src/mesh/inbound/response-parser.ts
+++ b/src/mesh/inbound/response-parser.ts
@@ -3,7 +3,6 @@
 import {HTTPParser} from 'http-parser-js';
 import {createBodyBuffer, type BodyBuffer} from '../body-buffer.js';
 import type {HeldBytes, Reservation} from '../held-bytes.js';
-import {findHeadFault} from '../entry/response-head.js';
 import {findFramingFault} from './response-framing.js';
 import {isResponseLine} from './response-lines.js';
 
@@ -61,8 +60,8 @@
 const STRING_OVERHEAD_BYTES = 32;
 const FIRST_FINAL_STATUS = 200;
 
-/** Parts of the parser that its type declarations leave out: the incomplete line, what is expected next, the headers and trailers so far, and the function that takes the next complete line. */
-type ParserState = {line: string; state: string; info: {headers: string[]}; trailers: string[]; consumeLine: () => string | undefined};
+/** Parts of the parser that its type declarations leave out: the incomplete line, what is expected next, the headers and trailers so far, how far the received bytes have been read, and the function that takes the next complete line. */
+type ParserState = {line: string; state: string; info: {headers: string[]}; trailers: string[]; offset: number; consumeLine: () => string | undefined};
 
 const isFramed = (rawHeaders: readonly string[]): boolean =>
   rawHeaders.some((name, index) => index % 2 === 0 && /^(?:content-length|transfer-encoding)$/iu.test(name));
@@ -95,6 +94,8 @@
   let pieces = 0;
   let receivedBytes = 0;
   let bodyBytes = 0;
+  /** Bytes that end each line of the current response: a line feed, with a carriage return or without. A line with another end is one that was altered on its way. */
+  let lineEndBytes = 0;
 
   const release = (): void => {
     response = undefined;
@@ -130,8 +131,18 @@
 
   const consumeLine = state.consumeLine.bind(state);
   state.consumeLine = () => {
+    const receivedChars = state.line.length - state.offset;
     const text = consumeLine();
-    if (text !== undefined && !isResponseLine({expected: state.state, text})) {
+    if (text === undefined) {
+      return undefined;
+    }
+
+    const endBytes = receivedChars + state.offset - text.length;
+    if (state.state === 'RESPONSE_LINE') {
+      lineEndBytes = endBytes;
+    }
+
+    if (endBytes !== lineEndBytes || !isResponseLine({expected: state.state, text, followsField: state.info.headers.length > 0})) {
       const message = `the backend server sent an invalid line: ${JSON.stringify(text.slice(0, 80))}`;
       refuse(isHeadLine(state.state) ? 'head-invalid' : 'not-http', message);
       throw new Error(message);
@@ -145,10 +156,9 @@
       return 1;
     }
 
-    const headFault = findHeadFault({status: info.statusCode, rawHeaders: info.headers})
-      ?? findFramingFault(info.headers);
-    if (headFault !== undefined) {
-      refuse('head-invalid', `the backend server sent an invalid response head: ${headFault}`);
+    const framingFault = findFramingFault(info.headers);
+    if (framingFault !== undefined) {
+      refuse('head-invalid', `the backend server sent an invalid response head: ${framingFault}`);
       return 1;
     }
 
