fix(inbound): read chunk sizes and trailers as they were received

Seen by callers: a chunked response with a control byte in the name or the value of a trailer, with a trailer that began with a blank or was no token, or with a control byte in a chunk extension came out as a 200 of the backend server.

Cause: only names and values of the head were checked; trailers and the extensions of chunk sizes are dropped, so nothing looked at them. A response in which a byte is spoilt says nothing about its other bytes. Change: trailers are checked as the fields of a head are, chunk sizes must have no control byte.

Sound trailers, one of them folded, and extensions are read as before.

--- a/src/mesh/inbound/response-lines.ts
+++ b/src/mesh/inbound/response-lines.ts
@@ -7,14 +7,13 @@
   expected: string;
   /** Line without its end; one character for each byte. */
   text: string;
-  /** Whether a field of the same head stands before it. */
+  /** Whether a field of the same head or trailer section stands before it. */
   followsField: boolean;
 };
 
 /** Status 100 to 599. Servers may leave out the blank before an empty reason phrase. */
 const STATUS_LINE = /^HTTP\/1\.\d [1-5]\d\d(?: (.*))?$/u;
 const CHUNK_SIZE_LINE = /^[\da-f]{1,12}[\t ]*(?:;.*)?$/iu;
-const TRAILER_LINE = /^(?:[^\s:]+:.*|[\t ].*|)$/u;
 /** A line with a colon may just as well be a field whose name begins with a blank, and one without text the end of the head, so neither continues a field. */
 const CONTINUATION = /^[\t ]+[^\t :][^:]*$/u;
 
@@ -40,16 +39,13 @@
       return text === '' || isStatusLine(text);
     }
 
-    case 'HEADER': {
-      return isFieldLine(line);
-    }
-
+    case 'HEADER':
     case 'BODY_CHUNKTRAILERS': {
-      return TRAILER_LINE.test(text);
+      return isFieldLine(line);
     }
 
     case 'BODY_CHUNKHEAD': {
-      return CHUNK_SIZE_LINE.test(text);
+      return CHUNK_SIZE_LINE.test(text) && isHeaderValue(text);
     }
 
     default: {
--- a/src/mesh/inbound/response-parser.ts
+++ b/src/mesh/inbound/response-parser.ts
@@ -129,6 +129,9 @@
     }
   };
 
+  /** Fields of the section that is being received, the head or the trailers. */
+  const sectionFields = (): string[] => state.state === 'BODY_CHUNKTRAILERS' ? state.trailers : state.info.headers;
+
   const consumeLine = state.consumeLine.bind(state);
   state.consumeLine = () => {
     const receivedChars = state.line.length - state.offset;
@@ -142,7 +145,7 @@
       lineEndBytes = endBytes;
     }
 
-    if (endBytes !== lineEndBytes || !isResponseLine({expected: state.state, text, followsField: state.info.headers.length > 0})) {
+    if (endBytes !== lineEndBytes || !isResponseLine({expected: state.state, text, followsField: sectionFields().length > 0})) {
       const message = `the backend server sent an invalid line: ${JSON.stringify(text.slice(0, 80))}`;
       refuse(isHeadLine(state.state) ? 'head-invalid' : 'not-http', message);
       throw new Error(message);
