fix(inbound): read the end of a response from its status and its fields together

Seen by callers: a 504 at their deadline only, although the backend server had answered at once, where its status was 101, another informational one with a body, or 304 with the length of the body that it leaves out, and where its bytes began no response and had no end of a line. A sound 204 or 304 without a length was taken for a cut one: on a route with retries the caller got 502 after all attempts.

Cause: the parser reads a body wherever a length or a transfer coding is stated, whatever the status, stops parsing behind a 101 with an upgrade, and waits for the end of any first line. Whether a response is framed was decided a second time, by the names of its fields alone. Change: `readFraming` decides the end of a response once, from its status and its fields. 304, 204 and responses to HEAD end with their head. An informational response has no body; one that states one is refused at once, as is 101, which no request asks for. Bytes that cannot become a status line are refused as they arrive.

Informational responses before the final one are skipped as before.

--- a/src/mesh/inbound/response-lines.ts
+++ b/src/mesh/inbound/response-lines.ts
@@ -13,6 +13,7 @@
 
 /** Status 100 to 599. Servers may leave out the blank before an empty reason phrase. */
 const STATUS_LINE = /^HTTP\/1\.\d [1-5]\d\d(?: (.*))?$/u;
+const STATUS_LINE_BEGINNING = 'HTTP/1.';
 const CHUNK_SIZE_LINE = /^[\da-f]{1,12}[\t ]*(?:;.*)?$/iu;
 /** A line with a colon may just as well be a field whose name begins with a blank, and one without text the end of the head, so neither continues a field. */
 const CONTINUATION = /^[\t ]+[^\t :][^:]*$/u;
@@ -53,3 +54,7 @@
     }
   }
 };
+
+/** Whether a status line may begin with a text, so that it is worth waiting for the rest. */
+export const mayBeginStatusLine = (text: string): boolean =>
+  text === '\r' || text.startsWith(STATUS_LINE_BEGINNING) || STATUS_LINE_BEGINNING.startsWith(text);
--- a/src/mesh/inbound/response-parser.ts
+++ b/src/mesh/inbound/response-parser.ts
@@ -3,13 +3,13 @@
 import {HTTPParser} from 'http-parser-js';
 import {createBodyBuffer, type BodyBuffer} from '../body-buffer.js';
 import type {HeldBytes, Reservation} from '../held-bytes.js';
-import {findFramingFault} from './response-framing.js';
-import {isResponseLine} from './response-lines.js';
+import {FIRST_FINAL_STATUS, readFraming} from './response-framing.js';
+import {isResponseLine, mayBeginStatusLine} from './response-lines.js';
 
 // Reads heads with one character for each byte. The parser's default clears the highest bit, which turns bytes of other encodings into control characters.
 HTTPParser.encoding = 'latin1';
 
-/** Response of which the head has been received. `framed`: it states its length or is chunked; without either, its end may be a truncation. */
+/** Response of which the head has been received. `framed`: its end is known without that of the connection, which may be a truncation. */
 export type ParsedResponse = {status: number; rawHeaders: string[]; body: BodyBuffer; framed: boolean; keepsConnection: boolean};
 
 /** Why a connection cannot be used any more. */
@@ -58,20 +58,10 @@
 const FIELDS_MAX = 2000;
 /** Memory of a string besides its characters, in bytes. */
 const STRING_OVERHEAD_BYTES = 32;
-const FIRST_FINAL_STATUS = 200;
 
 /** Parts of the parser that its type declarations leave out: the incomplete line, what is expected next, the headers and trailers so far, how far the received bytes have been read, and the function that takes the next complete line. */
 type ParserState = {line: string; state: string; info: {headers: string[]}; trailers: string[]; offset: number; consumeLine: () => string | undefined};
 
-const isFramed = (rawHeaders: readonly string[]): boolean =>
-  rawHeaders.some((name, index) => index % 2 === 0 && /^(?:content-length|transfer-encoding)$/iu.test(name));
-
-/** Length of the body that a response states; undefined without one. */
-const statedLengthOf = (rawHeaders: readonly string[]): number | undefined => {
-  const nameIndex = rawHeaders.findIndex((name, index) => index % 2 === 0 && /^content-length$/iu.test(name));
-  return nameIndex === -1 ? undefined : Number(rawHeaders[nameIndex + 1]);
-};
-
 const headBytes = (rawHeaders: readonly string[]): number => {
   let bytes = 0;
   for (const text of rawHeaders) {
@@ -81,6 +71,9 @@
   return bytes;
 };
 
+/** Tells the parser that a response has no body, whatever its headers say. */
+const SKIP_BODY = 1;
+
 const isHeadLine = (expected: string): boolean => expected === 'RESPONSE_LINE' || expected === 'HEADER';
 
 /** Creates a parser; `begin` is called before the first response. */
@@ -129,6 +122,13 @@
     }
   };
 
+  /** Finds bytes that no end of a line makes a response, so that a caller does not wait for it. */
+  const checkStatusLine = (): void => {
+    if (state.state === 'RESPONSE_LINE' && !mayBeginStatusLine(state.line)) {
+      refuse('not-http', `the backend server sent bytes that begin no response: ${JSON.stringify(state.line.slice(0, 80))}`);
+    }
+  };
+
   /** Fields of the section that is being received, the head or the trailers. */
   const sectionFields = (): string[] => state.state === 'BODY_CHUNKTRAILERS' ? state.trailers : state.info.headers;
 
@@ -156,26 +156,28 @@
 
   parser[HTTPParser.kOnHeadersComplete] = info => {
     if (fault !== undefined) {
-      return 1;
+      return SKIP_BODY;
     }
 
-    const framingFault = findFramingFault(info.headers);
-    if (framingFault !== undefined) {
-      refuse('head-invalid', `the backend server sent an invalid response head: ${framingFault}`);
-      return 1;
+    const framing = readFraming({isHead, status: info.statusCode, rawHeaders: info.headers});
+    if (framing.kind === 'invalid') {
+      refuse('head-invalid', `the backend server sent an invalid response head: ${framing.message}`);
+      return SKIP_BODY;
     }
 
     if (!reservation.add(headBytes(info.headers))) {
       refuse('too-long', 'the head of the response exceeds the memory that a process may hold');
-      return 1;
+      return SKIP_BODY;
     }
 
     response = {
-      status: info.statusCode, rawHeaders: info.headers, body: createBodyBuffer({reservation, lengthMax: BODY_MAX_BYTES, statedLength: statedLengthOf(info.headers)}), framed: isFramed(info.headers), keepsConnection: info.shouldKeepAlive,
+      status: info.statusCode,
+      rawHeaders: info.headers,
+      body: createBodyBuffer({reservation, lengthMax: BODY_MAX_BYTES, statedLength: framing.kind === 'length' ? framing.bytes : undefined}),
+      framed: framing.kind !== 'connection',
+      keepsConnection: info.shouldKeepAlive,
     };
-
-    // Returning 1 tells the parser that there is no body, whatever the headers say.
-    return isHead ? 1 : undefined;
+    return framing.kind === 'bodiless' ? SKIP_BODY : undefined;
   };
 
   parser[HTTPParser.kOnBody] = (bytes, offset, length) => {
@@ -212,6 +214,7 @@
         refuse('not-http', `the backend server sent an invalid HTTP response: ${outcome.message}`);
       } else {
         checkFraming();
+        checkStatusLine();
       }
 
       return fault;
