fix(inbound): refuse responses whose framing contradicts itself

Seen by callers: a 204 that states a body came out as a 204 without it, and a response with both a length and chunks, or with chunks in HTTP/1.0, as a 200 with one of the two readings of its body.

Cause: the parser lets one statement win. RFC 9112 (6.1, 6.3) and RFC 9110 (8.6) forbid a server to send any of these, so at least one byte of such a head is wrong, and nothing says which. Change: `readFraming` refuses them. A 204 with a length of 0 is read, as some servers send it.

--- a/src/mesh/inbound/response-framing.ts
+++ b/src/mesh/inbound/response-framing.ts
@@ -13,6 +13,8 @@
   /** Whether it responds to a HEAD request. */
   isHead: boolean;
   status: number;
+  /** Minor version of HTTP/1. */
+  versionMinor: number;
   rawHeaders: readonly string[];
 };
 
@@ -33,7 +35,7 @@
 const invalid = (message: string): ResponseFraming => ({kind: 'invalid', message});
 
 /** Reads the headers that state the framing, whatever the status. */
-const readStated = ({rawHeaders}: FramingHead): ResponseFraming => {
+const readStated = ({versionMinor, rawHeaders}: FramingHead): ResponseFraming => {
   const lengths = valuesOf(rawHeaders, 'content-length');
   const unreadable = lengths.find(value => !LENGTH.test(value));
   if (unreadable !== undefined) {
@@ -49,7 +51,11 @@
     return invalid(`its Transfer-Encoding is not chunked: ${quote(codings.join(', '))}`);
   }
 
-  return {kind: 'chunked'};
+  if (lengths.length > 0) {
+    return invalid('it states both a Content-Length and a Transfer-Encoding');
+  }
+
+  return versionMinor === 0 ? invalid('HTTP/1.0 has no Transfer-Encoding') : {kind: 'chunked'};
 };
 
 /** Reads the framing of a response. */
@@ -64,9 +70,10 @@
     return stated;
   }
 
-  if (status < FIRST_FINAL_STATUS) {
-    return stated.kind === 'connection' ? {kind: 'bodiless'} : invalid(`status ${status} is interim and has no body, but it states one`);
+  if (status < FIRST_FINAL_STATUS || status === NO_CONTENT_STATUS) {
+    const statesBody = stated.kind === 'chunked' || (stated.kind === 'length' && (status < FIRST_FINAL_STATUS || stated.bytes > 0));
+    return statesBody ? invalid(`status ${status} has no body, but it states one`) : {kind: 'bodiless'};
   }
 
-  return isHead || status === NO_CONTENT_STATUS || status === NOT_MODIFIED_STATUS ? {kind: 'bodiless'} : stated;
+  return isHead || status === NOT_MODIFIED_STATUS ? {kind: 'bodiless'} : stated;
 };
--- a/src/mesh/inbound/response-parser.ts
+++ b/src/mesh/inbound/response-parser.ts
@@ -159,7 +159,9 @@
       return SKIP_BODY;
     }
 
-    const framing = readFraming({isHead, status: info.statusCode, rawHeaders: info.headers});
+    const framing = readFraming({
+      isHead, status: info.statusCode, versionMinor: info.versionMinor, rawHeaders: info.headers,
+    });
     if (framing.kind === 'invalid') {
       refuse('head-invalid', `the backend server sent an invalid response head: ${framing.message}`);
       return SKIP_BODY;
