fix(daemon): cut a response without a length when its connection is reset

Cause: undici completes a response without a length when its connection fails with ECONNRESET ("we treat all incoming data as a valid response"). A response without a length that ends before its request has been read is cut as well. The caller's connection is then closed before the end of the chunked response.

Between two processes all responses state a length or are chunked, and a cut one fails in undici's parser.

--- a/src/daemon/transport.ts
+++ b/src/daemon/transport.ts
@@ -1,8 +1,11 @@
 /** HTTP client for backend servers and other processes, with detection of silent connections. */
 import {Buffer} from 'node:buffer';
+import {PassThrough, pipeline, type Readable} from 'node:stream';
 import {Pool} from 'undici';
+import {createStrictConnector} from '../shared/strict-connector.js';
 import {type Headers, forwardedResponseHeaders} from './headers.js';
 import {BUFFERED_REPLY_BYTES_MAX, type TransportResult, type RequestMessage} from './message.js';
+import type {ReplayBody} from './replay-body.js';
 
 /** Request to the address of a transport. */
 export type TransportRequest = {
@@ -152,6 +155,21 @@
   };
 };
 
+/** Whether a response ends with its connection. */
+const endsWithConnection = (headers: Headers): boolean => headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+
+/** Passes on a response that ends with its connection. If the connection ends before the request has been read, the server has broken off. */
+const readToEnd = (body: Readable, request: ReplayBody): Readable => {
+  const whole = new PassThrough({
+    flush(callback) {
+      callback(request.consumed() ? null : new Error('the connection of a response without a length ended before the request was sent'));
+    },
+  });
+  // An error reaches the reader of the result.
+  pipeline(body, whole, () => undefined);
+  return whole;
+};
+
 const declaredLength = (headers: Headers): number | undefined => {
   const text = headers['content-length'];
   return typeof text === 'string' ? Number(text) : undefined;
@@ -171,7 +189,7 @@
   const createPool = () => new Pool(`http://${options.address}`, {
     connections: options.connections,
     pipelining: 1,
-    connect: {timeout: CONNECT_TIMEOUT_MS},
+    connect: createStrictConnector({timeoutMs: CONNECT_TIMEOUT_MS}),
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     headersTimeout: 0,
     bodyTimeout: 0,
@@ -213,7 +231,14 @@
     }
 
     response.body.once('close', watchdog.stop);
-    return {kind: 'replied', reply: {status: response.statusCode, headers, body: response.body}};
+    return {
+      kind: 'replied',
+      reply: {
+        status: response.statusCode,
+        headers,
+        body: endsWithConnection(response.headers) ? readToEnd(response.body, message.body) : response.body,
+      },
+    };
   };
 
   return {
