fix(platform): take no answer of the platform without a length whose connection was reset

Seen by the command line and by processes: a write whose response, without a length, was cut by a reset was reported as rejected, or as done if the part was a whole JSON text, although its outcome is not known.

Cause: as in the program with its own entry, undici completes a response without a length when its connection fails with ECONNRESET, and libuv reports some resets as a regular end. Change: the client's pool and its watches connect with `strict-connector.ts`. The call fails as unreachable, so that a write is read back.

Spoilt statuses, names of fields and responses cut before their stated length were unreachable before; responses without a length whose connection ends in order are read as before.

--- a/src/platform/client.ts
+++ b/src/platform/client.ts
@@ -3,6 +3,7 @@
 import {z} from 'zod';
 import type {Random} from '../shared/random.js';
 import {fail, ok, type Result} from '../shared/result.js';
+import {createStrictConnector} from '../shared/strict-connector.js';
 import {
   createRateLimiter, recordResponse, recordFailure, returnToken, reserveToken, type RateLimiterOptions,
 } from './rate-limiter.js';
@@ -158,7 +159,9 @@
   const origin = address.includes('://') ? address : `http://${address}`;
   const rateLimiter = createRateLimiter(options.rateLimit ?? {}, timers.now());
   const watches = new Set<{close: () => void}>();
-  let pool = new Pool(origin);
+  const connect = createStrictConnector();
+  const createPool = (): Pool => new Pool(origin, {connect});
+  let pool = createPool();
   let waitingCalls = 0;
 
   /** Waits for the rate limiter; returns false if the call must fail without being sent. */
@@ -194,7 +197,7 @@
   /** Makes later calls use new connections, because idle ones of the same age may be dead as well. */
   const replacePool = (): void => {
     const replacedPool = pool;
-    pool = new Pool(origin);
+    pool = createPool();
     void replacedPool.close();
   };
 
@@ -243,7 +246,7 @@
       return fail({kind: 'unreachable', message: `the watch of the platform at ${address} was not opened in time`});
     }
 
-    const connection = new Client(origin, {headersTimeout: 0, bodyTimeout: 0});
+    const connection = new Client(origin, {connect, headersTimeout: 0, bodyTimeout: 0});
     const destroy = (): void => {
       void connection.destroy();
     };
