fix(platform): report a write whose answer cannot be read as one with an unknown outcome

Seen by the command line: a write whose response, a 200 without a length, ended before the whole JSON text was reported as rejected, although it may have taken effect.

Cause: a 200 without the expected content was treated as any other status below 500. Change: it counts as unreachable, so that the write is read back; the message asks to check the address, as another server may answer there.

--- a/src/platform/__tests__/broken-responses.spec.ts
+++ b/src/platform/__tests__/broken-responses.spec.ts
@@ -34,6 +34,7 @@
 const cases: Case[] = [
   ...[0, 10, BODY.length].flatMap(bytes => [withReset(bytes, 0), withReset(bytes, 20)]),
   ...['000', '099', '101', '102', '600', '999', '2000'].map(status => withStatus(status)),
+  {title: 'no length, and an end after a part of the body', expected: 'unreachable', respond: socket => socket.end(`${HEAD}\r\n${BODY.slice(0, 10)}`)},
   {title: 'a length, and an end after a part of the body', expected: 'unreachable', respond: socket => socket.end(`${HEAD}${WITH_LENGTH.slice(0, -1)}`)},
   {title: 'a blank in the name of a field', expected: 'unreachable', respond: socket => socket.write(`${HEAD}X Other: 1\r\n${WITH_LENGTH}`)},
   {title: 'a blank before the first field', expected: 'unreachable', respond: socket => socket.write(`${HEAD} X-Other: 1\r\n${WITH_LENGTH}`)},
--- a/src/platform/client.ts
+++ b/src/platform/client.ts
@@ -119,6 +119,11 @@
       return {kind: 'too-large', message};
     }
 
+    case 200: {
+      // The response may have been cut, so the outcome is unknown.
+      return {kind: 'unreachable', message: 'the platform answered with content that cannot be read; check the platform address, and read the object before writing it again'};
+    }
+
     default: {
       // An intermediary can return 5xx after the platform has applied the write, so the outcome is unknown.
       return response.status >= STATUS_SERVER_ERROR_MIN ? {kind: 'unreachable', message} : {kind: 'rejected', message};
