fix(cli): print no answer of a process whose connection was reset

Seen at the command line: a response of the admin address without a length whose connection was reset was printed as the answer of the process, and so was one with a blank in the name of a field. `jujubewelld` itself states the length of each response there; another program at that address need not.

Cause: Node's built-in `fetch` completes such a response, and its parser accepts the blank. Change: the command line reads with undici and `strict-connector.ts`, as it reads the platform.

--- a/src/cli/admin.ts
+++ b/src/cli/admin.ts
@@ -1,10 +1,17 @@
 /** Client of the admin listener of a process. */
+import {Agent, request} from 'undici';
 import {getProperty} from '../objects/json-schema.js';
 import {fail, ok, type Result} from '../shared/result.js';
+import {createStrictConnector} from '../shared/strict-connector.js';
 import {commandError, type CommandError} from './error.js';
 
 const REQUEST_TIMEOUT_MS = 3000;
 
+const FIRST_SUCCESS_STATUS = 200;
+const LAST_SUCCESS_STATUS = 299;
+
+const dispatcher = new Agent({connect: createStrictConnector({timeoutMs: REQUEST_TIMEOUT_MS})});
+
 const parseBody = (content: string): unknown => {
   try {
     return JSON.parse(content);
@@ -21,11 +28,11 @@
 /** Sends a request to the admin listener of a process and returns the response body, parsed when it is JSON. */
 export const callAdmin = async (address: string, method: 'GET' | 'POST', path: string): Promise<Result<unknown, CommandError>> => {
   try {
-    const response = await fetch(`http://${address}${path}`, {method, signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS)});
-    const body = parseBody(await response.text());
-    return response.ok ? ok(body) : fail(commandError('failed', errorMessage(body, response.status)));
+    const {statusCode, body} = await request(`http://${address}${path}`, {method, dispatcher, signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS)});
+    const content = parseBody(await body.text());
+    return statusCode >= FIRST_SUCCESS_STATUS && statusCode <= LAST_SUCCESS_STATUS ? ok(content) : fail(commandError('failed', errorMessage(content, statusCode)));
   } catch (error) {
-    const code = getProperty(getProperty(error, 'cause'), 'code');
+    const code = getProperty(error, 'code');
     const cause = typeof code === 'string' ? code : (error as Error).message;
     return fail(commandError('unreachable', `no answer from the process at ${address} (${cause}); check the admin address and that jujubewelld runs`));
   }
