test(load): show that the load tool counts no broken response as completed

Cause: the load tool reads answers as well; its messages carry their length and a checksum, and undici refuses the spoilt heads, so nothing had to change. Change: six cases in the table of request.spec.ts: a response without a length whose connection is reset, the statuses 000 and 2000, and a name of a field with a blank inside, a control byte or a blank before it.

--- a/src/load/__tests__/request.spec.ts
+++ b/src/load/__tests__/request.spec.ts
@@ -12,7 +12,9 @@
   response.end(encodeMessage(String(request.headers['jujubewell-request-id']), 'chiuse', 10));
 };
 
-const cases: Array<[title: string, handleResponse: ResponseHandler, expected: {completed: boolean; sendings: number; resends: number; lastReason: string}]> = [
+type Case = [title: string, handleResponse: ResponseHandler, expected: {completed: boolean; sendings: number; resends: number; lastReason: string}];
+
+const cases: Case[] = [
   ['a whole response completes the request', sendWholeResponse, {
     completed: true, sendings: 1, resends: 0, lastReason: 'completed',
   }],
@@ -41,6 +43,20 @@
   }, {
     completed: false, sendings: 3, resends: 2, lastReason: 'truncated',
   }],
+  ['a response without a length whose connection is reset does not count as completed', (request, {socket}) => {
+    const body = encodeMessage(String(request.headers['jujubewell-request-id']), 'chiuse', 10);
+    socket!.write(`HTTP/1.1 200 OK\r\n\r\n${body.subarray(0, -1).toString()}`);
+    socket!.resetAndDestroy();
+  }, {
+    completed: false, sendings: 3, resends: 2, lastReason: 'truncated',
+  }],
+  ...['HTTP/1.1 000 OK', 'HTTP/1.1 2000 OK', 'HTTP/1.1 200 OK\r\nX Other: 1', 'HTTP/1.1 200 OK\r\nX\u0001Other: 1', 'HTTP/1.1 200 OK\r\n X-Other: 1'].map((head): Case =>
+    [`a response with the head ${JSON.stringify(head)} does not count as completed`, (request, {socket}) => {
+      const body = encodeMessage(String(request.headers['jujubewell-request-id']), 'chiuse', 10);
+      socket!.write(`${head}\r\nContent-Length: ${body.length}\r\n\r\n${body.toString()}`);
+    }, {
+      completed: false, sendings: 3, resends: 2, lastReason: 'broken',
+    }]),
   ['a rejection is counted under its reason', (_, response) => {
     response.writeHead(503, {'jujubewell-outcome': 'not-run', 'jujubewell-reason': 'admission'}).end();
   }, {
