test(links): show that a cut result and a spoilt head end their call as lost

Cause: answers are read over links as well. Frames state their length and heads are checked where they enter, so nothing had to change. Change: cases for a result whose last byte is missing when the link is reset or ends, short and long, and for a status 000 and names with a blank or a control character. Result: all pass on the code before them.

--- a/src/mesh/links/__tests__/peer-link.spec.ts
+++ b/src/mesh/links/__tests__/peer-link.spec.ts
@@ -190,6 +190,9 @@
 const unusableResults: Array<{title: string; result: CallResult; onResult?: () => void; expected: string[]}> = [
   {title: 'a result whose head cannot be passed on', result: answered(['Content-Type', 'text/\u0001lain']), expected: ['lost', 'answered']},
   {title: 'a result with a status that HTTP does not have', result: answered([], 1000), expected: ['lost', 'answered']},
+  {title: 'a result with the status 000', result: answered([], 0), expected: ['lost', 'answered']},
+  {title: 'a result with a blank in a name', result: answered(['X Other', '1']), expected: ['lost', 'answered']},
+  {title: 'a result with a control character in a name', result: answered(['X\u0001Other', '1']), expected: ['lost', 'answered']},
   {
     title: 'a result whose handling throws',
     result: answered(['Content-Type', 'text/plain']),
@@ -228,6 +231,51 @@
   });
 }
 
+const answeredWithoutLength: CallResult = {
+  kind: 'answered', status: 200, rawHeaders: [], framed: false, failedBelow: false, lackingBelow: [],
+};
+
+const linkEnds: Array<{title: string; end: (socket: Socket) => void}> = [
+  {
+    title: 'is reset',
+    end(socket) {
+      socket.resetAndDestroy();
+    },
+  },
+  {
+    title: 'ends',
+    end(socket) {
+      socket.end();
+    },
+  },
+];
+
+// Guards against a part of a response that looks whole; a link has no messages that end with it.
+for (const {title, end} of linkEnds) {
+  for (const bodyBytes of [10, 2 * LONG_BODY_BYTES]) {
+    test(`a result whose last byte is missing when the link ${title} ends its call as lost, with a body of ${bodyBytes} bytes`, async t => {
+      const {link, peer} = await start(t, message => {
+        if (message.type === 'call') {
+          const frame = createFrameWriter().encode({
+            type: 'result', id: message.id, result: answeredWithoutLength, load: undefined,
+          }, Buffer.alloc(bodyBytes));
+          peer.socket!.write(frame.subarray(0, -1));
+          end(peer.socket!);
+        }
+
+        return undefined;
+      });
+      const results: PeerCallResult[] = [];
+      link.call(createCall(true), Buffer.alloc(0), outcome => {
+        results.push(outcome);
+      });
+      await waitUntil(() => results.length === 1);
+      t.deepEqual(results, [undefined]);
+      t.false(link.isOpen());
+    });
+  }
+}
+
 test('a load report without the demand by workspace keeps the last one, whose age grows', async t => {
   const workspaces: ReportedDemand = {heaviest: [{workspace: 'w', total: 100, fresh: 90}], others: {total: 5, fresh: 5, count: 2}};
   let calls = 0;
