refactor: state the range of final statuses and the raw test server once

Change: `src/shared/http-status.ts` and `src/shared/__tests__/raw-server.ts`. Cases and expectations are unchanged; the daemon's table has an early response in chunks more.

--- a/src/daemon/__tests__/broken-responses.spec.ts
+++ b/src/daemon/__tests__/broken-responses.spec.ts
@@ -1,11 +1,13 @@
 /** Guards against a broken response of a backend server that reaches a caller as a whole one, and against losing a sound one. */
 import {Buffer} from 'node:buffer';
-import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {Readable} from 'node:stream';
 import {text} from 'node:stream/consumers';
 import test, {type ExecutionContext} from 'ava';
 import {request} from 'undici';
 import type {DeclaredObject} from '../../objects/schema.js';
+import {
+  ending, resetting, startRawServer, writing, type RawResponse,
+} from '../../shared/__tests__/raw-server.js';
 import {createReplayBody, createReplayBudget, emptyBody} from '../replay-body.js';
 import {createTransport} from '../transport.js';
 import {startDeployment} from './deployment.js';
@@ -19,20 +21,8 @@
 const splitBody = (bytes: number): Buffer[] => Array.from({length: Math.ceil(bytes / READ_BYTES)}, (_, index) => Buffer.alloc(Math.min(READ_BYTES, bytes - (index * READ_BYTES))));
 
 /** Sends a request to a server that writes raw bytes when its first bytes arrive; returns the status and the body, or how the exchange ended. */
-const exchange = async (t: ExecutionContext, respond: (socket: Socket) => void, requestBytes: number): Promise<string> => {
-  const server = createServer(socket => {
-    socket.on('error', () => undefined);
-    socket.once('data', () => {
-      respond(socket);
-    });
-  });
-  await new Promise<void>(resolve => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const transport = createTransport({address: `127.0.0.1:${(server.address() as AddressInfo).port}`, connections: 1});
-  t.teardown(() => {
-    server.close();
-  });
+const exchange = async (t: ExecutionContext, respond: RawResponse, requestBytes: number): Promise<string> => {
+  const transport = createTransport({address: await startRawServer(t, respond), connections: 1});
   const result = await transport.send({
     message: {
       method: 'POST', path: '/', headers: {'content-length': String(requestBytes)}, body: requestBytes === 0
@@ -59,25 +49,17 @@
   }
 };
 
-const afterMs = (milliseconds: number, action: () => void): void => {
-  if (milliseconds === 0) {
-    action();
-  } else {
-    setTimeout(action, milliseconds);
-  }
+/** Response that leaves the rest of the request unread. */
+const withoutReading = (respond: RawResponse): RawResponse => socket => {
+  socket.pause();
+  respond(socket);
 };
 
 for (const requestBytes of [0, 1000, 8 * MIB]) {
   for (const part of ['', 'part']) {
     for (const delayMs of [0, 5]) {
       test(`a response without a length to ${requestBytes} bytes is cut when its connection is reset ${delayMs} ms after ${part.length} bytes`, async t => {
-        const outcome = await exchange(t, socket => {
-          socket.pause();
-          socket.write(`HTTP/1.1 200 OK\r\n\r\n${part}`);
-          afterMs(delayMs, () => {
-            socket.resetAndDestroy();
-          });
-        }, requestBytes);
+        const outcome = await exchange(t, withoutReading(resetting(`HTTP/1.1 200 OK\r\n\r\n${part}`, delayMs)), requestBytes);
         t.true(outcome === 'cut' || outcome === 'lost', outcome);
       });
     }
@@ -85,10 +67,7 @@
 }
 
 test('a response without a length is cut when its connection ends before the request was sent', async t => {
-  const outcome = await exchange(t, socket => {
-    socket.pause();
-    socket.end('HTTP/1.1 200 OK\r\n\r\npart');
-  }, 8 * MIB);
+  const outcome = await exchange(t, withoutReading(ending('HTTP/1.1 200 OK\r\n\r\npart')), 8 * MIB);
   t.true(outcome === 'cut' || outcome === 'lost', outcome);
 });
 
@@ -114,9 +93,7 @@
 
 for (const {title, bytes, expected} of responses) {
   test(`a response with ${title} comes out as ${expected}`, async t => {
-    t.is(await exchange(t, socket => {
-      socket.write(bytes, 'latin1');
-    }, 0), expected);
+    t.is(await exchange(t, writing(bytes), 0), expected);
   });
 }
 
@@ -129,17 +106,13 @@
 
 for (const {title, bytes} of misread) {
   test.failing(`a response with ${title} comes out as lost`, async t => {
-    t.is(await exchange(t, socket => {
-      socket.write(bytes, 'latin1');
-    }, 0), 'lost');
+    t.is(await exchange(t, writing(bytes), 0), 'lost');
   });
 }
 
-const soundEnds: Array<{title: string; requestBytes: number; respond: (socket: Socket) => void}> = [
+const soundEnds: Array<{title: string; requestBytes: number; respond: RawResponse; expected: string}> = [
   {
-    title: 'without a length whose connection ends in order',
-    requestBytes: 1000,
-    respond: socket => socket.end('HTTP/1.1 200 OK\r\n\r\nwhole'),
+    title: 'without a length whose connection ends in order', requestBytes: 1000, respond: ending('HTTP/1.1 200 OK\r\n\r\nwhole'), expected: '200 whole',
   },
   {
     title: 'without a length whose connection ends later',
@@ -150,17 +123,19 @@
         socket.end('ole');
       }, 20);
     },
+    expected: '200 whole',
+  },
+  {
+    title: 'with a length before the request was sent', requestBytes: 8 * MIB, respond: writing(`HTTP/1.1 200 OK\r\n${LENGTH_AND_BODY}`), expected: '200 whole',
   },
   {
-    title: 'with a length before the request was sent',
-    requestBytes: 8 * MIB,
-    respond: socket => socket.write(`HTTP/1.1 200 OK\r\n${LENGTH_AND_BODY}`),
+    title: 'in chunks before the request was sent', requestBytes: 8 * MIB, respond: writing('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n'), expected: '200 whole',
   },
 ];
 
-for (const {title, requestBytes, respond} of soundEnds) {
+for (const {title, requestBytes, respond, expected} of soundEnds) {
   test(`a response ${title} is whole`, async t => {
-    t.is(await exchange(t, respond, requestBytes), '200 whole');
+    t.is(await exchange(t, respond, requestBytes), expected);
   });
 }
 
--- a/src/daemon/transport.ts
+++ b/src/daemon/transport.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {PassThrough, pipeline, type Readable} from 'node:stream';
 import {Pool, type Dispatcher} from 'undici';
+import {isFinalStatus} from '../shared/http-status.js';
 import {createStrictConnector} from '../shared/strict-connector.js';
 import {type Headers, forwardedResponseHeaders} from './headers.js';
 import {BUFFERED_REPLY_BYTES_MAX, type TransportResult, type RequestMessage} from './message.js';
@@ -155,13 +156,11 @@
   };
 };
 
-const STATUS_MAX = 599;
 /** Bytes that HTTP does not allow in a reason phrase. */
 const CONTROL_CHARACTER = /[\u0000-\u0008\u000A-\u001F\u007F]/u; // eslint-disable-line no-control-regex
 
-/** Whether a status line is one of HTTP; undici checks the version and that the status has three digits and is final. */
-const isSoundStatusLine = ({statusCode, statusText}: Dispatcher.ResponseData): boolean =>
-  statusCode <= STATUS_MAX && !CONTROL_CHARACTER.test(statusText);
+/** Whether HTTP allows a status line, as far as undici does not check it. */
+const isSoundStatusLine = ({statusCode, statusText}: Dispatcher.ResponseData): boolean => isFinalStatus(statusCode) && !CONTROL_CHARACTER.test(statusText);
 
 /** Whether a response ends with its connection. */
 const endsWithConnection = (headers: Headers): boolean => headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
--- a/src/mesh/entry/response-head.ts
+++ b/src/mesh/entry/response-head.ts
@@ -1,10 +1,10 @@
 /** Decides which heads of responses may be passed on to a caller. Both entrances of responses ask it before they keep anything of the response: the connection to the backend server line by line, the links to other processes for a whole head. */
+import {LAST_STATUS} from '../../shared/http-status.js';
 
 /** Head of a response; raw headers alternate names and values, one character for each byte. */
 export type ResponseHead = {status: number; rawHeaders: readonly string[]};
 
 const FIRST_STATUS = 100;
-const LAST_STATUS = 599;
 /** Token of RFC 9110. */
 const HEADER_NAME = /^[\w!#$%&'*+\-.^`|~]+$/u;
 /** Bytes above 127 are allowed: values may be in UTF-8 or any other encoding, and are passed on byte by byte. */
--- a/src/mesh/inbound/response-framing.ts
+++ b/src/mesh/inbound/response-framing.ts
@@ -1,4 +1,5 @@
 /** Reads how the end of a response is known. A response whose end is misread looks complete, so nothing lenient is allowed here. */
+import {FIRST_FINAL_STATUS} from '../../shared/http-status.js';
 
 /** How the end of a response is known; `bodiless`: it ends with its head, `connection`: with the connection. */
 export type ResponseFraming =
@@ -18,9 +19,6 @@
   rawHeaders: readonly string[];
 };
 
-/** Interim responses have a lower status. */
-export const FIRST_FINAL_STATUS = 200;
-
 const SWITCHING_PROTOCOLS_STATUS = 101;
 const NO_CONTENT_STATUS = 204;
 const NOT_MODIFIED_STATUS = 304;
--- a/src/mesh/inbound/response-parser.ts
+++ b/src/mesh/inbound/response-parser.ts
@@ -1,9 +1,10 @@
 /** Parses the responses on one connection to the backend server, and bounds what an incomplete response may hold and how much work it may cause. */
 import type {Buffer} from 'node:buffer';
 import {HTTPParser} from 'http-parser-js';
+import {FIRST_FINAL_STATUS} from '../../shared/http-status.js';
 import {createBodyBuffer, type BodyBuffer} from '../body-buffer.js';
 import type {HeldBytes, Reservation} from '../held-bytes.js';
-import {FIRST_FINAL_STATUS, readFraming} from './response-framing.js';
+import {readFraming} from './response-framing.js';
 import {isResponseLine, mayBeginStatusLine} from './response-lines.js';
 
 // Reads heads with one character for each byte. The parser's default clears the highest bit, which turns bytes of other encodings into control characters.
