fix(daemon): pass on a response without a body before the request was sent

Evidence: the case "without a body before the request was sent" of broken-responses.spec.ts failed before; all 42 pass.

--- a/src/daemon/__tests__/broken-responses.spec.ts
+++ b/src/daemon/__tests__/broken-responses.spec.ts
@@ -131,6 +131,9 @@
   {
     title: 'in chunks before the request was sent', requestBytes: 8 * MIB, respond: writing('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n'), expected: '200 whole',
   },
+  {
+    title: 'without a body before the request was sent', requestBytes: 8 * MIB, respond: writing('HTTP/1.1 204 No Content\r\n\r\n'), expected: '204 ',
+  },
 ];
 
 for (const {title, requestBytes, respond, expected} of soundEnds) {
--- a/src/daemon/transport.ts
+++ b/src/daemon/transport.ts
@@ -156,6 +156,8 @@
   };
 };
 
+/** Statuses of responses without a body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 /** Bytes that HTTP does not allow in a reason phrase. */
 const CONTROL_CHARACTER = /[\u0000-\u0008\u000A-\u001F\u007F]/u; // eslint-disable-line no-control-regex
 
@@ -163,7 +165,8 @@
 const isSoundStatusLine = ({statusCode, statusText}: Dispatcher.ResponseData): boolean => isFinalStatus(statusCode) && !CONTROL_CHARACTER.test(statusText);
 
 /** Whether a response ends with its connection. */
-const endsWithConnection = (headers: Headers): boolean => headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+const endsWithConnection = ({method}: RequestMessage, {statusCode, headers}: Dispatcher.ResponseData): boolean =>
+  method !== 'HEAD' && !BODILESS_STATUSES.has(statusCode) && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 
 /** Passes on a response that ends with its connection. If the connection ends before the request has been read, the server has broken off. */
 const readToEnd = (body: Readable, request: ReplayBody): Readable => {
@@ -249,7 +252,7 @@
       reply: {
         status: response.statusCode,
         headers,
-        body: endsWithConnection(response.headers) ? readToEnd(response.body, message.body) : response.body,
+        body: endsWithConnection(message, response) ? readToEnd(response.body, message.body) : response.body,
       },
     };
   };
