refactor(inbound): name the lines that the parser expects

Cause: the check of lines took any text for what is expected and let all others pass. Change: a union of the parser's five names and an exhaustive switch; the empty line behind a chunk is checked there as well.

--- a/src/mesh/inbound/response-lines.ts
+++ b/src/mesh/inbound/response-lines.ts
@@ -1,10 +1,12 @@
 /** Checks each line of a response as it was received. The parser skips, joins or shortens lines that it cannot read, so nothing of them can be seen in what it returns. */
 import {isHeaderName, isHeaderValue} from '../entry/response-head.js';
 
+/** What the parser expects when it takes a line; its own names. */
+export type ExpectedLine = 'RESPONSE_LINE' | 'HEADER' | 'BODY_CHUNKHEAD' | 'BODY_CHUNKEMPTYLINE' | 'BODY_CHUNKTRAILERS';
+
 /** Line of a response before the parser reads it. */
 export type ReceivedLine = {
-  /** What the parser expects; its own names. */
-  expected: string;
+  expected: ExpectedLine;
   /** Line without its end; one character for each byte. */
   text: string;
   /** Whether a field of the same head or trailer section stands before it. */
@@ -49,8 +51,8 @@
       return CHUNK_SIZE_LINE.test(text) && isHeaderValue(text);
     }
 
-    default: {
-      return true;
+    case 'BODY_CHUNKEMPTYLINE': {
+      return text === '';
     }
   }
 };
--- a/src/mesh/inbound/response-parser.ts
+++ b/src/mesh/inbound/response-parser.ts
@@ -5,7 +5,7 @@
 import {createBodyBuffer, type BodyBuffer} from '../body-buffer.js';
 import type {HeldBytes, Reservation} from '../held-bytes.js';
 import {readFraming} from './response-framing.js';
-import {isResponseLine, mayBeginStatusLine} from './response-lines.js';
+import {isResponseLine, mayBeginStatusLine, type ExpectedLine} from './response-lines.js';
 
 // Reads heads with one character for each byte. The parser's default clears the highest bit, which turns bytes of other encodings into control characters.
 HTTPParser.encoding = 'latin1';
@@ -61,7 +61,7 @@
 const STRING_OVERHEAD_BYTES = 32;
 
 /** Parts of the parser that its type declarations leave out: the incomplete line, what is expected next, the headers and trailers so far, how far the received bytes have been read, and the function that takes the next complete line. */
-type ParserState = {line: string; state: string; info: {headers: string[]}; trailers: string[]; offset: number; consumeLine: () => string | undefined};
+type ParserState = {line: string; state: ExpectedLine | 'BODY_RAW' | 'BODY_SIZED' | 'BODY_CHUNK'; info: {headers: string[]}; trailers: string[]; offset: number; consumeLine: () => string | undefined};
 
 const headBytes = (rawHeaders: readonly string[]): number => {
   let bytes = 0;
@@ -75,7 +75,7 @@
 /** Tells the parser that a response has no body, whatever its headers say. */
 const SKIP_BODY = 1;
 
-const isHeadLine = (expected: string): boolean => expected === 'RESPONSE_LINE' || expected === 'HEADER';
+const isHeadLine = (expected: ExpectedLine): boolean => expected === 'RESPONSE_LINE' || expected === 'HEADER';
 
 /** Creates a parser; `begin` is called before the first response. */
 export const createResponseParser = ({heldBytes, onResponse}: ResponseParserOptions): ResponseParser => {
@@ -134,7 +134,9 @@
   const sectionFields = (): string[] => state.state === 'BODY_CHUNKTRAILERS' ? state.trailers : state.info.headers;
 
   const consumeLine = state.consumeLine.bind(state);
+  // The parser takes a line in the states that expect one.
   state.consumeLine = () => {
+    const expected = state.state as ExpectedLine;
     const receivedChars = state.line.length - state.offset;
     const text = consumeLine();
     if (text === undefined) {
@@ -142,13 +144,13 @@
     }
 
     const endBytes = receivedChars + state.offset - text.length;
-    if (state.state === 'RESPONSE_LINE') {
+    if (expected === 'RESPONSE_LINE') {
       lineEndBytes = endBytes;
     }
 
-    if (endBytes !== lineEndBytes || !isResponseLine({expected: state.state, text, followsField: sectionFields().length > 0})) {
+    if (endBytes !== lineEndBytes || !isResponseLine({expected, text, followsField: sectionFields().length > 0})) {
       const message = `the backend server sent an invalid line: ${JSON.stringify(text.slice(0, 80))}`;
-      refuse(isHeadLine(state.state) ? 'head-invalid' : 'not-http', message);
+      refuse(isHeadLine(expected) ? 'head-invalid' : 'not-http', message);
       throw new Error(message);
     }
 
