fix(inbound): take no line of a response that ends with a line feed alone

Seen by callers: a response whose status line ended with two line feeds, one of them in the place of the carriage return, had no fields: a failure came out with its fields and its body as the body.

Cause: lines with a line feed alone were accepted where all lines of a response end so, and the status line decided that, so a wrong byte in it ended the head. Change: each line ends with CRLF, as Node's own parser asks. RFC 9112 (2.2) allows a recipient to accept a line feed alone, but does not ask for it.

Evidence: response-parser.spec.ts puts each control byte in the place of each byte of four responses: all four failed before, at that byte; they pass now.

--- a/src/mesh/inbound/response-parser.ts
+++ b/src/mesh/inbound/response-parser.ts
@@ -55,6 +55,8 @@
 const BODY_BYTES_PER_FURTHER_PIECE = 64;
 /** Longest line of a head, a chunk size or a trailer, in bytes. */
 const LINE_MAX_BYTES = 64 * 1024;
+/** Carriage return and line feed. The parser takes a line feed alone as well, but a response with one in the place of the other would end its head there. */
+const LINE_END_BYTES = 2;
 /** Header and trailer lines of a response; Node's server reads as many of a request. */
 const FIELDS_MAX = 2000;
 /** Memory of a string besides its characters, in bytes. */
@@ -88,8 +90,6 @@
   let pieces = 0;
   let receivedBytes = 0;
   let bodyBytes = 0;
-  /** Bytes that end each line of the current response: a line feed, with a carriage return or without. A line with another end is one that was altered on its way. */
-  let lineEndBytes = 0;
 
   const release = (): void => {
     response = undefined;
@@ -144,11 +144,7 @@
     }
 
     const endBytes = receivedChars + state.offset - text.length;
-    if (expected === 'RESPONSE_LINE') {
-      lineEndBytes = endBytes;
-    }
-
-    if (endBytes !== lineEndBytes || !isResponseLine({expected, text, followsField: sectionFields().length > 0})) {
+    if (endBytes !== LINE_END_BYTES || !isResponseLine({expected, text, followsField: sectionFields().length > 0})) {
       const message = `the backend server sent an invalid line: ${JSON.stringify(text.slice(0, 80))}`;
       refuse(isHeadLine(expected) ? 'head-invalid' : 'not-http', message);
       throw new Error(message);
