--- a/review/stand-ins-3/lib.mjs
+++ b/review/stand-ins-3/lib.mjs
@@ -1,4 +1,4 @@
-/* eslint-disable no-await-in-loop, no-void, no-unmodified-loop-condition, n/prefer-global/buffer, n/prefer-global/process, unicorn/no-process-exit, @stylistic/max-len */
+/* eslint-disable no-await-in-loop, no-void, no-unmodified-loop-condition, n/prefer-global/buffer, n/prefer-global/process, unicorn/no-process-exit, @stylistic/max-len, promise/prefer-await-to-then, unicorn/no-array-reduce */
 // Stand-ins for the third review: the platform's store, upstreams, clients, and the hosts' program started as the deploy file says.
 import {spawn} from 'node:child_process';
 import {
