--- a/review/stand-ins-3/lib.mjs
+++ b/review/stand-ins-3/lib.mjs
@@ -506,10 +506,10 @@
   return {
     socket,
     isClosed: () => end !== undefined,
-    async send({id, method = 'GET', host = 'hulo84.example', path: target, deadlineMs = 6000, body}) {
+    async send({id, method = 'GET', host = 'hulo84.example', path: target, deadlineMs = 6000, body, headers = {}}) {
       return new Promise(resolve => {
         pending.push(resolve);
-        socket.write(`${method} ${target} HTTP/1.1\r\nHost: ${host}\r\nX-Request-Id: ${id}\r\nX-Deadline-Ms: ${deadlineMs}\r\n${body === undefined ? '' : `Content-Length: ${body.length}\r\n`}\r\n`);
+        socket.write(`${method} ${target} HTTP/1.1\r\nHost: ${host}\r\nX-Request-Id: ${id}\r\nX-Deadline-Ms: ${deadlineMs}\r\n${Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')}${body === undefined ? '' : `Content-Length: ${body.length}\r\n`}\r\n`);
         if (body !== undefined) {
           socket.write(body);
         }
