--- a/review/12/run.mjs
+++ b/review/12/run.mjs
@@ -1,53 +1,49 @@
-/* eslint-disable no-await-in-loop, n/prefer-global/buffer, @stylistic/max-len */
-// Clients send idempotent requests behind a non-idempotent one on a kept connection; an upstream answers some requests without a length.
+/* eslint-disable no-await-in-loop, no-void, n/prefer-global/buffer, @stylistic/max-len */
+// A host is stopped as planned (SIGTERM) while requests of its clients wait for a slot of an upstream.
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {
   announce, describe, openConnection, runCase, sleep, startUpstream,
 } from '../stand-ins-3/lib.mjs';
 
-const CLIENTS = 20;
-const PLAY_MS = 30_000;
-/** Share of the answers of the upstream that have no length. */
-const UNFRAMED_SHARE = 0.05;
-const FILING_MS = 100;
-const LOOKUP_MS = 300;
+const SLOTS = 10;
+/** Work of a lookup and of a report. */
+const LOOKUP_MS = 100;
+const REPORT_MS = 5000;
+/** Lookups a second at each of the two hosts with clients. */
+const LOOKUPS_PER_S = 40;
+/** Every so often, clients of the other host ask for this many reports. */
+const REPORTS = 45;
+const REPORTS_EVERY_MS = 12_000;
 const DEADLINE_MS = 6000;
-/** More losses than this break the rule. */
-const LOSSES_MAX = 3;
-
-const route = (prefix, kind) => ({
-  host: 'hulo84.example', pathPrefix: prefix, kind, timeoutMs: DEADLINE_MS, targetLatencyMs: 1500, priority: 1, maxAttempts: 2, service: 'filings',
-});
+const GRACE_MS = 6000;
+const LOSS_SLACK_MS = 200;
+/** The second batch of reports comes so long after the SIGTERM, in milliseconds. */
+const BATCH_AFTER_STOP_MS = 800;
 
 await runCase(path.dirname(fileURLToPath(import.meta.url)), async ({record, trouble, store, deployment, cleanups}) => {
   store.put('config', 'main', {
     version: 7,
-    routes: {filing: route('/filing/', 'non_idempotent'), lookup: route('/lookup/', 'idempotent')},
-    services: {filings: {healthCheckPath: '/health', maxConnections: 466}, front: {healthCheckPath: '/health', maxConnections: 394}},
+    routes: {
+      registry: {
+        host: 'hulo84.example', pathPrefix: '/registry/', kind: 'non_idempotent', timeoutMs: DEADLINE_MS, targetLatencyMs: 4000, priority: 1, maxAttempts: 2, service: 'registry',
+      },
+    },
+    services: {registry: {healthCheckPath: '/health', maxConnections: 394}, front: {healthCheckPath: '/health', maxConnections: 394}},
     limits: {
       maxHeaderBytes: 16_384, maxBodyBytes: 67_108_864, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
     },
   });
-  const front = await deployment.add({service: 'front'});
-  const hosts = [front, await deployment.add({service: 'filings'}), await deployment.add({service: 'filings'})];
+  const stopping = await deployment.add({service: 'front'});
+  const other = await deployment.add({service: 'front'});
+  const hosts = [stopping, other, await deployment.add({service: 'registry'}), await deployment.add({service: 'registry'}), await deployment.add({service: 'registry'})];
   const upstreams = [];
   for (const [index, host] of hosts.entries()) {
-    const name = `u${index + 1}`;
     const upstream = await startUpstream({
-      slots: 61, record, name, run({id, request, response, answer}) {
+      slots: SLOTS, record, name: `u${index + 1}`, run({request, answer}) {
         setTimeout(() => {
-          if (!trouble || Math.random() >= UNFRAMED_SHARE) {
-            answer(200, Buffer.from('done'));
-            return;
-          }
-
-          record(`upstream ${name} answers ${id} whole, without a length, and ends its connection`);
-          // The answer ends with its connection, in order.
-          response.useChunkedEncodingByDefault = false;
-          response.writeHead(200, {'X-Request-Id': id, 'X-Response-Seal': `seal-${id}`, Connection: 'close'});
-          response.end('done');
-        }, request.method === 'POST' ? FILING_MS : LOOKUP_MS);
+          answer(200, Buffer.from('done'));
+        }, request.url.includes('report') ? REPORT_MS : LOOKUP_MS);
       },
     });
     const announced = announce(host, upstream);
@@ -63,43 +59,75 @@
   await sleep(2000);
 
   const requests = [];
-  const until = performance.now() + PLAY_MS;
-  const runClient = async client => {
+  let nextId = 0;
+  const sendOne = async (host, kind) => {
+    nextId++;
+    const entry = {id: `${kind}-${nextId}`, host, outcome: undefined};
     let connection;
-    const send = async (id, method, target) => {
-      const entry = {id, sentAt: performance.now()};
-      requests.push(entry);
-      entry.outcome = await connection.send({
-        id, method, path: target, body: method === 'POST' ? Buffer.from('{"plaque": 3}') : undefined, deadlineMs: DEADLINE_MS,
-      });
-      entry.endedAt = performance.now();
-      if (entry.outcome.kind === 'cut') {
-        record(`client ${client}: ${id} after ${Math.round(entry.endedAt - entry.sentAt)} ms: ${describe(entry.outcome)}`);
-      }
-    };
-
-    for (let turn = 0; performance.now() < until; turn++) {
-      if (connection === undefined || connection.isClosed()) {
-        connection = await openConnection(front.entry);
-        // From here on, the connection is a kept one.
-        await send(`c${client}-${turn}-first`, 'GET', '/lookup/first');
-        continue;
-      }
-
-      await Promise.all([
-        send(`c${client}-${turn}-filing`, 'POST', '/filing/'),
-        send(`c${client}-${turn}-lookup1`, 'GET', '/lookup/1'),
-        send(`c${client}-${turn}-lookup2`, 'GET', '/lookup/2'),
-      ]);
+    try {
+      connection = await openConnection(host.entry);
+    } catch {
+      return;
     }
 
+    entry.sentAt = performance.now();
+    requests.push(entry);
+    entry.outcome = await connection.send({
+      id: entry.id, method: 'POST', path: `/registry/${kind}`, body: Buffer.from('{"month": 11}'), deadlineMs: DEADLINE_MS,
+    });
+    entry.endedAt = performance.now();
     connection.close();
+    record(`client of ${host.node}: ${entry.id} after ${Math.round(entry.endedAt - entry.sentAt)} ms: ${describe(entry.outcome)}`);
   };
 
-  await Promise.all(Array.from({length: CLIENTS}, (_, client) => runClient(client)));
+  /** A host gets new work until two questions in a row for its readiness were missed. */
+  const takesWork = new Map([[stopping, true], [other, true]]);
+  let misses = 0;
+  const timers = [
+    setInterval(async () => {
+      misses = await deployment.isReady(stopping) ? 0 : misses + 1;
+      if (misses === 2) {
+        takesWork.set(stopping, false);
+        record(`${stopping.node} gets no new work any more`);
+      }
+    }, 1000),
+    setInterval(() => {
+      for (const [host, mayTake] of takesWork) {
+        if (mayTake) {
+          void sendOne(host, 'lookup');
+        }
+      }
+    }, 1000 / LOOKUPS_PER_S),
+    setInterval(() => {
+      record(`clients of ${other.node} ask for ${REPORTS} reports`);
+      for (let index = 0; index < REPORTS; index++) {
+        void sendOne(other, 'report');
+      }
+    }, REPORTS_EVERY_MS),
+  ];
+  cleanups.push(() => {
+    for (const timer of timers) {
+      clearInterval(timer);
+    }
+  });
+
+  await sleep((2 * REPORTS_EVERY_MS) - BATCH_AFTER_STOP_MS);
+  const stoppedAt = performance.now();
+  if (trouble) {
+    record(`SIGTERM to ${stopping.node}`);
+    stopping.child.kill('SIGTERM');
+  }
+
+  await sleep(GRACE_MS + 500);
   const ran = new Set(upstreams.flatMap(upstream => upstream.ran.map(({id}) => id)));
-  const cut = requests.filter(({outcome}) => outcome.kind === 'cut');
-  const lost = cut.filter(({id}) => ran.has(id));
-  record(`${requests.length} requests, ${requests.filter(({outcome}) => outcome.status === 200).length} served; ${cut.length} ended without an answer, of them ${lost.length} that an upstream had begun`);
-  return lost.length > LOSSES_MAX;
+  const atStopping = requests.filter(({host, sentAt}) => host === stopping && sentAt > stoppedAt - DEADLINE_MS);
+  const cut = atStopping.filter(({outcome}) => outcome?.kind === 'cut');
+  // An upstream that was still at work at the end of the grace time excuses a cut, and so does the deadline.
+  const lost = cut.filter(({id, sentAt, endedAt}) => !ran.has(id) && endedAt - sentAt > LOSS_SLACK_MS && endedAt - sentAt < DEADLINE_MS);
+  record(`${atStopping.length} requests at ${stopping.node} around the stop: ${atStopping.filter(({outcome}) => outcome?.status === 200).length} served, ${atStopping.filter(({outcome}) => outcome?.status === 503).length} refused, ${cut.length} cut`);
+  for (const {id, sentAt, endedAt} of lost) {
+    record(`lost: ${id}, sent ${Math.round(sentAt - stoppedAt)} ms after the SIGTERM, cut ${Math.round(endedAt - stoppedAt)} ms after it; no upstream had begun it`);
+  }
+
+  return lost.length > 0;
 });
