--- a/review/stand-ins-3/lib.mjs
+++ b/review/stand-ins-3/lib.mjs
@@ -532,6 +532,10 @@
   record(trouble ? 'with the disruption' : 'without the disruption (TROUBLE=0)');
   let code = 2;
   const cleanups = [];
+  process.on('uncaughtException', error => {
+    record(`an error that nothing catches: ${error.stack}`);
+    void finish(2);
+  });
   const limit = setTimeout(() => {
     record('the case took too long');
     void finish(2);
