--- a/review/stand-ins-3/lib.mjs
+++ b/review/stand-ins-3/lib.mjs
@@ -26,14 +26,16 @@
 };
 
 const FIRST_PORT = 20_000;
-const PORTS = 12_000;
-const taken = new Set();
+const BLOCKS = 200;
+const BLOCK_PORTS = 60;
+let nextPort = (process.pid % BLOCKS) * BLOCK_PORTS;
 
-/** A port that is free now, below those that the system gives to clients, so that none of them takes it meanwhile. */
+/** A port that is free now, below those that the system gives to clients, and from a block of this process, so that nothing else takes it meanwhile. */
 export const freePort = async () => {
   for (;;) {
-    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
-    const isFree = !taken.has(port) && await new Promise(resolve => {
+    const port = FIRST_PORT + (nextPort % (BLOCKS * BLOCK_PORTS));
+    nextPort++;
+    const isFree = await new Promise(resolve => {
       const server = createNetServer();
       server.on('error', () => {
         resolve(false);
@@ -45,7 +47,6 @@
       });
     });
     if (isFree) {
-      taken.add(port);
       return port;
     }
   }
