--- a/review/stand-ins-3/streaming-upstream.mjs
+++ b/review/stand-ins-3/streaming-upstream.mjs
@@ -4,9 +4,11 @@
 
 const [slots, pieces, pieceBytes, gapMs, unframedShare] = process.argv.slice(2).map(Number);
 let instance;
+let unframedUntil = 0;
 let running = 0;
 process.on('message', message => {
-  instance = message.instance;
+  instance = message.instance ?? instance;
+  unframedUntil = message.unframedForMs === undefined ? unframedUntil : performance.now() + message.unframedForMs;
 });
 
 const server = createServer({keepAliveTimeout: 10_000}, (request, response) => {
@@ -26,7 +28,7 @@
     }
 
     running++;
-    const isFramed = Math.random() >= unframedShare;
+    const isFramed = performance.now() >= unframedUntil || Math.random() >= unframedShare;
     process.send({event: 'begins', id, isFramed});
     response.useChunkedEncodingByDefault = false;
     response.writeHead(200, {'X-Request-Id': id, 'X-Response-Seal': `seal-${id}`, ...(isFramed ? {'Content-Length': pieces * pieceBytes} : {Connection: 'close'})});
